Thin whole path: release note in, keyed request through

Cause: there was no product.

What runs: a daemon reads checked settings, follows release notes on the platform stand-in, finds a caller's key by digest, takes a token of its static share, picks a target in turn, forwards and streams the answer back.

Static shares, round robin and arrival order stay as the baselines of what is built next.

--- /dev/null
+++ b/packages/claims/src/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Claims: a caller's repeat under the same `Idempotency-Key` never runs a second time.
+ */
+
+import * as kernel from "@hemlockwalk/kernel";
+import type * as types from "./types.ts";
+
+export type * from "./types.ts";
+
+/** The name under which the claim store is found. */
+export const CLAIM_STORE = kernel.createServiceName<types.ClaimStore>("claim-store");
--- /dev/null
+++ b/packages/configuration/src/platform_client.ts
@@ -0,0 +1,100 @@
+/**
+ * Client of the platform's service: values are read and watched, never written.
+ */
+
+import * as neverthrow from "neverthrow";
+import * as undici from "undici";
+import type * as errors from "./errors.ts";
+import type * as types from "./types.ts";
+
+const CONNECT_TIMEOUT_MILLISECONDS = 2_000;
+
+/** How much longer than the requested wait the client lets a watch last. */
+const WATCH_MARGIN_MILLISECONDS = 5_000;
+
+const VERSION_HEADER = "value-version";
+
+/** Reads and watches the platform's values over HTTP, taking its addresses in turn. */
+export class PlatformClient {
+  readonly #addresses: readonly string[];
+  readonly #agent = new undici.Agent({ connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS } });
+  #next = 0;
+
+  constructor(addresses: readonly string[]) {
+    this.#addresses = addresses;
+  }
+
+  /** Reads a value. */
+  get(
+    key: string,
+    timeoutMilliseconds: number,
+    signal?: AbortSignal,
+  ): Promise<neverthrow.Result<types.PlatformValue, errors.PlatformError>> {
+    return this.#request(`/v1/values/${key}`, timeoutMilliseconds, signal);
+  }
+
+  /**
+   * Waits until the value has a version above the given one.
+   *
+   * @returns The newer value; `absent` when there was none within the wait.
+   */
+  watch(
+    key: string,
+    afterVersion: number,
+    waitMilliseconds: number,
+    signal?: AbortSignal,
+  ): Promise<neverthrow.Result<types.PlatformValue, errors.PlatformError>> {
+    const path = `/v1/values/${key}?after=${afterVersion}&wait=${waitMilliseconds}`;
+    return this.#request(path, waitMilliseconds + WATCH_MARGIN_MILLISECONDS, signal);
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #request(
+    path: string,
+    timeoutMilliseconds: number,
+    signal: AbortSignal | undefined,
+  ): Promise<neverthrow.Result<types.PlatformValue, errors.PlatformError>> {
+    const timeout = AbortSignal.timeout(timeoutMilliseconds);
+    const combined = signal === undefined ? timeout : AbortSignal.any([timeout, signal]);
+    try {
+      const response = await undici.request(this.#takeAddress() + path, {
+        dispatcher: this.#agent,
+        signal: combined,
+      });
+      const text = await response.body.text();
+      return readAnswer(response.statusCode, response.headers[VERSION_HEADER], text);
+    } catch (error) {
+      return neverthrow.err({ kind: "unreachable", detail: String(error) });
+    }
+  }
+
+  #takeAddress(): string {
+    const address = this.#addresses[this.#next % this.#addresses.length] ?? "";
+    this.#next++;
+    return address.replace(/\/$/, "");
+  }
+}
+
+function readAnswer(
+  status: number,
+  versionHeader: string | string[] | undefined,
+  text: string,
+): neverthrow.Result<types.PlatformValue, errors.PlatformError> {
+  if (status === 204 || status === 404) {
+    return neverthrow.err({ kind: "absent", detail: `status ${status}` });
+  }
+  if (status === 429) {
+    return neverthrow.err({ kind: "over_rate", detail: "status 429" });
+  }
+  if (status !== 200) {
+    return neverthrow.err({ kind: "refused", detail: `status ${status}` });
+  }
+  const version = Number(versionHeader);
+  if (!Number.isSafeInteger(version)) {
+    return neverthrow.err({ kind: "malformed", detail: "no version" });
+  }
+  return neverthrow.ok({ version, text });
+}
--- /dev/null
+++ b/packages/daemon/src/administration.ts
@@ -0,0 +1,101 @@
+/**
+ * The admin listener: health, readiness, metrics, and what is in force on this VM.
+ */
+
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as configuration from "@hemlockwalk/configuration";
+import * as fleet from "@hemlockwalk/fleet";
+import * as kernel from "@hemlockwalk/kernel";
+import * as model from "@hemlockwalk/model";
+
+/** Answers operators and the platform's balancer. */
+export class Administration implements kernel.Service {
+  readonly #services: kernel.Kernel;
+  readonly #address: string;
+  readonly #server: http.Server;
+
+  constructor(services: kernel.Kernel, address: string) {
+    this.#services = services;
+    this.#address = address;
+    this.#server = http.createServer((request, response) => {
+      void this.#answer(request.url ?? "/", response);
+    });
+  }
+
+  /** The port that the listener is bound to. */
+  get port(): number {
+    return (this.#server.address() as net.AddressInfo).port;
+  }
+
+  async start(): Promise<void> {
+    const place = kernel.getDefined(
+      model.splitSocketAddress(this.#address),
+      "Settings hold checked addresses.",
+    );
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(place.port, place.host, resolve);
+    });
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #answer(url: string, response: http.ServerResponse): Promise<void> {
+    switch (url) {
+      case "/health":
+        sendJson(response, 200, { healthy: true });
+        return;
+      case "/ready":
+        this.#answerReady(response);
+        return;
+      case "/metrics":
+        await this.#answerMetrics(response);
+        return;
+      case "/status":
+        sendJson(response, 200, this.#getStatus());
+        return;
+      default:
+        sendJson(response, 404, { error: "Not found." });
+    }
+  }
+
+  #answerReady(response: http.ServerResponse): void {
+    const ready = this.#services.state === "running" &&
+      this.#services.get(configuration.CONFIGURATION).isReady();
+    sendJson(response, ready ? 200 : 503, { ready });
+  }
+
+  async #answerMetrics(response: http.ServerResponse): Promise<void> {
+    const { registry } = this.#services.get(kernel.METRICS);
+    response.setHeader("content-type", registry.contentType);
+    response.end(await registry.metrics());
+  }
+
+  #getStatus(): object {
+    const membership = this.#services.get(fleet.MEMBERSHIP);
+    const snapshot = this.#services.get(configuration.CONFIGURATION).getSnapshot();
+    return {
+      vm: membership.self.vm,
+      incarnation: membership.self.incarnation,
+      dataCentre: membership.self.dataCentre,
+      state: this.#services.state,
+      configuration: snapshot === undefined
+        ? null
+        : { number: snapshot.number, digest: snapshot.digest },
+      members: membership.listMembers(),
+    };
+  }
+}
+
+function sendJson(response: http.ServerResponse, status: number, body: object): void {
+  response.statusCode = status;
+  response.setHeader("content-type", "application/json");
+  response.end(JSON.stringify(body));
+}
+
+/** The name under which the admin listener is found. */
+export const ADMINISTRATION = kernel.createServiceName<Administration>("administration");
--- /dev/null
+++ b/packages/fleet/src/testing/mod.ts
@@ -0,0 +1,148 @@
+/**
+ * An in-memory peer network for tests: several VMs in one process, with links that can be cut one
+ * way, delayed, duplicated or silenced.
+ */
+
+import type * as model from "@hemlockwalk/model";
+import * as msgpackr from "msgpackr";
+import * as neverthrow from "neverthrow";
+import type * as errors from "../errors.ts";
+import * as messaging from "../peer_messaging.ts";
+import type * as types from "../types.ts";
+
+/** How frames travel from one VM to another. Each direction has its own. */
+export interface LinkBehaviour {
+  /** Frames vanish without notice. */
+  cut: boolean;
+  delayMilliseconds: number;
+  /** Each frame arrives this many times. */
+  copies: number;
+}
+
+/** Connects the VMs of one test. */
+export class MemoryHub {
+  readonly #networks = new Map<model.VmId, MemoryPeerNetwork>();
+  readonly #behaviours = new Map<string, LinkBehaviour>();
+  readonly #held = new Map<model.VmId, (() => void)[]>();
+  /** Frames sent so far. */
+  frames = 0;
+  /** Bytes sent so far, as encoded by msgpackr. */
+  bytes = 0;
+
+  /** Adds a VM. Another network under the same identifier replaces the earlier one. */
+  connect(identity: types.VmIdentity): MemoryPeerNetwork {
+    const network = new MemoryPeerNetwork(this, identity);
+    this.#networks.set(identity.vm, network);
+    return network;
+  }
+
+  /** Removes a VM; frames to it vanish. */
+  disconnect(vm: model.VmId): void {
+    this.#networks.delete(vm);
+  }
+
+  /** How frames travel in one direction. The caller may change it. */
+  getLink(from: model.VmId, to: model.VmId): LinkBehaviour {
+    const name = `${from} ${to}`;
+    let behaviour = this.#behaviours.get(name);
+    if (behaviour === undefined) {
+      behaviour = { cut: false, delayMilliseconds: 1, copies: 1 };
+      this.#behaviours.set(name, behaviour);
+    }
+    return behaviour;
+  }
+
+  /** Holds everything that would arrive at a VM, as while its process is paused. */
+  pause(vm: model.VmId): void {
+    if (!this.#held.has(vm)) {
+      this.#held.set(vm, []);
+    }
+  }
+
+  /** Delivers what was held. */
+  resume(vm: model.VmId): void {
+    const held = this.#held.get(vm) ?? [];
+    this.#held.delete(vm);
+    for (const deliver of held) {
+      deliver();
+    }
+  }
+
+  /** Moves a frame on behalf of a network. */
+  transmit(from: types.VmIdentity, to: model.VmId, frame: messaging.Frame): void {
+    const bytes = msgpackr.pack(frame);
+    this.frames++;
+    this.bytes += bytes.length;
+    const link = this.getLink(from.vm, to);
+    if (link.cut) {
+      return;
+    }
+    for (let copy = 0; copy < link.copies; copy++) {
+      setTimeout(() => this.#arrive(from, to, bytes), link.delayMilliseconds);
+    }
+  }
+
+  #arrive(from: types.VmIdentity, to: model.VmId, bytes: Buffer): void {
+    const deliver = () => {
+      const frame = msgpackr.unpack(bytes) as messaging.Frame;
+      this.#networks.get(to)?.deliver(from, frame);
+    };
+    const held = this.#held.get(to);
+    if (held === undefined) {
+      deliver();
+    } else {
+      held.push(deliver);
+    }
+  }
+}
+
+/** The peer network of one VM of a test. */
+export class MemoryPeerNetwork extends messaging.PeerMessaging {
+  readonly #hub: MemoryHub;
+
+  constructor(hub: MemoryHub, self: types.VmIdentity) {
+    super(self);
+    this.#hub = hub;
+  }
+
+  /** Takes a frame from the hub. */
+  deliver(from: types.VmIdentity, frame: messaging.Frame): void {
+    this.receive(from, frame);
+  }
+
+  protected transmit(
+    to: model.VmId,
+    frame: messaging.Frame,
+  ): neverthrow.Result<void, errors.PeerError> {
+    this.#hub.transmit(this.self, to, frame);
+    return neverthrow.ok();
+  }
+}
+
+/** A membership that the test sets. */
+export class FixedMembership implements types.Membership {
+  readonly self: types.VmIdentity;
+  readonly #listeners: (() => void)[] = [];
+  #members: readonly types.Member[];
+
+  constructor(self: types.VmIdentity, members: readonly types.Member[]) {
+    this.self = self;
+    this.#members = members;
+  }
+
+  listMembers(): readonly types.Member[] {
+    return this.#members;
+  }
+
+  onChange(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Replaces the view and tells the listeners. */
+  set(members: readonly types.Member[]): void {
+    this.#members = members;
+    for (const listener of this.#listeners) {
+      listener();
+    }
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/clock.ts
@@ -0,0 +1,36 @@
+/**
+ * Elapsed time and waiting.
+ *
+ * Everything that guards a promise (leases, expiry, deadlines) measures elapsed time here, on the
+ * runtime's monotonic clock, which neither a wall-clock step nor a time zone can move. Tests replace
+ * the clock of the runtime itself, so no clock is passed around.
+ */
+
+/** Milliseconds on the monotonic clock of the process. Only differences have a meaning. */
+export function getMonotonicMilliseconds(): number {
+  return performance.now();
+}
+
+/**
+ * Waits for the given time.
+ *
+ * @param milliseconds How long to wait.
+ * @param signal Ends the wait early when it aborts.
+ * @returns `true` after the whole wait, `false` when the signal ended it.
+ */
+export function sleep(milliseconds: number, signal?: AbortSignal): Promise<boolean> {
+  if (signal?.aborted) {
+    return Promise.resolve(false);
+  }
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => {
+      signal?.removeEventListener("abort", onAbort);
+      resolve(true);
+    }, milliseconds);
+    const onAbort = () => {
+      clearTimeout(timer);
+      resolve(false);
+    };
+    signal?.addEventListener("abort", onAbort, { once: true });
+  });
+}
--- /dev/null
+++ b/packages/kernel/src/kernel.ts
@@ -0,0 +1,103 @@
+/**
+ * The micro-kernel of one VM.
+ *
+ * Services are registered under a name, find each other by that name, start in the order of
+ * registration and stop in the reverse order. One process normally holds one kernel; tests hold
+ * several, one for each VM.
+ */
+
+import * as assertions from "./assert.ts";
+import type * as types from "./types.ts";
+
+/** Thrown when services are wired wrongly or used outside their life cycle. */
+export class KernelError extends Error {
+  override readonly name = "KernelError";
+}
+
+/** Creates the typed name of a service. */
+export function createServiceName<T>(name: string): types.ServiceName<T> {
+  return name;
+}
+
+type KernelState = "created" | "starting" | "running" | "draining" | "stopped";
+
+/** Registry and life cycle of the services of one VM. */
+export class Kernel {
+  readonly #services = new Map<string, types.Service>();
+  readonly #started: types.Service[] = [];
+  #state: KernelState = "created";
+
+  /** Where the kernel stands in its life cycle. */
+  get state(): KernelState {
+    return this.#state;
+  }
+
+  /**
+   * Registers a service under its name.
+   *
+   * @throws {KernelError} When the name is taken or the kernel has started.
+   */
+  register<T extends object>(name: types.ServiceName<T>, service: T): T {
+    if (this.#state !== "created") {
+      throw new KernelError(`Service '${name}' is registered after the start.`);
+    }
+    if (this.#services.has(name)) {
+      throw new KernelError(`Service '${name}' is registered twice.`);
+    }
+    this.#services.set(name, service);
+    return service;
+  }
+
+  /**
+   * Finds a service by its name.
+   *
+   * @throws {KernelError} When no such service is registered.
+   */
+  get<T>(name: types.ServiceName<T>): T {
+    const service = this.find(name);
+    if (service === undefined) {
+      throw new KernelError(`Service '${name}' is not registered.`);
+    }
+    return service;
+  }
+
+  /** Finds a service by its name; undefined when this VM has none. */
+  find<T>(name: types.ServiceName<T>): T | undefined {
+    return this.#services.get(name) as T | undefined;
+  }
+
+  /** Starts all services in the order of registration. A failure stops those already started. */
+  async start(): Promise<void> {
+    assertions.assert(this.#state === "created", "A kernel starts once.");
+    this.#state = "starting";
+    try {
+      for (const service of this.#services.values()) {
+        await service.start?.();
+        this.#started.push(service);
+      }
+    } catch (error) {
+      await this.#stopStarted();
+      throw error;
+    }
+    this.#state = "running";
+  }
+
+  /** Drains all services, then stops them, both in the reverse order of registration. */
+  async stop(): Promise<void> {
+    if (this.#state !== "running") {
+      return;
+    }
+    this.#state = "draining";
+    for (const service of [...this.#started].reverse()) {
+      await service.drain?.();
+    }
+    await this.#stopStarted();
+  }
+
+  async #stopStarted(): Promise<void> {
+    for (const service of this.#started.splice(0).reverse()) {
+      await service.stop?.();
+    }
+    this.#state = "stopped";
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/logging.ts
@@ -0,0 +1,48 @@
+/**
+ * Structured logs. Each part of the daemon writes short sentences behind its own fixed prefix.
+ */
+
+import bunyan from "bunyan";
+
+/** Levels that settings may name. */
+export type LogLevel = "debug" | "info" | "warn" | "error";
+
+/** Named values that go beside a sentence. Never a caller's key. */
+export type LogFields = Record<string, string | number | boolean | undefined>;
+
+/** Creates the root logger of one VM, which writes one JSON object a line to standard output. */
+export function createRootLogger(vm: string, level: LogLevel): bunyan {
+  return bunyan.createLogger({ name: "hemlockwalk", vm, level });
+}
+
+/** Creates a root logger that writes nothing, for tests and tools. */
+export function createSilentLogger(): bunyan {
+  return bunyan.createLogger({ name: "hemlockwalk", level: bunyan.FATAL + 1 });
+}
+
+/** The logger of one part: a fixed prefix and short sentences. */
+export class PartLogger {
+  readonly #logger: bunyan;
+  readonly #prefix: string;
+
+  constructor(root: bunyan, part: string) {
+    this.#logger = root.child({ part });
+    this.#prefix = `${part}: `;
+  }
+
+  debug(sentence: string, fields: LogFields = {}): void {
+    this.#logger.debug(fields, this.#prefix + sentence);
+  }
+
+  info(sentence: string, fields: LogFields = {}): void {
+    this.#logger.info(fields, this.#prefix + sentence);
+  }
+
+  warn(sentence: string, fields: LogFields = {}): void {
+    this.#logger.warn(fields, this.#prefix + sentence);
+  }
+
+  error(sentence: string, fields: LogFields = {}): void {
+    this.#logger.error(fields, this.#prefix + sentence);
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/metrics.ts
@@ -0,0 +1,85 @@
+/**
+ * Counters, gauges and latency distributions of one VM, exported in the Prometheus text format.
+ */
+
+import * as hdr from "hdr-histogram-js";
+import * as prometheus from "prom-client";
+import * as kernel from "./kernel.ts";
+
+/** Highest latency that a distribution can hold, in microseconds. */
+const HIGHEST_LATENCY_MICROSECONDS = 600_000_000;
+
+const EXPORTED_QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
+
+/** All metrics of one VM. Two VMs in one process have separate ones. */
+export class Metrics {
+  readonly registry = new prometheus.Registry();
+
+  /** Creates a counter. Its name ends in `_total`. */
+  createCounter<Label extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[] = [],
+  ): prometheus.Counter<Label> {
+    return new prometheus.Counter({ name, help, labelNames, registers: [this.registry] });
+  }
+
+  /** Creates a gauge whose value is read when the metrics are collected. */
+  createGauge(name: string, help: string, read: () => number): void {
+    new prometheus.Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  /** Creates a latency distribution, exported as quantiles in seconds. */
+  createLatency(name: string, help: string): LatencyDistribution {
+    const distribution = new LatencyDistribution();
+    new prometheus.Gauge({
+      name,
+      help,
+      labelNames: ["quantile"],
+      registers: [this.registry],
+      collect() {
+        for (const quantile of EXPORTED_QUANTILES) {
+          this.set({ quantile }, distribution.getQuantileMilliseconds(quantile) / 1_000);
+        }
+      },
+    });
+    return distribution;
+  }
+}
+
+/** Latencies between one microsecond and ten minutes, at three significant digits. */
+export class LatencyDistribution {
+  readonly #histogram = hdr.build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_LATENCY_MICROSECONDS,
+    numberOfSignificantValueDigits: 3,
+  });
+
+  /** Number of latencies recorded. */
+  get count(): number {
+    return this.#histogram.totalCount;
+  }
+
+  /** Adds one latency in milliseconds. */
+  record(milliseconds: number): void {
+    const microseconds = Math.round(milliseconds * 1_000);
+    this.#histogram.recordValue(
+      Math.min(Math.max(microseconds, 1), HIGHEST_LATENCY_MICROSECONDS),
+    );
+  }
+
+  /** The latency in milliseconds below which the given share (0 to 1) of the calls lies. */
+  getQuantileMilliseconds(quantile: number): number {
+    return this.#histogram.getValueAtPercentile(quantile * 100) / 1_000;
+  }
+}
+
+/** The name under which the metrics of a VM are found. */
+export const METRICS = kernel.createServiceName<Metrics>("metrics");
--- /dev/null
+++ b/packages/kernel/src/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The micro-kernel: services that find each other by name, time, logs and metrics.
+ */
+
+export * from "./assert.ts";
+export * from "./clock.ts";
+export * from "./kernel.ts";
+export * from "./logging.ts";
+export * from "./metrics.ts";
+export * from "./pause_detector.ts";
+export type * from "./types.ts";
--- /dev/null
+++ b/packages/kernel/src/testing/mod.ts
@@ -0,0 +1,59 @@
+/**
+ * The clock of the runtime under the control of a test.
+ *
+ * Timers, the wall clock and the monotonic clock stand still until the test advances them together.
+ */
+
+import * as testing from "node:test";
+
+const FLUSH_ROUNDS = 4;
+
+/** Pauses the clock of the runtime and advances it on request. */
+export class TestClock {
+  #monotonic = 1_000;
+  readonly #setImmediate = setImmediate;
+  readonly #now: testing.Mock<() => number>;
+
+  constructor() {
+    testing.mock.timers.enable({
+      apis: ["setTimeout", "setInterval", "Date"],
+      now: 1_700_000_000_000,
+    });
+    this.#now = testing.mock.method(performance, "now", () => this.#monotonic);
+  }
+
+  /** Milliseconds on the paused monotonic clock. */
+  get monotonicMilliseconds(): number {
+    return this.#monotonic;
+  }
+
+  /**
+   * Advances all clocks in steps and lets what became due run after each step.
+   *
+   * @param milliseconds How far to advance.
+   * @param stepMilliseconds Length of a step. Shorter steps give a finer order of events.
+   */
+  async advance(milliseconds: number, stepMilliseconds = 10): Promise<void> {
+    let left = milliseconds;
+    while (left > 0) {
+      const step = Math.min(left, stepMilliseconds);
+      this.#monotonic += step;
+      testing.mock.timers.tick(step);
+      await this.flush();
+      left -= step;
+    }
+  }
+
+  /** Lets pending promise reactions and sockets on loopback run without advancing the clock. */
+  async flush(): Promise<void> {
+    for (let round = 0; round < FLUSH_ROUNDS; round++) {
+      await new Promise<void>((resolve) => this.#setImmediate(resolve));
+    }
+  }
+
+  /** Gives the runtime its own clock back. */
+  restore(): void {
+    this.#now.mock.restore();
+    testing.mock.timers.reset();
+  }
+}
--- /dev/null
+++ b/packages/limits/src/errors.ts
@@ -0,0 +1,15 @@
+/**
+ * Errors of the limits layer. The request did not run in any of these cases.
+ */
+
+/** The workspace has no token for the request. */
+export interface RateRefusal {
+  readonly kind: "over_rate" | "no_share";
+  readonly retryAfterMilliseconds: number;
+}
+
+/** The request found no slot in time. */
+export interface QueueRefusal {
+  readonly kind: "queue_full" | "queue_timeout" | "cancelled";
+  readonly retryAfterMilliseconds: number;
+}
--- /dev/null
+++ b/packages/limits/src/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Limits: rates and bursts over the whole fleet, and fair shares of full services.
+ */
+
+export * from "./arrival_order_queue.ts";
+export type * from "./errors.ts";
+export * from "./static_share_limiter.ts";
+export * from "./token_bucket.ts";
+export type * from "./types.ts";
--- /dev/null
+++ b/packages/measure/src/mod.ts
@@ -0,0 +1,2 @@
+/** Measurement of the fleet at its users' sizes. */
+export {};
--- /dev/null
+++ b/packages/model/src/diagnostics.ts
@@ -0,0 +1,79 @@
+/**
+ * The table of everything that can be wrong with settings and release notes.
+ *
+ * Numbers are stable: 1xxx concern documents as such, 2xxx settings, 3xxx release notes,
+ * 4xxx the chain of release notes. A withdrawn number is not used again.
+ */
+
+/** One row of the table. `{0}`, `{1}` stand for arguments. */
+export interface DiagnosticMessage {
+  readonly code: number;
+  readonly message: string;
+}
+
+function createMessage(code: number, message: string): DiagnosticMessage {
+  return { code, message };
+}
+
+export const Diagnostics = {
+  invalidJson: createMessage(1001, "The document is not valid JSON: {0}."),
+  documentTooLarge: createMessage(1002, "The document has {0} bytes; at most {1} are allowed."),
+  invalidField: createMessage(1003, "{0}"),
+  fileUnreadable: createMessage(1004, "The file cannot be read: {0}."),
+  unknownFormat: createMessage(3001, "Format {0} is unknown; this version reads format {1}."),
+  alreadyExists: createMessage(3002, "The {0} '{1}' is added, but it exists already."),
+  doesNotExist: createMessage(3003, "The {0} '{1}' does not exist."),
+  unknownReference: createMessage(
+    3004,
+    "The {0} '{1}' refers to the {2} '{3}', which does not exist.",
+  ),
+  listedTwice: createMessage(3005, "The {0} '{1}' is listed more than once in this note."),
+  stillReferenced: createMessage(
+    3006,
+    "The {0} '{1}' is withdrawn, but the {2} '{3}' refers to it.",
+  ),
+  routeConflict: createMessage(
+    3007,
+    "The routes '{0}' and '{1}' have the same host and path prefix.",
+  ),
+  fleetMissing: createMessage(3008, "The first note must declare the fleet."),
+  wrongPredecessor: createMessage(4001, "Note {0} names the predecessor {1}, but {2} is in force."),
+  wrongNumber: createMessage(4002, "Note {0} cannot follow note {1}."),
+} as const satisfies Record<string, DiagnosticMessage>;
+
+/** A place in a document, both counted from 1. */
+export interface Position {
+  readonly line: number;
+  readonly column: number;
+}
+
+/** One finding. */
+export interface Diagnostic {
+  readonly code: number;
+  readonly text: string;
+  /** Path of the field, such as `added.routes[2].service`; empty for the whole document. */
+  readonly field: string;
+  readonly position?: Position | undefined;
+}
+
+/** Creates a finding from a row of the table. */
+export function createDiagnostic(
+  row: DiagnosticMessage,
+  values: readonly (string | number)[],
+  field = "",
+  position?: Position,
+): Diagnostic {
+  const text = row.message.replace(
+    /\{(\d+)\}/g,
+    (_, index: string) => String(values[Number(index)] ?? ""),
+  );
+  return { code: row.code, text, field, position };
+}
+
+/** Formats a finding as one line: `file:line:column - HW1003 field: text`. */
+export function formatDiagnostic(file: string, diagnostic: Diagnostic): string {
+  const { position } = diagnostic;
+  const place = position === undefined ? file : `${file}:${position.line}:${position.column}`;
+  const field = diagnostic.field === "" ? "" : ` ${diagnostic.field}:`;
+  return `${place} - HW${diagnostic.code}${field} ${diagnostic.text}`;
+}
--- /dev/null
+++ b/packages/model/src/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The vocabulary of the system: identifiers, settings, release notes and their diagnostics.
+ */
+
+export * from "./diagnostics.ts";
+export * from "./document.ts";
+export * from "./ids.ts";
+export * from "./release_note.ts";
+export * from "./schemas.ts";
+export * from "./settings.ts";
+export type * from "./types.ts";
--- /dev/null
+++ b/packages/operator/src/mod.ts
@@ -0,0 +1,2 @@
+/** The operators' tool as a library. */
+export {};
--- /dev/null
+++ b/scripts/steps.mjs
@@ -0,0 +1,55 @@
+/**
+ * Steps that the scripts have in common. Uses nothing but Node.js, since packages may be missing.
+ */
+
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as path from "node:path";
+import process from "node:process";
+import * as url from "node:url";
+
+/** The top folder of the repository. */
+export const root = path.dirname(path.dirname(url.fileURLToPath(import.meta.url)));
+
+/** Runs a command in the top folder; a failure ends the script with the command's exit code. */
+export function run(command, commandArguments) {
+  process.stdout.write(`> ${command} ${commandArguments.join(" ").slice(0, 120)}\n`);
+  const result = childProcess.spawnSync(command, commandArguments, {
+    cwd: root,
+    stdio: "inherit",
+  });
+  if (result.status !== 0) {
+    process.exit(result.status ?? 1);
+  }
+}
+
+/** Installs the packages of the lock file unless they are there. */
+export function installIfMissing() {
+  const installed = path.join(root, "node_modules", ".package-lock.json");
+  const lock = path.join(root, "package-lock.json");
+  if (!fs.existsSync(installed) || fs.statSync(installed).mtimeMs < fs.statSync(lock).mtimeMs) {
+    run("npm", ["ci", "--no-audit", "--no-fund"]);
+  }
+}
+
+/** Runs a tool from the installed packages. */
+export function runTool(tool, toolArguments) {
+  run("npx", ["--no-install", tool, ...toolArguments]);
+}
+
+/** Lists the compiled test files of all packages. */
+export function listTestFiles() {
+  const files = [];
+  for (const name of fs.readdirSync(path.join(root, "packages")).sort()) {
+    const folder = path.join(root, "packages", name, "dist", "test");
+    if (!fs.existsSync(folder)) {
+      continue;
+    }
+    for (const file of fs.readdirSync(folder, { recursive: true }).sort()) {
+      if (file.endsWith("_test.js")) {
+        files.push(path.join("packages", name, "dist", "test", file));
+      }
+    }
+  }
+  return files;
+}
