--- a/packages/configuration/src/apply_note.ts
+++ b/packages/configuration/src/apply_note.ts
@@ -1,52 +1,112 @@
 /**
- * Applies a release note to a configuration. A pure function of both, so that all VMs accept and
- * refuse alike.
+ * Applies a release note to a configuration. The outcome depends on both and on nothing else, so
+ * that all VMs accept and refuse alike.
+ *
+ * Only what the note touches is checked: references of its entities, and what refers to the entities
+ * that it withdraws. Nothing is changed until everything has been checked; then the tables change in
+ * one step.
  */
 
+import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
 import * as neverthrow from "neverthrow";
 import type * as errors from "./errors.ts";
+import * as noteCheck from "./note_check.ts";
+import * as references from "./references.ts";
+import * as slices from "./slices.ts";
 import * as snapshots from "./snapshot.ts";
 
-type ApplyResult = neverthrow.Result<snapshots.TableSnapshot, errors.NoteRefusal>;
+/** What a note that was accepted made. */
+export interface AppliedNote {
+  readonly snapshot: snapshots.TableSnapshot;
+  /** Keys that stopped working or moved to another workspace. */
+  readonly withdrawnKeys: readonly model.KeyDigest[];
+}
+
+/** The next configuration, or every finding when the note is refused. */
+export type ApplyResult = neverthrow.Result<AppliedNote, errors.NoteRefusal>;
 
 /**
- * Applies the note with the given text to the configuration in force.
+ * Applies the note with the given text to the newest configuration of its tables.
  *
  * @returns The next configuration, or every finding when the note is refused.
  */
 export function applyNoteText(
   current: snapshots.TableSnapshot | undefined,
   text: string,
-): ApplyResult {
+): neverthrow.Result<snapshots.TableSnapshot, errors.NoteRefusal> {
   return model.parseReleaseNote(text)
     .mapErr((diagnostics): errors.NoteRefusal => ({ kind: "invalid", diagnostics }))
-    .andThen((note) => applyNote(current, note, model.createNoteDigest(text)));
+    .andThen((note) => {
+      const steps = applyNoteInSteps(current, note, model.createNoteDigest(text), text);
+      return slices.runAtOnce(steps);
+    })
+    .map((applied) => applied.snapshot);
 }
 
-/** Applies a checked note whose text has the given digest. */
-export function applyNote(
+/**
+ * Applies a parsed note in short steps. Between the steps the tables of the current configuration
+ * must not be changed by another note.
+ *
+ * @param text The note's text, for the positions of findings.
+ */
+export function* applyNoteInSteps(
   current: snapshots.TableSnapshot | undefined,
   note: model.ReleaseNote,
   digest: model.NoteDigest,
-): ApplyResult {
+  text: string,
+): Generator<void, ApplyResult> {
   const outOfOrder = checkOrder(current, note);
   if (outOfOrder !== undefined) {
-    return neverthrow.err({ kind: "out_of_order", diagnostics: [outOfOrder] });
+    return yield* refuse("out_of_order", text, [outOfOrder]);
   }
   const fleet = note.fleet ?? current?.fleet;
   if (fleet === undefined) {
-    const missing = model.createDiagnostic(model.Diagnostics.fleetMissing, [], "fleet");
-    return neverthrow.err({ kind: "invalid", diagnostics: [missing] });
+    const missing = model.createDiagnostic(model.Diagnostics.fleetMissing, [], ["fleet"]);
+    return yield* refuse("invalid", text, [missing]);
   }
-  const tables = current === undefined
-    ? snapshots.createEmptyTables()
-    : snapshots.copyTables(current.tables);
-  const diagnostics = new NoteChanges(note, tables).apply();
-  if (diagnostics.length > 0) {
-    return neverthrow.err({ kind: "invalid", diagnostics });
+  const views = current?.views ?? snapshots.createEmptyViews();
+  const counts = current?.referenceCounts ?? new references.ReferenceCounts();
+  const check = new noteCheck.NoteCheck(note, views, counts);
+  yield* check.runInSteps();
+  if (check.diagnostics.length > 0) {
+    return yield* refuse("invalid", text, check.diagnostics);
   }
-  return neverthrow.ok(new snapshots.TableSnapshot(note.number, digest, fleet, tables));
+  const withdrawnKeys = check.listWithdrawnKeys();
+  yield;
+  const identity = { number: note.number, digest, fleet };
+  return neverthrow.ok({ snapshot: commit(identity, views, counts, check), withdrawnKeys });
+}
+
+/** Changes all tables without a break, so that no configuration is seen half changed. */
+function commit(
+  identity: snapshots.SnapshotIdentity,
+  views: snapshots.SnapshotViews,
+  counts: references.ReferenceCounts,
+  check: noteCheck.NoteCheck,
+): snapshots.TableSnapshot {
+  const { staged } = check;
+  const next: snapshots.SnapshotViews = {
+    workspaces: views.workspaces.commit(staged.workspaces.changes),
+    keys: views.keys.commit(staged.keys.changes),
+    services: views.services.commit(staged.services.changes),
+    targets: views.targets.commit(staged.targets.changes),
+    routes: views.routes.commit(staged.routes.changes),
+    places: views.places.commit(staged.places.changes),
+    serviceTargets: views.serviceTargets.commit(staged.serviceTargets.changes),
+  };
+  counts.addAll(check.referenceDifferences);
+  kernel.assert(next.keys.isNewest, "The views of a new configuration are the newest.");
+  return new snapshots.TableSnapshot(identity, next, counts);
+}
+
+function* refuse(
+  kind: errors.NoteRefusal["kind"],
+  text: string,
+  findings: readonly model.Diagnostic[],
+): Generator<void, ApplyResult> {
+  const diagnostics = yield* model.locateDiagnosticsInSteps(text, findings);
+  return neverthrow.err({ kind, diagnostics });
 }
 
 function checkOrder(
@@ -58,7 +118,7 @@
     return model.createDiagnostic(
       model.Diagnostics.wrongNumber,
       [note.number, currentNumber],
-      "number",
+      ["number"],
     );
   }
   const currentDigest = current?.digest ?? null;
@@ -66,117 +126,8 @@
     return model.createDiagnostic(
       model.Diagnostics.wrongPredecessor,
       [note.number, String(note.previous), String(currentDigest)],
-      "previous",
+      ["previous"],
     );
   }
   return undefined;
 }
-
-/** The changes of one note on their way into the tables. */
-class NoteChanges {
-  readonly #note: model.ReleaseNote;
-  readonly #tables: snapshots.SnapshotTables;
-  readonly #diagnostics: model.Diagnostic[] = [];
-
-  constructor(note: model.ReleaseNote, tables: snapshots.SnapshotTables) {
-    this.#note = note;
-    this.#tables = tables;
-  }
-
-  apply(): readonly model.Diagnostic[] {
-    this.#applyKind("workspace", "workspaces", this.#tables.workspaces, (entity) => entity.id);
-    this.#applyKind("key", "keys", this.#tables.keys, (entity) => entity.digest);
-    this.#applyKind("service", "services", this.#tables.services, (entity) => entity.id);
-    this.#applyKind("target", "targets", this.#tables.targets, (entity) => entity.id);
-    this.#applyKind("route", "routes", this.#tables.routes, (entity) => entity.id);
-    this.#checkReferences();
-    this.#checkRoutePlaces();
-    return this.#diagnostics;
-  }
-
-  #applyKind<Id extends string, Entity>(
-    kind: string,
-    section: keyof model.Declarations,
-    table: Map<Id, Entity>,
-    getId: (entity: Entity) => Id,
-  ): void {
-    const added = this.#note.added[section] as unknown as readonly Entity[];
-    const changed = this.#note.changed[section] as unknown as readonly Entity[];
-    const withdrawn = this.#note.withdrawn[section] as unknown as readonly Id[];
-    const seen = new Set<Id>();
-    const isRepeated = (id: Id, field: string) => {
-      if (!seen.has(id)) {
-        seen.add(id);
-        return false;
-      }
-      this.#report(model.Diagnostics.listedTwice, [kind, id], field);
-      return true;
-    };
-    for (const [index, id] of withdrawn.entries()) {
-      const field = `withdrawn.${section}[${index}]`;
-      if (!isRepeated(id, field) && !table.delete(id)) {
-        this.#report(model.Diagnostics.doesNotExist, [kind, id], field);
-      }
-    }
-    for (const [index, entity] of changed.entries()) {
-      const id = getId(entity);
-      const field = `changed.${section}[${index}]`;
-      if (!isRepeated(id, field) && !table.has(id)) {
-        this.#report(model.Diagnostics.doesNotExist, [kind, id], field);
-      }
-      table.set(id, entity);
-    }
-    for (const [index, entity] of added.entries()) {
-      const id = getId(entity);
-      const field = `added.${section}[${index}]`;
-      if (!isRepeated(id, field) && table.has(id)) {
-        this.#report(model.Diagnostics.alreadyExists, [kind, id], field);
-      }
-      table.set(id, entity);
-    }
-  }
-
-  #checkReferences(): void {
-    const { workspaces, keys, services, targets, routes } = this.#tables;
-    for (const key of keys.values()) {
-      this.#checkReference("key", key.digest, "workspace", key.workspace, workspaces);
-    }
-    for (const target of targets.values()) {
-      this.#checkReference("target", target.id, "service", target.service, services);
-    }
-    for (const route of routes.values()) {
-      this.#checkReference("route", route.id, "service", route.service, services);
-      for (const workspace of route.workspaces ?? []) {
-        this.#checkReference("route", route.id, "workspace", workspace, workspaces);
-      }
-    }
-  }
-
-  #checkReference<Id extends string>(
-    fromKind: string,
-    from: string,
-    toKind: string,
-    to: Id,
-    table: ReadonlyMap<Id, unknown>,
-  ): void {
-    if (!table.has(to)) {
-      this.#report(model.Diagnostics.unknownReference, [fromKind, from, toKind, to], "");
-    }
-  }
-
-  #checkRoutePlaces(): void {
-    const places = new Map<string, model.RouteId>();
-    for (const route of this.#tables.routes.values()) {
-      const place = snapshots.getRoutePlace(route.host, route.pathPrefix);
-      const other = places.get(place);
-      if (other !== undefined) {
-        this.#report(model.Diagnostics.routeConflict, [other, route.id], "");
-      }
-      places.set(place, route.id);
-    }
-  }
-
-  #report(row: model.DiagnosticMessage, values: readonly (string | number)[], field: string): void {
-    this.#diagnostics.push(model.createDiagnostic(row, values, field));
-  }
-}
--- /dev/null
+++ b/packages/configuration/src/baseline.ts
@@ -0,0 +1,114 @@
+/**
+ * Baselines: the whole configuration after some note, in chunks below the platform's limit.
+ *
+ * A chunk holds one entity a line. Which chunk an entity is in depends on its identifier only, and
+ * entities are sorted, so that all makers of a baseline of the same note write the same bytes.
+ */
+
+import * as model from "@hemlockwalk/model";
+import * as neverthrow from "neverthrow";
+import * as zod from "zod";
+import * as references from "./references.ts";
+import * as shardedMap from "./sharded_map.ts";
+import type * as snapshots from "./snapshot.ts";
+
+/** The format of baselines that this version reads and writes. */
+export const BASELINE_FORMAT = 1;
+
+/** Entities that a chunk holds on average at the most. */
+const ENTITIES_PER_CHUNK = 4_000;
+
+/** Key of the platform's value that holds the manifest of the newest baseline. */
+export const BASELINE_KEY = "baseline";
+
+/** Key of the platform's value that holds a chunk of a baseline. */
+export function getChunkKey(number: number, index: number): string {
+  return `baselines/${number}/${index}`;
+}
+
+const chunkSchema = zod.strictObject({ key: zod.string().min(1), digest: model.sha256 });
+
+const manifestSchema = zod.strictObject({
+  format: zod.literal(BASELINE_FORMAT),
+  number: zod.number().int().min(1).transform(model.createNoteNumber),
+  /** Digest of the note after which the baseline was made. */
+  digest: model.sha256.transform((value) => value as model.NoteDigest),
+  fleet: model.fleetSchema,
+  /** Entities in all chunks together. */
+  entities: zod.number().int().min(0),
+  chunks: zod.array(chunkSchema).min(1).max(shardedMap.SHARD_COUNT),
+});
+
+/** What a baseline consists of. */
+export type BaselineManifest = zod.output<typeof manifestSchema>;
+
+/** Checks the text of a manifest. */
+export function parseManifest(
+  text: string,
+): neverthrow.Result<BaselineManifest, model.Diagnostic[]> {
+  return model.parseDocument(text, manifestSchema);
+}
+
+/** A whole baseline in memory, as the operators' tool writes it. */
+export interface Baseline {
+  readonly manifest: BaselineManifest;
+  /** Texts of the chunks by key. */
+  readonly chunks: ReadonlyMap<string, string>;
+}
+
+/** Number of chunks that a configuration with so many entities is split into: a power of two. */
+export function getChunkCount(entities: number): number {
+  let count = 1;
+  while (count < shardedMap.SHARD_COUNT && count * ENTITIES_PER_CHUNK < entities) {
+    count *= 2;
+  }
+  return count;
+}
+
+/** Writes one chunk of a configuration in short steps. */
+export function* renderChunkInSteps(
+  snapshot: snapshots.TableSnapshot,
+  index: number,
+  chunkCount: number,
+): Generator<void, string> {
+  const shardsPerChunk = shardedMap.SHARD_COUNT / chunkCount;
+  let text = "";
+  for (const section of model.SECTION_NAMES) {
+    const view = snapshot.views[section] as unknown as {
+      copyShard(shard: number): Map<string, references.Entity>;
+    };
+    for (let offset = 0; offset < shardsPerChunk; offset++) {
+      const shard = view.copyShard(index * shardsPerChunk + offset);
+      for (const id of [...shard.keys()].sort()) {
+        text += `${JSON.stringify([section, shard.get(id)])}\n`;
+      }
+      yield;
+    }
+  }
+  return text;
+}
+
+/** Writes the whole baseline of a configuration in short steps. */
+export function* createBaselineInSteps(
+  snapshot: snapshots.TableSnapshot,
+): Generator<void, Baseline> {
+  const chunkCount = getChunkCount(snapshot.size);
+  const chunks = new Map<string, string>();
+  const listed: BaselineManifest["chunks"] = [];
+  for (let index = 0; index < chunkCount; index++) {
+    const text = yield* renderChunkInSteps(snapshot, index, chunkCount);
+    const key = getChunkKey(snapshot.number, index);
+    chunks.set(key, text);
+    listed.push({ key, digest: model.createNoteDigest(text) });
+  }
+  const { number, digest, fleet, size } = snapshot;
+  const manifest: BaselineManifest = {
+    format: BASELINE_FORMAT,
+    number,
+    digest,
+    fleet,
+    entities: size,
+    chunks: listed,
+  };
+  return { manifest, chunks };
+}
--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -1,10 +1,14 @@
 /**
- * Configuration: reading, checking and applying release notes.
+ * Configuration: reading, checking, applying and relaying release notes.
  */
 
 export * from "./apply_note.ts";
+export * from "./baseline.ts";
+export * from "./baseline_loading.ts";
 export * from "./configuration.ts";
 export type * from "./errors.ts";
 export * from "./platform_client.ts";
+export * from "./references.ts";
+export * from "./slices.ts";
 export * from "./snapshot.ts";
 export type * from "./types.ts";
--- /dev/null
+++ b/packages/configuration/src/note_check.ts
@@ -0,0 +1,311 @@
+/**
+ * Checks the changes of one note against the configuration that it follows.
+ */
+
+import * as kernel from "@hemlockwalk/kernel";
+import * as model from "@hemlockwalk/model";
+import * as references from "./references.ts";
+import * as snapshots from "./snapshot.ts";
+import * as tableView from "./table_view.ts";
+
+/** Entities that are checked between two points where other work may run. */
+const ENTITIES_PER_STEP = 32;
+
+type StagedEntities = tableView.StagedTable<string, references.Entity>;
+
+/** The tables of a configuration with the changes of a note on top. */
+export class StagedTables {
+  readonly workspaces: tableView.StagedTable<model.WorkspaceId, model.Workspace>;
+  readonly keys: tableView.StagedTable<model.KeyDigest, model.Key>;
+  readonly services: tableView.StagedTable<model.ServiceId, model.Service>;
+  readonly targets: tableView.StagedTable<model.TargetId, model.Target>;
+  readonly routes: tableView.StagedTable<model.RouteId, model.Route>;
+  readonly places: tableView.StagedTable<string, model.Route>;
+  readonly serviceTargets: tableView.StagedTable<model.ServiceId, readonly model.Target[]>;
+
+  constructor(views: snapshots.SnapshotViews) {
+    this.workspaces = new tableView.StagedTable(views.workspaces);
+    this.keys = new tableView.StagedTable(views.keys);
+    this.services = new tableView.StagedTable(views.services);
+    this.targets = new tableView.StagedTable(views.targets);
+    this.routes = new tableView.StagedTable(views.routes);
+    this.places = new tableView.StagedTable(views.places);
+    this.serviceTargets = new tableView.StagedTable(views.serviceTargets);
+  }
+
+  /** The entities of a section, whatever their kind. */
+  get(section: model.SectionName): StagedEntities {
+    return this[section];
+  }
+}
+
+/** The check of one note. After it, the staged tables hold what the note makes of them. */
+export class NoteCheck {
+  readonly staged: StagedTables;
+  readonly diagnostics: model.Diagnostic[] = [];
+  /** By how much the note changes the number of references to each entity. */
+  readonly referenceDifferences = new references.ReferenceCounts();
+  readonly #note: model.ReleaseNote;
+  readonly #views: snapshots.SnapshotViews;
+  readonly #counts: references.ReferenceCounts;
+
+  constructor(
+    note: model.ReleaseNote,
+    views: snapshots.SnapshotViews,
+    counts: references.ReferenceCounts,
+  ) {
+    this.#note = note;
+    this.#views = views;
+    this.#counts = counts;
+    this.staged = new StagedTables(views);
+  }
+
+  *runInSteps(): Generator<void, void> {
+    for (const section of model.SECTION_NAMES) {
+      yield* this.#stageSection(section);
+    }
+    for (const section of model.SECTION_NAMES) {
+      yield* this.#countReferences(section);
+      yield* this.#checkReferences(section, "changed");
+      yield* this.#checkReferences(section, "added");
+    }
+    yield* this.#checkWithdrawn("workspaces");
+    yield* this.#checkWithdrawn("services");
+    yield* this.#stagePlaces();
+    yield* this.#stageServiceTargets();
+  }
+
+  /** Keys that the note takes from the workspace that they worked for. */
+  listWithdrawnKeys(): model.KeyDigest[] {
+    const withdrawn: model.KeyDigest[] = [];
+    for (const [digest, key] of this.staged.keys.changes) {
+      const before = this.#views.keys.get(digest);
+      if (before !== undefined && before.workspace !== key?.workspace) {
+        withdrawn.push(digest);
+      }
+    }
+    return withdrawn;
+  }
+
+  *#stageSection(section: model.SectionName): Generator<void, void> {
+    const table = this.staged.get(section);
+    const kind = references.KIND_NAMES[section];
+    const seen = new Set<string>();
+    const isRepeated = (id: string, path: readonly PropertyKey[]) => {
+      if (!seen.has(id)) {
+        seen.add(id);
+        return false;
+      }
+      this.#report(model.Diagnostics.listedTwice, [kind, id], path);
+      return true;
+    };
+    for (const [index, id] of this.#note.withdrawn[section].entries()) {
+      const path = ["withdrawn", section, index];
+      if (!isRepeated(id, path) && !table.has(id)) {
+        this.#report(model.Diagnostics.doesNotExist, [kind, id], path);
+      }
+      table.set(id, undefined);
+      yield* pauseAfter(index);
+    }
+    for (const part of ["changed", "added"] as const) {
+      for (const [index, entity] of this.#note[part][section].entries()) {
+        const id = references.getEntityId(entity);
+        const path = [part, section, index];
+        if (!isRepeated(id, path) && table.has(id) !== (part === "changed")) {
+          const row = part === "changed"
+            ? model.Diagnostics.doesNotExist
+            : model.Diagnostics.alreadyExists;
+          this.#report(row, [kind, id], path);
+        }
+        table.set(id, this.#shareIdentifiers(section, entity));
+        yield* pauseAfter(index);
+      }
+    }
+  }
+
+  /** Keys refer to their workspace's own copy of its identifier, which saves the memory of theirs. */
+  #shareIdentifiers(section: model.SectionName, entity: references.Entity): references.Entity {
+    if (section !== "keys") {
+      return entity;
+    }
+    const key = entity as model.Key;
+    const workspace = this.staged.workspaces.get(key.workspace);
+    return workspace === undefined ? key : { digest: key.digest, workspace: workspace.id };
+  }
+
+  *#countReferences(section: model.SectionName): Generator<void, void> {
+    const view = this.#views[section] as unknown as tableView.ReadonlyTable<
+      string,
+      references.Entity
+    >;
+    let count = 0;
+    for (const [id, after] of this.staged.get(section).changes) {
+      const before = view.get(id);
+      this.#addReferences(section, before, -1);
+      this.#addReferences(section, after, 1);
+      yield* pauseAfter(count++);
+    }
+  }
+
+  #addReferences(
+    section: model.SectionName,
+    entity: references.Entity | undefined,
+    difference: number,
+  ): void {
+    if (entity === undefined) {
+      return;
+    }
+    for (const reference of references.listReferences(section, entity)) {
+      this.referenceDifferences.add(reference.section, reference.id, difference);
+    }
+  }
+
+  *#checkReferences(
+    section: model.SectionName,
+    part: "added" | "changed",
+  ): Generator<void, void> {
+    for (const [index, entity] of this.#note[part][section].entries()) {
+      for (const reference of references.listReferences(section, entity)) {
+        if (!this.staged.get(reference.section).has(reference.id)) {
+          this.#report(
+            model.Diagnostics.unknownReference,
+            [
+              references.KIND_NAMES[section],
+              references.getEntityId(entity),
+              references.KIND_NAMES[reference.section],
+              reference.id,
+            ],
+            [part, section, index, ...reference.path],
+          );
+        }
+      }
+      yield* pauseAfter(index);
+    }
+  }
+
+  *#checkWithdrawn(section: references.ReferredSection): Generator<void, void> {
+    for (const [index, id] of this.#note.withdrawn[section].entries()) {
+      const left = this.#counts.get(section, id) + this.referenceDifferences.get(section, id);
+      const isReported = this.diagnostics.length < model.MAXIMUM_FINDINGS;
+      if (isReported && left > 0 && !this.staged.get(section).has(id)) {
+        const referrer = yield* this.#findReferrer(section, id);
+        this.#report(
+          model.Diagnostics.stillReferenced,
+          [references.KIND_NAMES[section], id, ...referrer],
+          ["withdrawn", section, index],
+        );
+      }
+      yield* pauseAfter(index);
+    }
+  }
+
+  /** Finds one entity that goes on referring to a withdrawn one, for the finding's text. */
+  *#findReferrer(
+    referred: references.ReferredSection,
+    id: string,
+  ): Generator<void, [string, string]> {
+    let count = 0;
+    for (const section of ["keys", "targets", "routes"] as const) {
+      const staged = this.staged.get(section);
+      const view = this.#views[section] as unknown as { values(): Iterable<references.Entity> };
+      for (const entity of [...this.#note.added[section], ...this.#note.changed[section]]) {
+        if (refersTo(section, entity, referred, id)) {
+          return [references.KIND_NAMES[section], references.getEntityId(entity)];
+        }
+      }
+      for (const entity of view.values()) {
+        const entityId = references.getEntityId(entity);
+        if (refersTo(section, entity, referred, id) && !staged.changes.has(entityId)) {
+          return [references.KIND_NAMES[section], entityId];
+        }
+        yield* pauseAfter(count++);
+      }
+    }
+    return ["", ""];
+  }
+
+  /** Moves the touched routes to their places; no two may have the same one. */
+  *#stagePlaces(): Generator<void, void> {
+    const { routes, places } = this.staged;
+    let count = 0;
+    for (const id of routes.changes.keys()) {
+      const before = this.#views.routes.get(id);
+      if (before !== undefined) {
+        places.set(snapshots.getRoutePlace(before.host, before.pathPrefix), undefined);
+      }
+      yield* pauseAfter(count++);
+    }
+    for (const part of ["changed", "added"] as const) {
+      for (const [index, route] of this.#note[part].routes.entries()) {
+        const place = snapshots.getRoutePlace(route.host, route.pathPrefix);
+        const other = places.get(place);
+        if (other !== undefined && other.id !== route.id) {
+          const values = [other.id, route.id];
+          this.#report(model.Diagnostics.routeConflict, values, [part, "routes", index]);
+        }
+        places.set(place, route);
+        yield* pauseAfter(index);
+      }
+    }
+  }
+
+  /** Makes new target lists for the services whose targets the note touches. */
+  *#stageServiceTargets(): Generator<void, void> {
+    const touched = new Map<model.ServiceId, model.Target[]>();
+    for (const [id, after] of this.staged.targets.changes) {
+      const before = this.#views.targets.get(id);
+      if (before !== undefined && !touched.has(before.service)) {
+        touched.set(before.service, []);
+      }
+      if (after !== undefined) {
+        const list = touched.get(after.service) ?? [];
+        list.push(after);
+        touched.set(after.service, list);
+      }
+    }
+    yield;
+    for (const [service, changed] of touched) {
+      const kept = (this.#views.serviceTargets.get(service) ?? [])
+        .filter((target) => !this.staged.targets.changes.has(target.id));
+      const list = sortTargets([...kept, ...changed]);
+      this.staged.serviceTargets.set(service, list.length === 0 ? undefined : list);
+      yield;
+    }
+    kernel.assert(
+      touched.size === this.staged.serviceTargets.changes.size,
+      "Each touched service has a new list.",
+    );
+  }
+
+  #report(
+    row: model.DiagnosticMessage,
+    values: readonly (string | number)[],
+    path: readonly PropertyKey[],
+  ): void {
+    // A note with very many faults is refused for the first of them.
+    if (this.diagnostics.length < model.MAXIMUM_FINDINGS) {
+      this.diagnostics.push(model.createDiagnostic(row, values, path));
+    }
+  }
+}
+
+/** Sorts targets in place by their identifiers. */
+export function sortTargets(targets: model.Target[]): model.Target[] {
+  return targets.sort((left, right) => (left.id < right.id ? -1 : 1));
+}
+
+function refersTo(
+  section: model.SectionName,
+  entity: references.Entity,
+  referred: references.ReferredSection,
+  id: string,
+): boolean {
+  return references.listReferences(section, entity)
+    .some((reference) => reference.section === referred && reference.id === id);
+}
+
+function* pauseAfter(index: number): Generator<void, void> {
+  if (index % ENTITIES_PER_STEP === ENTITIES_PER_STEP - 1) {
+    yield;
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/references.ts
@@ -0,0 +1,103 @@
+/**
+ * References between entities, and how many there are to each.
+ *
+ * With the counts a note that withdraws a workspace or a service is checked without a look at every
+ * key, route and target.
+ */
+
+import type * as model from "@hemlockwalk/model";
+import * as shardedMap from "./sharded_map.ts";
+
+/** Sections whose entities others refer to. */
+export type ReferredSection = "workspaces" | "services";
+
+/** An entity of any kind. */
+export type Entity = model.Workspace | model.Key | model.Service | model.Target | model.Route;
+
+/** One reference of an entity. */
+export interface Reference {
+  readonly section: ReferredSection;
+  readonly id: string;
+  /** The field that holds it. */
+  readonly path: readonly PropertyKey[];
+}
+
+/** Names of single entities in findings. */
+export const KIND_NAMES: Readonly<Record<model.SectionName, string>> = {
+  workspaces: "workspace",
+  keys: "key",
+  services: "service",
+  targets: "target",
+  routes: "route",
+};
+
+/** The identifier of an entity. */
+export function getEntityId(entity: Entity): string {
+  return "digest" in entity ? entity.digest : entity.id;
+}
+
+/** Lists what an entity refers to. */
+export function listReferences(section: model.SectionName, entity: Entity): Reference[] {
+  switch (section) {
+    case "keys":
+      return [{
+        section: "workspaces",
+        id: (entity as model.Key).workspace,
+        path: ["workspace"],
+      }];
+    case "targets":
+      return [{ section: "services", id: (entity as model.Target).service, path: ["service"] }];
+    case "routes":
+      return listRouteReferences(entity as model.Route);
+    default:
+      return [];
+  }
+}
+
+function listRouteReferences(route: model.Route): Reference[] {
+  const references: Reference[] = [{ section: "services", id: route.service, path: ["service"] }];
+  for (const [index, workspace] of (route.workspaces ?? []).entries()) {
+    references.push({ section: "workspaces", id: workspace, path: ["workspaces", index] });
+  }
+  return references;
+}
+
+/** Counts of references by section and identifier. */
+export class ReferenceCounts {
+  readonly #workspaces = new shardedMap.ShardedMap<string, number>();
+  readonly #services = new shardedMap.ShardedMap<string, number>();
+
+  get(section: ReferredSection, id: string): number {
+    return this.#getCounts(section).get(id) ?? 0;
+  }
+
+  /** Adds to a count; a count of zero takes no room. */
+  add(section: ReferredSection, id: string, difference: number): void {
+    const counts = this.#getCounts(section);
+    const count = (counts.get(id) ?? 0) + difference;
+    if (count === 0) {
+      counts.delete(id);
+    } else {
+      counts.set(id, count);
+    }
+  }
+
+  /** Adds all counts of another. */
+  addAll(other: ReferenceCounts): void {
+    for (const section of ["workspaces", "services"] as const) {
+      for (const [id, difference] of other.#listCounts(section)) {
+        this.add(section, id, difference);
+      }
+    }
+  }
+
+  *#listCounts(section: ReferredSection): Generator<[string, number]> {
+    for (let shard = 0; shard < shardedMap.SHARD_COUNT; shard++) {
+      yield* this.#getCounts(section).copyShard(shard);
+    }
+  }
+
+  #getCounts(section: ReferredSection): shardedMap.ShardedMap<string, number> {
+    return section === "workspaces" ? this.#workspaces : this.#services;
+  }
+}
--- a/packages/configuration/src/snapshot.ts
+++ b/packages/configuration/src/snapshot.ts
@@ -2,87 +2,104 @@
  * The configuration in force, indexed for the request path.
  */
 
-import * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
+import * as compactKeys from "./compact_keys.ts";
+import * as references from "./references.ts";
+import * as shardedMap from "./sharded_map.ts";
+import * as tableView from "./table_view.ts";
 import type * as types from "./types.ts";
 
 /** The entities of a configuration by identifier. */
-export interface SnapshotTables {
-  readonly workspaces: Map<model.WorkspaceId, model.Workspace>;
-  readonly keys: Map<model.KeyDigest, model.Key>;
-  readonly services: Map<model.ServiceId, model.Service>;
-  readonly targets: Map<model.TargetId, model.Target>;
-  readonly routes: Map<model.RouteId, model.Route>;
+export interface EntityViews {
+  readonly workspaces: tableView.TableView<model.WorkspaceId, model.Workspace>;
+  readonly keys: tableView.TableView<model.KeyDigest, model.Key>;
+  readonly services: tableView.TableView<model.ServiceId, model.Service>;
+  readonly targets: tableView.TableView<model.TargetId, model.Target>;
+  readonly routes: tableView.TableView<model.RouteId, model.Route>;
 }
 
-/** Creates tables without entities. */
-export function createEmptyTables(): SnapshotTables {
-  return {
-    workspaces: new Map(),
-    keys: new Map(),
-    services: new Map(),
-    targets: new Map(),
-    routes: new Map(),
-  };
+/** The entities with what the request path looks up besides identifiers. */
+export interface SnapshotViews extends EntityViews {
+  /** Routes by host and path prefix. */
+  readonly places: tableView.TableView<string, model.Route>;
+  /** Targets of each service in the order of their identifiers. */
+  readonly serviceTargets: tableView.TableView<model.ServiceId, readonly model.Target[]>;
 }
 
-/** Copies tables, so that the copy can be changed while the original serves requests. */
-export function copyTables(tables: SnapshotTables): SnapshotTables {
+/** Creates views without entities. */
+export function createEmptyViews(): SnapshotViews {
   return {
-    workspaces: new Map(tables.workspaces),
-    keys: new Map(tables.keys),
-    services: new Map(tables.services),
-    targets: new Map(tables.targets),
-    routes: new Map(tables.routes),
+    workspaces: createEmptyView(),
+    keys: new tableView.TableView(new compactKeys.CompactKeys()),
+    services: createEmptyView(),
+    targets: createEmptyView(),
+    routes: createEmptyView(),
+    places: createEmptyView(),
+    serviceTargets: createEmptyView(),
   };
 }
 
+function createEmptyView<Id extends string, Value>(): tableView.TableView<Id, Value> {
+  return new tableView.TableView(new shardedMap.ShardedMap<Id, Value>());
+}
+
 /** The place of a route in the routing table. */
 export function getRoutePlace(host: string | undefined, pathPrefix: string): string {
   return `${host ?? ""}${pathPrefix === "/" ? "" : pathPrefix}`;
 }
 
-/** A snapshot over plain tables. */
+/** The identity of a configuration: the newest note in it. */
+export interface SnapshotIdentity {
+  readonly number: model.NoteNumber;
+  readonly digest: model.NoteDigest;
+  readonly fleet: model.FleetDeclaration;
+}
+
+/** A snapshot over shared tables. */
 export class TableSnapshot implements types.Snapshot {
   readonly number: model.NoteNumber;
   readonly digest: model.NoteDigest;
   readonly fleet: model.FleetDeclaration;
-  readonly tables: SnapshotTables;
-  readonly #routesByPlace = new Map<string, model.Route>();
-  readonly #targetsByService = new Map<model.ServiceId, model.Target[]>();
+  readonly views: SnapshotViews;
+  /** How often each entity is referred to, in the newest snapshot of these tables. */
+  readonly referenceCounts: references.ReferenceCounts;
 
   constructor(
-    number: model.NoteNumber,
-    digest: model.NoteDigest,
-    fleet: model.FleetDeclaration,
-    tables: SnapshotTables,
+    identity: SnapshotIdentity,
+    views: SnapshotViews,
+    referenceCounts: references.ReferenceCounts,
   ) {
-    this.number = number;
-    this.digest = digest;
-    this.fleet = fleet;
-    this.tables = tables;
-    this.#indexRoutes();
-    this.#indexTargets();
+    this.number = identity.number;
+    this.digest = identity.digest;
+    this.fleet = identity.fleet;
+    this.views = views;
+    this.referenceCounts = referenceCounts;
+  }
+
+  /** Number of entities of all kinds. */
+  get size(): number {
+    const { workspaces, keys, services, targets, routes } = this.views;
+    return workspaces.size + keys.size + services.size + targets.size + routes.size;
   }
 
   findKey(digest: model.KeyDigest): model.Key | undefined {
-    return this.tables.keys.get(digest);
+    return this.views.keys.get(digest);
   }
 
   findWorkspace(id: model.WorkspaceId): model.Workspace | undefined {
-    return this.tables.workspaces.get(id);
+    return this.views.workspaces.get(id);
   }
 
   findService(id: model.ServiceId): model.Service | undefined {
-    return this.tables.services.get(id);
+    return this.views.services.get(id);
   }
 
   findRoute(id: model.RouteId): model.Route | undefined {
-    return this.tables.routes.get(id);
+    return this.views.routes.get(id);
   }
 
   findTarget(id: model.TargetId): model.Target | undefined {
-    return this.tables.targets.get(id);
+    return this.views.targets.get(id);
   }
 
   matchRoute(host: string, path: string): model.Route | undefined {
@@ -90,29 +107,29 @@
   }
 
   listTargets(service: model.ServiceId): readonly model.Target[] {
-    return this.#targetsByService.get(service) ?? [];
+    return this.views.serviceTargets.get(service) ?? [];
   }
 
   listServices(): Iterable<model.Service> {
-    return this.tables.services.values();
+    return this.views.services.values();
   }
 
   listWorkspaces(): Iterable<model.Workspace> {
-    return this.tables.workspaces.values();
+    return this.views.workspaces.values();
   }
 
   listRoutes(): Iterable<model.Route> {
-    return this.tables.routes.values();
+    return this.views.routes.values();
   }
 
   listKeys(): Iterable<model.Key> {
-    return this.tables.keys.values();
+    return this.views.keys.values();
   }
 
   #matchPath(host: string, path: string): model.Route | undefined {
     let prefix = path.endsWith("/") ? path.slice(0, -1) : path;
     for (;;) {
-      const route = this.#routesByPlace.get(host + prefix);
+      const route = this.views.places.get(host + prefix);
       if (route !== undefined) {
         return route;
       }
@@ -122,24 +139,4 @@
       prefix = prefix.slice(0, prefix.lastIndexOf("/"));
     }
   }
-
-  #indexRoutes(): void {
-    for (const route of this.tables.routes.values()) {
-      this.#routesByPlace.set(getRoutePlace(route.host, route.pathPrefix), route);
-    }
-  }
-
-  #indexTargets(): void {
-    const targets = [...this.tables.targets.values()];
-    targets.sort((left, right) => (left.id < right.id ? -1 : 1));
-    for (const target of targets) {
-      const list = this.#targetsByService.get(target.service);
-      if (list === undefined) {
-        this.#targetsByService.set(target.service, [target]);
-      } else {
-        list.push(target);
-      }
-    }
-    kernel.assert(this.#targetsByService.size <= targets.length, "Each list holds a target.");
-  }
 }
--- /dev/null
+++ b/packages/configuration/test/apply_note_test.ts
@@ -0,0 +1,124 @@
+/**
+ * The incremental check and the shared tables against a check of everything in plain maps.
+ */
+
+import assert from "node:assert/strict";
+import * as test from "node:test";
+import * as model from "@hemlockwalk/model";
+import * as fastCheck from "fast-check";
+import * as configuration from "../src/mod.ts";
+import * as fullCheck from "./full_check.ts";
+import * as generators from "./note_generators.ts";
+
+interface Step {
+  readonly snapshot: configuration.TableSnapshot;
+  readonly state: fullCheck.PlainState;
+}
+
+function sortById<Entity extends object>(entities: Iterable<Entity>): Entity[] {
+  return [...entities].sort((left, right) =>
+    configuration.getEntityId(left as configuration.Entity) <
+        configuration.getEntityId(right as configuration.Entity)
+      ? -1
+      : 1
+  );
+}
+
+/** Checks that everything that a snapshot tells agrees with plain maps. */
+function assertSame({ snapshot, state }: Step): void {
+  const { workspaces, keys, services, targets, routes } = state.tables;
+  assert.deepEqual(sortById(snapshot.listWorkspaces()), sortById(workspaces.values()));
+  assert.deepEqual(sortById(snapshot.listKeys()), sortById(keys.values()));
+  assert.deepEqual(sortById(snapshot.listServices()), sortById(services.values()));
+  assert.deepEqual(sortById(snapshot.listRoutes()), sortById(routes.values()));
+  for (let index = 0; index < 6; index++) {
+    const digest = generators.createTestKeyDigest(index);
+    assert.deepEqual(snapshot.findKey(digest), keys.get(digest));
+    const service = model.createServiceId(`s${index}`);
+    const expected = [...targets.values()].filter((target) => target.service === service);
+    assert.deepEqual(snapshot.listTargets(service), sortById(expected));
+  }
+  for (const host of ["a.example", "b.example", "other"]) {
+    for (const path of ["/", "/a", "/a/b", "/a/b/c", "/c", "/d"]) {
+      assert.deepEqual(snapshot.matchRoute(host, path), matchRoute(routes, host, path));
+    }
+  }
+}
+
+function matchRoute(
+  routes: ReadonlyMap<string, model.Route>,
+  host: string,
+  path: string,
+): model.Route | undefined {
+  const fits = (route: model.Route) =>
+    (route.host ?? host) === host &&
+    (route.pathPrefix === "/" || `${path}/`.startsWith(`${route.pathPrefix}/`));
+  const getRank = (route: model.Route) =>
+    (route.host === undefined ? 0 : 1_000) + route.pathPrefix.length;
+  return [...routes.values()].filter(fits)
+    .sort((left, right) => getRank(right) - getRank(left))[0];
+}
+
+const manyContents = fastCheck.array(generators.noteContent, { minLength: 10, maxLength: 25 });
+
+test.describe("applying notes", () => {
+  test.it("accepts and refuses like a full check, and keeps old configurations as they were", () => {
+    let accepted = 0;
+    let refused = 0;
+    fastCheck.assert(
+      fastCheck.property(manyContents, (contents) => {
+        const history: Step[] = [];
+        for (const content of [generators.FIRST_CONTENT, ...contents]) {
+          const current = history.at(-1);
+          const text = generators.writeNote(current?.state, content);
+          const expected = fullCheck.applyNoteText(current?.state, text);
+          const actual = configuration.applyNoteText(current?.snapshot, text);
+          assert.equal(actual.isOk(), expected.isOk(), text);
+          if (actual.isOk() && expected.isOk()) {
+            history.push({ snapshot: actual.value, state: expected.value });
+            accepted++;
+          } else {
+            refused++;
+          }
+        }
+        history.forEach(assertSame);
+      }),
+      { seed: 20_261_203, numRuns: 300 },
+    );
+    // Both outcomes must be common, or the property would show little.
+    assert.ok(accepted > 1_000 && refused > 1_000, `${accepted} accepted, ${refused} refused`);
+  });
+
+  test.it("gives the same configuration from a baseline as from the notes", () => {
+    fastCheck.assert(
+      fastCheck.property(manyContents, (contents) => {
+        let snapshot: configuration.TableSnapshot | undefined;
+        for (const content of [generators.FIRST_CONTENT, ...contents]) {
+          snapshot = configuration.applyNoteText(snapshot, generators.writeNote(snapshot, content))
+            .unwrapOr(snapshot);
+        }
+        assert.ok(snapshot !== undefined);
+        const baseline = configuration.runAtOnce(configuration.createBaselineInSteps(snapshot));
+        const builder = new configuration.BaselineBuilder();
+        for (const chunk of baseline.chunks.values()) {
+          configuration.runAtOnce(builder.addChunkInSteps(chunk));
+        }
+        const steps = builder.finishInSteps(snapshot, baseline.manifest.entities);
+        const loaded = configuration.runAtOnce(steps)._unsafeUnwrap();
+        const again = configuration.runAtOnce(configuration.createBaselineInSteps(loaded));
+        assert.deepEqual(again, baseline);
+        // The counts of references came from the baseline too, so withdrawals are judged alike.
+        for (const content of contents) {
+          const text = generators.writeNote(snapshot, content);
+          const fromNotes = configuration.applyNoteText(snapshot, text);
+          const fromBaseline = configuration.applyNoteText(loaded, text);
+          assert.equal(fromBaseline.isOk(), fromNotes.isOk());
+          if (fromNotes.isOk()) {
+            return;
+          }
+        }
+      }),
+      { seed: 4, numRuns: 100 },
+    );
+  });
+});
--- a/packages/model/src/diagnostics.ts
+++ b/packages/model/src/diagnostics.ts
@@ -39,6 +39,18 @@
   fleetMissing: createMessage(3008, "The first note must declare the fleet."),
   wrongPredecessor: createMessage(4001, "Note {0} names the predecessor {1}, but {2} is in force."),
   wrongNumber: createMessage(4002, "Note {0} cannot follow note {1}."),
+  forkedNote: createMessage(
+    4003,
+    "Note {0} with the digest {1} is in force; another one with the digest {2} is refused.",
+  ),
+  wrongKey: createMessage(4004, "The value under '{0}' holds note {1}."),
+  wrongDigest: createMessage(4005, "The digest is {0}, but {1} was announced."),
+  chainGap: createMessage(4006, "Note {0} is missing."),
+  baselineBehind: createMessage(4101, "The baseline of note {0} is not above note {1} in force."),
+  baselineLine: createMessage(4102, "Line {0} of the baseline is wrong: {1}"),
+  baselineRepeated: createMessage(4103, "The {0} '{1}' stands in the baseline more than once."),
+  baselineCount: createMessage(4104, "The baseline holds {0} entities, but {1} were announced."),
+  baselineDiffers: createMessage(4105, "The baseline of note {0} differs from the chain: {1}."),
 } as const satisfies Record<string, DiagnosticMessage>;
 
 /** A place in a document, both counted from 1. */
@@ -47,27 +59,48 @@
   readonly column: number;
 }
 
+/** Findings that are reported for one document. */
+export const MAXIMUM_FINDINGS = 50;
+
 /** One finding. */
 export interface Diagnostic {
   readonly code: number;
   readonly text: string;
   /** Path of the field, such as `added.routes[2].service`; empty for the whole document. */
   readonly field: string;
+  /** The same path as names and indexes; absent where the field is not a part of the document. */
+  readonly path?: readonly PropertyKey[] | undefined;
   readonly position?: Position | undefined;
 }
 
-/** Creates a finding from a row of the table. */
+/** Formats a path of names and indexes, such as `added.routes[2].service`. */
+export function formatPath(path: readonly PropertyKey[]): string {
+  let text = "";
+  for (const part of path) {
+    text += typeof part === "number" ? `[${part}]` : `${text === "" ? "" : "."}${String(part)}`;
+  }
+  return text;
+}
+
+/**
+ * Creates a finding from a row of the table.
+ *
+ * @param field Where the finding is: a path in the document, or the name of another value.
+ */
 export function createDiagnostic(
   row: DiagnosticMessage,
   values: readonly (string | number)[],
-  field = "",
+  field: string | readonly PropertyKey[] = "",
   position?: Position,
 ): Diagnostic {
   const text = row.message.replace(
     /\{(\d+)\}/g,
     (_, index: string) => String(values[Number(index)] ?? ""),
   );
-  return { code: row.code, text, field, position };
+  if (typeof field === "string") {
+    return { code: row.code, text, field, position };
+  }
+  return { code: row.code, text, field: formatPath(field), path: field, position };
 }
 
 /** Formats a finding as one line: `file:line:column - HW1003 field: text`. */
--- a/packages/model/src/document.ts
+++ b/packages/model/src/document.ts
@@ -6,40 +6,47 @@
 import * as neverthrow from "neverthrow";
 import type * as zod from "zod";
 import * as diagnostics from "./diagnostics.ts";
+import * as fieldLocation from "./field_location.ts";
 
 /** Turns an offset into a line and a column. */
 export function getPosition(text: string, offset: number): diagnostics.Position {
-  const before = text.slice(0, offset);
-  const lastBreak = before.lastIndexOf("\n");
-  const line = before.split("\n").length;
-  return { line, column: offset - lastBreak };
+  let line = 1;
+  let lineStart = 0;
+  for (;;) {
+    const lineBreak = text.indexOf("\n", lineStart);
+    if (lineBreak === -1 || lineBreak >= offset) {
+      return { line, column: offset - lineStart + 1 };
+    }
+    line++;
+    lineStart = lineBreak + 1;
+  }
 }
 
-/** Formats a path of names and indexes, such as `added.routes[2].service`. */
-export function formatPath(path: readonly PropertyKey[]): string {
-  let text = "";
-  for (const part of path) {
-    text += typeof part === "number" ? `[${part}]` : `${text === "" ? "" : "."}${String(part)}`;
+/**
+ * Parses JSON with comments.
+ *
+ * @returns The value, or every syntax error with its position.
+ */
+export function parseValue(text: string): neverthrow.Result<unknown, diagnostics.Diagnostic[]> {
+  const plain = parsePlain(text);
+  if (plain !== undefined) {
+    return neverthrow.ok(plain.value);
+  }
+  const errors: jsonc.ParseError[] = [];
+  const value: unknown = jsonc.parse(text, errors, { allowTrailingComma: true });
+  if (errors.length > 0) {
+    return neverthrow.err(errors.map((error) => createSyntaxDiagnostic(text, error)));
   }
-  return text;
+  return neverthrow.ok(value);
 }
 
-/** Finds the position of the closest existing node on the given path. */
-export function findPosition(
-  text: string,
-  tree: jsonc.Node | undefined,
-  path: readonly PropertyKey[],
-): diagnostics.Position | undefined {
-  if (tree === undefined) {
+/** Parses JSON without comments, several times as fast as the parser that knows comments. */
+function parsePlain(text: string): { readonly value: unknown } | undefined {
+  try {
+    return { value: JSON.parse(text) as unknown };
+  } catch {
     return undefined;
   }
-  for (let length = path.length; length >= 0; length--) {
-    const node = jsonc.findNodeAtLocation(tree, path.slice(0, length) as jsonc.JSONPath);
-    if (node !== undefined) {
-      return getPosition(text, node.offset);
-    }
-  }
-  return undefined;
 }
 
 /**
@@ -51,43 +58,78 @@
   text: string,
   schema: Schema,
 ): neverthrow.Result<zod.output<Schema>, diagnostics.Diagnostic[]> {
-  const errors: jsonc.ParseError[] = [];
-  const value: unknown = jsonc.parse(text, errors, { allowTrailingComma: true });
-  if (errors.length > 0) {
-    return neverthrow.err(errors.map((error) => createSyntaxDiagnostic(text, error)));
+  const value = parseValue(text);
+  if (value.isErr()) {
+    return neverthrow.err(value.error);
   }
-  const checked = schema.safeParse(value);
+  const checked = schema.safeParse(value.value);
   if (checked.success) {
     return neverthrow.ok(checked.data);
   }
-  // The tree costs several times the plain parse, so only a wrong document pays for it.
-  const tree = jsonc.parseTree(text);
-  return neverthrow.err(
-    checked.error.issues.map((issue) => createIssueDiagnostic(text, tree, issue)),
-  );
+  return neverthrow.err(locateDiagnostics(text, createIssueDiagnostics(checked.error.issues)));
+}
+
+/**
+ * Turns the issues of a schema into findings without positions.
+ *
+ * @param prefix Where the checked value stands in its document.
+ */
+export function createIssueDiagnostics(
+  issues: readonly zod.core.$ZodIssue[],
+  prefix: readonly PropertyKey[] = [],
+): diagnostics.Diagnostic[] {
+  return issues.flatMap((issue) => {
+    if (issue.code !== "unrecognized_keys") {
+      return [createIssueDiagnostic(issue.message, [...prefix, ...issue.path])];
+    }
+    return issue.keys.map((key) =>
+      createIssueDiagnostic(`Unrecognized key: "${key}"`, [...prefix, ...issue.path, key])
+    );
+  });
+}
+
+/** Gives each finding that names a field the position of that field, for the first findings. */
+export function locateDiagnostics(
+  text: string,
+  findings: readonly diagnostics.Diagnostic[],
+): diagnostics.Diagnostic[] {
+  const steps = locateDiagnosticsInSteps(text, findings);
+  for (;;) {
+    const step = steps.next();
+    if (step.done === true) {
+      return step.value;
+    }
+  }
+}
+
+/** Does the same as `locateDiagnostics` in short steps, between which other work may run. */
+export function* locateDiagnosticsInSteps(
+  text: string,
+  findings: readonly diagnostics.Diagnostic[],
+): Generator<void, diagnostics.Diagnostic[]> {
+  const reported = findings.slice(0, diagnostics.MAXIMUM_FINDINGS);
+  const paths = reported.flatMap((finding) => finding.path === undefined ? [] : [finding.path]);
+  const offsets = yield* fieldLocation.findOffsetsInSteps(text, paths);
+  return reported.map((finding) => {
+    const offset = finding.path === undefined ? undefined : offsets.get(finding.path);
+    return finding.position !== undefined || offset === undefined
+      ? finding
+      : { ...finding, position: getPosition(text, offset) };
+  });
 }
 
 function createSyntaxDiagnostic(text: string, error: jsonc.ParseError): diagnostics.Diagnostic {
   return diagnostics.createDiagnostic(
     diagnostics.Diagnostics.invalidJson,
     [jsonc.printParseErrorCode(error.error)],
-    "",
+    [],
     getPosition(text, error.offset),
   );
 }
 
 function createIssueDiagnostic(
-  text: string,
-  tree: jsonc.Node | undefined,
-  issue: zod.core.$ZodIssue,
+  message: string,
+  path: readonly PropertyKey[],
 ): diagnostics.Diagnostic {
-  const path = issue.code === "unrecognized_keys"
-    ? [...issue.path, issue.keys[0] ?? ""]
-    : issue.path;
-  return diagnostics.createDiagnostic(
-    diagnostics.Diagnostics.invalidField,
-    [issue.message],
-    formatPath(path),
-    findPosition(text, tree, path),
-  );
+  return diagnostics.createDiagnostic(diagnostics.Diagnostics.invalidField, [message], path);
 }
--- a/packages/model/src/release_note.ts
+++ b/packages/model/src/release_note.ts
@@ -2,9 +2,9 @@
  * The format of release notes: what each adds, changes and withdraws.
  */
 
-import type * as neverthrow from "neverthrow";
+import * as neverthrow from "neverthrow";
 import * as zod from "zod";
-import type * as diagnostics from "./diagnostics.ts";
+import * as diagnostics from "./diagnostics.ts";
 import * as document from "./document.ts";
 import * as ids from "./ids.ts";
 import * as schemas from "./schemas.ts";
@@ -13,6 +13,12 @@
 /** The format that this version reads and writes. */
 export const NOTE_FORMAT = 1;
 
+/** Largest release note, the platform's limit on a value. */
+export const MAXIMUM_NOTE_BYTES = 1_000_000;
+
+/** Entities that are checked between two points where a parser may pause. */
+const ENTITIES_PER_STEP = 32;
+
 /** Methods that HTTP defines as idempotent. */
 export const STANDARD_IDEMPOTENT_METHODS = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"] as const;
 
@@ -81,48 +87,179 @@
   regions: zod.record(schemas.identifier, schemas.identifier).default({}),
 });
 
-const declarations = zod.strictObject({
-  workspaces: zod.array(workspace).default([]),
-  keys: zod.array(key).default([]),
-  services: zod.array(service).default([]),
-  targets: zod.array(target).default([]),
-  routes: zod.array(route).default([]),
-});
+/** Schemas of the entities by their section of a release note. */
+export const entitySchemas = {
+  workspaces: workspace,
+  keys: key,
+  services: service,
+  targets: target,
+  routes: route,
+} as const;
 
-const withdrawals = zod.strictObject({
-  workspaces: zod.array(workspaceId).default([]),
-  keys: zod.array(keyDigest).default([]),
-  services: zod.array(serviceId).default([]),
-  targets: zod.array(targetId).default([]),
-  routes: zod.array(routeId).default([]),
-});
+/** Schema of the declaration of the whole fleet. */
+export const fleetSchema = fleet;
+
+const identifierSchemas = {
+  workspaces: workspaceId,
+  keys: keyDigest,
+  services: serviceId,
+  targets: targetId,
+  routes: routeId,
+} as const;
+
+/** A section of a release note. */
+export type SectionName = keyof typeof entitySchemas;
+
+/** The sections in the order in which they are applied: what is referred to comes first. */
+export const SECTION_NAMES: readonly SectionName[] = [
+  "workspaces",
+  "keys",
+  "services",
+  "targets",
+  "routes",
+];
+
+/** What a release note adds or changes. */
+export type Declarations = {
+  -readonly [Section in SectionName]: zod.output<(typeof entitySchemas)[Section]>[];
+};
+
+/** What a release note withdraws. */
+export type Withdrawals = {
+  -readonly [Section in SectionName]: zod.output<(typeof identifierSchemas)[Section]>[];
+};
+
+const uncheckedSection = zod.array(zod.unknown()).default([]);
 
-const noDeclarations = { workspaces: [], keys: [], services: [], targets: [], routes: [] };
+const uncheckedSections = zod.strictObject({
+  workspaces: uncheckedSection,
+  keys: uncheckedSection,
+  services: uncheckedSection,
+  targets: uncheckedSection,
+  routes: uncheckedSection,
+}).default({ workspaces: [], keys: [], services: [], targets: [], routes: [] });
 
-const releaseNoteSchema = zod.strictObject({
+type UncheckedSections = zod.output<typeof uncheckedSections>;
+
+/** The note around its entities, which are checked one by one. */
+const envelopeSchema = zod.strictObject({
   format: zod.literal(NOTE_FORMAT),
   number: zod.number().int().min(1).transform(ids.createNoteNumber),
   /** Digest of the predecessor's text; null for the first note. */
   previous: noteDigest.nullable(),
   title: zod.string().max(200).default(""),
   fleet: fleet.optional(),
-  added: declarations.default(noDeclarations),
-  changed: declarations.default(noDeclarations),
-  withdrawn: withdrawals.default(noDeclarations),
+  added: uncheckedSections,
+  changed: uncheckedSections,
+  withdrawn: uncheckedSections,
 });
 
 /** A checked release note. */
-export type ReleaseNote = zod.output<typeof releaseNoteSchema>;
-
-/** What a release note adds or changes. */
-export type Declarations = ReleaseNote["added"];
+export interface ReleaseNote {
+  readonly format: typeof NOTE_FORMAT;
+  readonly number: types.NoteNumber;
+  readonly previous: types.NoteDigest | null;
+  readonly title: string;
+  readonly fleet?: types.FleetDeclaration | undefined;
+  readonly added: Declarations;
+  readonly changed: Declarations;
+  readonly withdrawn: Withdrawals;
+}
 
-/** What a release note withdraws. */
-export type Withdrawals = ReleaseNote["withdrawn"];
+/** A checked release note, or everything that is wrong with its text. */
+export type NoteParseResult = neverthrow.Result<ReleaseNote, diagnostics.Diagnostic[]>;
 
 /** Checks the text of a release note by itself, without the state that it applies to. */
-export function parseReleaseNote(
-  text: string,
-): neverthrow.Result<ReleaseNote, diagnostics.Diagnostic[]> {
-  return document.parseDocument(text, releaseNoteSchema);
+export function parseReleaseNote(text: string): NoteParseResult {
+  const steps = parseReleaseNoteInSteps(text);
+  for (;;) {
+    const step = steps.next();
+    if (step.done === true) {
+      return step.value;
+    }
+  }
+}
+
+/** Does the same as `parseReleaseNote` in short steps, between which other work may run. */
+export function* parseReleaseNoteInSteps(text: string): Generator<void, NoteParseResult> {
+  const bytes = Buffer.byteLength(text);
+  if (bytes > MAXIMUM_NOTE_BYTES) {
+    return neverthrow.err([
+      diagnostics.createDiagnostic(
+        diagnostics.Diagnostics.documentTooLarge,
+        [bytes, MAXIMUM_NOTE_BYTES],
+      ),
+    ]);
+  }
+  const value = document.parseValue(text);
+  yield;
+  if (value.isErr()) {
+    return neverthrow.err(value.error);
+  }
+  const unknownFormat = findUnknownFormat(value.value);
+  if (unknownFormat !== undefined) {
+    return neverthrow.err(yield* document.locateDiagnosticsInSteps(text, [unknownFormat]));
+  }
+  const envelope = envelopeSchema.safeParse(value.value);
+  if (!envelope.success) {
+    const findings = document.createIssueDiagnostics(envelope.error.issues);
+    return neverthrow.err(yield* document.locateDiagnosticsInSteps(text, findings));
+  }
+  const findings: diagnostics.Diagnostic[] = [];
+  const { added, changed, withdrawn } = envelope.data;
+  const note: ReleaseNote = {
+    ...envelope.data,
+    added: yield* checkSections<Declarations>("added", added, entitySchemas, findings),
+    changed: yield* checkSections<Declarations>("changed", changed, entitySchemas, findings),
+    withdrawn: yield* checkSections<Withdrawals>(
+      "withdrawn",
+      withdrawn,
+      identifierSchemas,
+      findings,
+    ),
+  };
+  if (findings.length > 0) {
+    return neverthrow.err(yield* document.locateDiagnosticsInSteps(text, findings));
+  }
+  return neverthrow.ok(note);
+}
+
+/** A note of another format is not read any further, since its fields may mean something else. */
+function findUnknownFormat(value: unknown): diagnostics.Diagnostic | undefined {
+  const format = (value as { readonly format?: unknown } | null)?.format;
+  if (typeof format !== "number" || format === NOTE_FORMAT) {
+    return undefined;
+  }
+  const row = diagnostics.Diagnostics.unknownFormat;
+  return diagnostics.createDiagnostic(row, [format, NOTE_FORMAT], ["format"]);
+}
+
+function* checkSections<Sections extends Declarations | Withdrawals>(
+  part: string,
+  unchecked: UncheckedSections,
+  schemasBySection: Readonly<Record<SectionName, zod.ZodType>>,
+  findings: diagnostics.Diagnostic[],
+): Generator<void, Sections> {
+  const checked: Record<SectionName, unknown[]> = {
+    workspaces: [],
+    keys: [],
+    services: [],
+    targets: [],
+    routes: [],
+  };
+  for (const section of SECTION_NAMES) {
+    for (const [index, value] of unchecked[section].entries()) {
+      const result = schemasBySection[section].safeParse(value);
+      if (result.success) {
+        checked[section].push(result.data);
+      } else {
+        const prefix = [part, section, index];
+        findings.push(...document.createIssueDiagnostics(result.error.issues, prefix));
+      }
+      if (index % ENTITIES_PER_STEP === 0) {
+        yield;
+      }
+    }
+  }
+  return checked as unknown as Sections;
 }
