Notes reach every VM over few readers and peer links, and never revert

Cause: every VM followed the platform by itself, had no way round an outage, and knew nothing of stale replicas, forks or restarts.

VMs that are too far behind load the published baseline or a peer's state. A VM that has started asks peers before the platform, and is not ready before it is where they are. Two notes under one number stay where they are in force, are told of in the status, and the note that follows one of them decides: VMs on the other branch load a state above it.

Calls of the platform are budgeted from the fleet's size.

Shown by relay_test.ts: platform away, stale, torn and silent, fork and its healing, restart, baseline, calls over ten minutes without a platform.

--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -1,118 +1,209 @@
 /**
- * The service that keeps the configuration in force up to date from the platform.
+ * The service that keeps the configuration in force up to date, from the platform and from peers.
  */
 
+import * as fleet from "@hemlockwalk/fleet";
 import * as kernel from "@hemlockwalk/kernel";
-import * as model from "@hemlockwalk/model";
-import * as applying from "./apply_note.ts";
-import * as platform from "./platform_client.ts";
-import type * as snapshots from "./snapshot.ts";
+import * as baselineSources from "./baseline_sources.ts";
+import * as callBudget from "./call_budget.ts";
+import * as catchUp from "./catch_up.ts";
+import * as counting from "./counters.ts";
+import * as neighbourhood from "./neighbours.ts";
+import * as noteChain from "./note_chain.ts";
+import * as noteRelay from "./note_relay.ts";
+import * as peerMessages from "./peer_messages.ts";
+import * as platformContact from "./platform_contact.ts";
+import * as platformFollower from "./platform_follower.ts";
+import * as readerElection from "./reader_election.ts";
+import * as readiness from "./readiness.ts";
 import type * as types from "./types.ts";
+import * as vmList from "./vm_list.ts";
 
-const READ_TIMEOUT_MILLISECONDS = 2_000;
-const WATCH_WAIT_MILLISECONDS = 30_000;
-const RETRY_DELAY_MILLISECONDS = 500;
-
-/** Key of the platform's value that holds the text of a release note. */
-export function getNoteKey(number: number): string {
-  return `notes/${number}`;
-}
-
-/** Holds the configuration in force and follows the chain of release notes on the platform. */
-export class PlatformConfiguration implements types.ConfigurationService {
-  readonly #client: platform.PlatformClient;
+/** Holds the configuration in force and follows the chain of release notes. */
+export class FollowingConfiguration implements types.ConfigurationService {
+  readonly #services: kernel.Kernel;
   readonly #logger: kernel.PartLogger;
-  readonly #listeners: types.SnapshotListener[] = [];
+  readonly #platform: types.PlatformReader;
   readonly #stopping = new AbortController();
-  readonly #refused = new Set<number>();
-  #snapshot: snapshots.TableSnapshot | undefined;
-  #following: Promise<void> | undefined;
+  readonly #counters: counting.ConfigurationCounters;
+  readonly #chain: noteChain.NoteChain;
+  readonly #contact = new platformContact.PlatformContact();
+  readonly #vmListListeners: ((vms: readonly fleet.ListedVm[]) => void)[] = [];
+  #parts: RunningParts | undefined;
+  #tasks: Promise<unknown>[] = [];
 
-  constructor(client: platform.PlatformClient, logger: kernel.PartLogger) {
-    this.#client = client;
+  /** @param platform Closed with this service. */
+  constructor(
+    services: kernel.Kernel,
+    platform: types.PlatformReader,
+    logger: kernel.PartLogger,
+  ) {
+    this.#services = services;
+    this.#platform = platform;
     this.#logger = logger;
+    const metrics = services.find(kernel.METRICS) ?? new kernel.Metrics();
+    this.#counters = counting.createCounters(metrics);
+    this.#chain = new noteChain.NoteChain(logger, this.#counters);
+    metrics.createGauge(
+      "hemlockwalk_configuration_number",
+      "Number of the release note in force; 0 without one.",
+      () => this.#chain.number,
+    );
+    metrics.createGauge(
+      "hemlockwalk_configuration_behind",
+      "Notes that this VM has heard of and that are not in force here.",
+      () => this.#chain.highestHeard - this.#chain.number,
+    );
   }
 
   getSnapshot(): types.Snapshot | undefined {
-    return this.#snapshot;
+    return this.#chain.snapshot;
   }
 
   isReady(): boolean {
-    return this.#snapshot !== undefined;
+    return this.#parts?.readiness.isReady ?? false;
   }
 
   onChange(listener: types.SnapshotListener): void {
-    this.#listeners.push(listener);
+    this.#chain.onAccepted((change) => listener(change));
   }
 
-  start(): void {
-    this.#following = this.#follow();
+  /** Calls the listener with each list of VMs that was read. */
+  onVmList(listener: (vms: readonly fleet.ListedVm[]) => void): void {
+    this.#vmListListeners.push(listener);
   }
 
-  async stop(): Promise<void> {
-    this.#stopping.abort();
-    await this.#following;
-    await this.#client.close();
+  getStatus(): types.ConfigurationStatus {
+    return {
+      number: this.#chain.number,
+      digest: this.#chain.snapshot?.digest ?? null,
+      ready: this.isReady(),
+      highestHeard: this.#chain.highestHeard,
+      platformReader: this.#parts?.election.isReader ?? false,
+      platformContactAgeMilliseconds: this.#contact.ageMilliseconds ?? null,
+      forks: this.#chain.forks.list(),
+      refusedNotes: this.#chain.refused.listAbove(this.#chain.number),
+    };
   }
 
-  async #follow(): Promise<void> {
+  start(): void {
     const { signal } = this.#stopping;
-    while (!signal.aborted) {
-      const next = (this.#snapshot?.number ?? 0) + 1;
-      const value = await this.#client.watch(getNoteKey(next), 0, WATCH_WAIT_MILLISECONDS, signal);
-      if (value.isOk()) {
-        await this.#accept(next, value.value.text);
-      } else if (value.error.kind !== "absent" && !signal.aborted) {
-        this.#logger.warn("The platform gave no answer.", { detail: value.error.detail });
-        await kernel.sleep(RETRY_DELAY_MILLISECONDS, signal);
-      }
-    }
+    this.#parts = this.#createParts(signal);
+    const { relay, follower, list } = this.#parts;
+    list.onList((vms) => this.#vmListListeners.forEach((listener) => listener(vms)));
+    list.listen();
+    relay?.listen();
+    this.#tasks = [
+      this.#parts.readiness.run(signal),
+      follower.run(signal),
+      list.run(signal),
+      relay?.run(signal) ?? Promise.resolve(),
+    ];
   }
 
-  async #accept(number: number, text: string): Promise<void> {
-    const previous = this.#snapshot;
-    const applied = applying.applyNoteText(previous, text);
-    if (applied.isErr()) {
-      this.#reportRefusal(number, applied.error.diagnostics);
-      await kernel.sleep(READ_TIMEOUT_MILLISECONDS, this.#stopping.signal);
-      return;
-    }
-    this.#snapshot = applied.value;
-    this.#logger.info("A release note is in force.", { number });
-    const change = {
-      previous,
-      current: applied.value,
-      withdrawnKeys: listWithdrawnKeys(previous, applied.value),
-    };
-    for (const listener of this.#listeners) {
-      listener(change);
-    }
+  async stop(): Promise<void> {
+    this.#stopping.abort();
+    await Promise.all(this.#tasks);
+    await this.#platform.close();
   }
 
-  #reportRefusal(number: number, diagnostics: readonly model.Diagnostic[]): void {
-    if (this.#refused.has(number)) {
-      return;
-    }
-    this.#refused.add(number);
-    for (const diagnostic of diagnostics) {
-      const finding = model.formatDiagnostic(getNoteKey(number), diagnostic);
-      this.#logger.error("A release note is refused.", { number, finding });
+  /** Peers are looked up here, after all services have been registered. */
+  #createParts(signal: AbortSignal): RunningParts {
+    const chain = this.#chain;
+    const counters = this.#counters;
+    const contact = this.#contact;
+    const logger = this.#logger;
+    const network = this.#services.find(fleet.PEER_NETWORK);
+    const membership = this.#services.find(fleet.MEMBERSHIP);
+    const election = new readerElection.ReaderElection(membership);
+    const reader = new callBudget.BudgetedReader(
+      this.#platform,
+      () => election.fleetSize,
+      counters,
+    );
+    const baselines = new baselineSources.BaselineSources(chain, reader, counters, logger);
+    const follower = new platformFollower.PlatformFollower({
+      chain,
+      reader,
+      baselines,
+      election,
+      contact,
+      counters,
+      logger,
+    });
+    if (network === undefined || membership === undefined) {
+      const list = new vmList.PlatformVmList({
+        reader,
+        election,
+        counters,
+        logger,
+        relay: undefined,
+      });
+      const sole = new readiness.Readiness({ chain, follower, peers: undefined });
+      return { election, follower, list, relay: undefined, readiness: sole };
     }
+    const caller = new peerMessages.PeerCaller(network, counters);
+    const neighbours = new neighbourhood.Neighbours(membership);
+    const list = new vmList.PlatformVmList({
+      reader,
+      election,
+      counters,
+      logger,
+      relay: { network, caller, neighbours },
+    });
+    const puller = new catchUp.CatchUp(chain, caller, baselines, counters, signal);
+    const relay = new noteRelay.NoteRelay({
+      chain,
+      network,
+      caller,
+      neighbours,
+      catchUp: puller,
+      contact,
+      counters,
+      getVmsVersion: () => list.version,
+      onVmsVersion: (peer, version) => void list.hear(peer, version),
+    });
+    const peers = { relay, neighbours, catchUp: puller };
+    const ready = new readiness.Readiness({ chain, follower, peers });
+    return { election, follower, list, relay, readiness: ready };
   }
 }
 
-function listWithdrawnKeys(
-  previous: types.Snapshot | undefined,
-  current: types.Snapshot,
-): model.KeyDigest[] {
-  const withdrawn: model.KeyDigest[] = [];
-  for (const key of previous?.listKeys() ?? []) {
-    if (current.findKey(key.digest)?.workspace !== key.workspace) {
-      withdrawn.push(key.digest);
-    }
-  }
-  return withdrawn;
+interface RunningParts {
+  readonly election: readerElection.ReaderElection;
+  readonly follower: platformFollower.PlatformFollower;
+  readonly list: vmList.PlatformVmList;
+  readonly relay: noteRelay.NoteRelay | undefined;
+  readonly readiness: readiness.Readiness;
 }
 
 /** The name under which the configuration is found. */
 export const CONFIGURATION = kernel.createServiceName<types.ConfigurationService>("configuration");
+
+/** The list of VMs as other services see it, read together with the configuration. */
+class ConfiguredVmList implements fleet.VmListSource {
+  readonly #configuration: FollowingConfiguration;
+
+  constructor(configuration: FollowingConfiguration) {
+    this.#configuration = configuration;
+  }
+
+  onList(listener: (vms: readonly fleet.ListedVm[]) => void): void {
+    this.#configuration.onVmList(listener);
+  }
+}
+
+/**
+ * Registers the configuration and the list of VMs of one VM. Peers are found by name when the kernel
+ * starts, so their services may be registered before or after, and may be missing.
+ */
+export function registerConfiguration(
+  services: kernel.Kernel,
+  platform: types.PlatformReader,
+  logger: kernel.PartLogger,
+): types.ConfigurationService {
+  const service = new FollowingConfiguration(services, platform, logger);
+  services.register<types.ConfigurationService>(CONFIGURATION, service);
+  services.register<fleet.VmListSource>(vmList.VM_LIST_SOURCE, new ConfiguredVmList(service));
+  return service;
+}
--- a/packages/configuration/src/errors.ts
+++ b/packages/configuration/src/errors.ts
@@ -15,3 +15,9 @@
   readonly kind: "invalid" | "out_of_order" | "conflicting";
   readonly diagnostics: readonly model.Diagnostic[];
 }
+
+/** Another VM did not give a usable answer. */
+export interface RelayError {
+  readonly kind: "unreachable" | "malformed";
+  readonly detail: string;
+}
--- /dev/null
+++ b/packages/configuration/src/fork_register.ts
@@ -0,0 +1,30 @@
+/**
+ * Remembers where two different notes stand under one number.
+ */
+
+import type * as types from "./types.ts";
+
+const MAXIMUM_FORKS = 32;
+
+/** The newest forks that one VM has seen. */
+export class ForkRegister {
+  readonly #forks = new Map<string, types.Fork>();
+
+  /** @returns Whether the fork was not known yet. */
+  add(fork: types.Fork): boolean {
+    const key = `${fork.number} ${fork.inForce} ${fork.refused} ${fork.seenAt}`;
+    if (this.#forks.has(key)) {
+      return false;
+    }
+    this.#forks.set(key, fork);
+    const oldest = this.#forks.keys().next();
+    if (this.#forks.size > MAXIMUM_FORKS && oldest.done !== true) {
+      this.#forks.delete(oldest.value);
+    }
+    return true;
+  }
+
+  list(): types.Fork[] {
+    return [...this.#forks.values()];
+  }
+}
--- a/packages/configuration/src/platform_client.ts
+++ b/packages/configuration/src/platform_client.ts
@@ -10,21 +10,22 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 2_000;
 
 /** How much longer than the requested wait the client lets a watch last. */
-const WATCH_MARGIN_MILLISECONDS = 5_000;
+const WATCH_MARGIN_MILLISECONDS = 1_000;
 
 const VERSION_HEADER = "value-version";
 
 /** Reads and watches the platform's values over HTTP, taking its addresses in turn. */
-export class PlatformClient {
+export class PlatformClient implements types.PlatformReader {
   readonly #addresses: readonly string[];
   readonly #agent = new undici.Agent({ connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS } });
-  #next = 0;
+  #next: number;
 
   constructor(addresses: readonly string[]) {
     this.#addresses = addresses;
+    // VMs begin with different addresses, so that not all ask the same replica.
+    this.#next = Math.floor(Math.random() * addresses.length);
   }
 
-  /** Reads a value. */
   get(
     key: string,
     timeoutMilliseconds: number,
@@ -33,11 +34,6 @@
     return this.#request(`/v1/values/${key}`, timeoutMilliseconds, signal);
   }
 
-  /**
-   * Waits until the value has a version above the given one.
-   *
-   * @returns The newer value; `absent` when there was none within the wait.
-   */
   watch(
     key: string,
     afterVersion: number,
--- a/packages/configuration/src/types.ts
+++ b/packages/configuration/src/types.ts
@@ -4,6 +4,8 @@
 
 import type * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
+import type * as neverthrow from "neverthrow";
+import type * as errors from "./errors.ts";
 
 /**
  * The configuration in force after one release note. It never changes; a request keeps the snapshot
@@ -29,9 +31,6 @@
   listKeys(): Iterable<model.Key>;
 }
 
-/** Where a release note came from. */
-export type NoteSource = "platform" | "peer";
-
 /** What one applied note changed, for services that act on it at once. */
 export interface SnapshotChange {
   readonly previous: Snapshot | undefined;
@@ -50,6 +49,44 @@
   /** Whether the VM has made sure, as far as it can reach, that it is not behind. */
   isReady(): boolean;
   onChange(listener: SnapshotListener): void;
+  /** What operators are told. Absent in services that stand in for the real one. */
+  getStatus?(): ConfigurationStatus;
+}
+
+/** Two different notes under one number: an error in publishing. */
+export interface Fork {
+  readonly number: model.NoteNumber;
+  /** Digest of the note that is in force on this VM. */
+  readonly inForce: model.NoteDigest;
+  /** Digest of the note that is refused here. */
+  readonly refused: model.NoteDigest;
+  /** Where the other note is: a VM, or `platform`. */
+  readonly seenAt: string;
+}
+
+/** A note that this VM has refused. */
+export interface RefusedNote {
+  /** The number under which it was offered. */
+  readonly number: number;
+  readonly digest: model.NoteDigest;
+  /** The findings, one a line, with their numbers and positions. */
+  readonly findings: readonly string[];
+}
+
+/** What operators are told about the configuration of one VM. */
+export interface ConfigurationStatus {
+  /** 0 before the first note. */
+  readonly number: number;
+  readonly digest: model.NoteDigest | null;
+  readonly ready: boolean;
+  /** The highest number that peers or the platform have told of. */
+  readonly highestHeard: number;
+  /** Whether this VM is one of those that read the platform for their data centre. */
+  readonly platformReader: boolean;
+  /** Time since any VM was known to reach the platform; null when none is known. */
+  readonly platformContactAgeMilliseconds: number | null;
+  readonly forks: readonly Fork[];
+  readonly refusedNotes: readonly RefusedNote[];
 }
 
 /** A value of the platform with its version. */
@@ -57,3 +94,43 @@
   readonly version: number;
   readonly text: string;
 }
+
+/** Reads and watches the platform's values. */
+export interface PlatformReader {
+  /** Reads a value. */
+  get(
+    key: string,
+    timeoutMilliseconds: number,
+    signal?: AbortSignal,
+  ): Promise<neverthrow.Result<PlatformValue, errors.PlatformError>>;
+  /**
+   * Waits until the value has a version above the given one.
+   *
+   * @returns The newer value; `absent` when there was none within the wait.
+   */
+  watch(
+    key: string,
+    afterVersion: number,
+    waitMilliseconds: number,
+    signal?: AbortSignal,
+  ): Promise<neverthrow.Result<PlatformValue, errors.PlatformError>>;
+  close(): Promise<void>;
+}
+
+/** Where a note or a baseline came from: a VM, or `platform`. */
+export type Origin = "platform" | model.VmId;
+
+/** What became of a note that was offered. */
+export type OfferOutcome =
+  /** It is in force now. */
+  | "applied"
+  /** It was in force already. */
+  | "known"
+  /** Notes before it are missing. */
+  | "gap"
+  /** It names another predecessor than the note in force. */
+  | "diverged"
+  /** Another note under its number is in force. */
+  | "conflicting"
+  /** It is wrong in itself. */
+  | "refused";
--- /dev/null
+++ b/packages/configuration/test/relay_test.ts
@@ -0,0 +1,280 @@
+/**
+ * Notes on their way through a fleet: directed failures, on the tests' clock.
+ */
+
+import assert from "node:assert/strict";
+import * as test from "node:test";
+import * as model from "@hemlockwalk/model";
+import * as configuration from "../src/mod.ts";
+import * as fleetWorld from "./fleet_world.ts";
+import * as generators from "./note_generators.ts";
+
+/** Time within which a note that is in force anywhere is in force on all reachable VMs. */
+const BOUND_MILLISECONDS = 4_000;
+
+const NOTHING = { added: {}, changed: {}, withdrawn: {} };
+const WITHDRAWAL = {
+  ...NOTHING,
+  withdrawn: { keys: [generators.createTestKeyDigest(0)] },
+};
+
+/** A chain of notes as the operators publish it. */
+class Chain {
+  readonly notes: { readonly number: number; readonly digest: model.NoteDigest; text: string }[] =
+    [];
+
+  add(content: generators.NoteContent): string {
+    const text = generators.writeNote(this.notes.at(-1), content);
+    this.notes.push({
+      number: this.notes.length + 1,
+      digest: model.createNoteDigest(text),
+      text,
+    });
+    return text;
+  }
+
+  publish(world: fleetWorld.FleetWorld, content: generators.NoteContent): void {
+    const text = this.add(content);
+    const number = this.notes.length;
+    world.platform.publish(configuration.getNoteKey(number), text);
+    world.platform.publish(
+      configuration.HEAD_KEY,
+      configuration.createHeadText(number, model.createNoteDigest(text)),
+    );
+  }
+}
+
+function run(
+  name: string,
+  body: (world: fleetWorld.FleetWorld, chain: Chain) => Promise<void>,
+): void {
+  test.it(name, async () => {
+    const world = new fleetWorld.FleetWorld(7);
+    try {
+      await body(world, new Chain());
+    } finally {
+      await world.close();
+    }
+  });
+}
+
+async function startAll(world: fleetWorld.FleetWorld, count: number): Promise<string[]> {
+  const names = Array.from({ length: count }, (_, index) => `vm-${index}`);
+  for (const name of names) {
+    await world.start(name);
+  }
+  return names;
+}
+
+function getNumbers(world: fleetWorld.FleetWorld): number[] {
+  return [...world.vms.keys()].map((name) => world.getNumber(name));
+}
+
+test.describe("relay", () => {
+  run("spreads a withdrawal that one VM has seen, with the platform away", async (world, chain) => {
+    const names = await startAll(world, 8);
+    chain.publish(world, generators.FIRST_CONTENT);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    assert.deepEqual(getNumbers(world), new Array(8).fill(1));
+
+    for (const name of names.slice(1)) {
+      world.platform.setView(name, { kind: "away" });
+    }
+    chain.publish(world, WITHDRAWAL);
+    await world.clock.advance(200);
+    // Only a VM that reads the platform can have it so far; the others heard of it from there.
+    const seer = names.find((name) => world.getNumber(name) === 2);
+    if (seer === undefined) {
+      // The one VM with a platform is no reader: nobody knows until it falls back.
+      await world.clock.advance(40_000);
+    }
+    await world.clock.advance(BOUND_MILLISECONDS);
+    assert.deepEqual(getNumbers(world), new Array(8).fill(2));
+    for (const { configuration: service, changes } of world.vms.values()) {
+      const digest = generators.createTestKeyDigest(0);
+      assert.equal(service.getSnapshot()?.findKey(digest), undefined);
+      assert.deepEqual(changes.at(-1)?.withdrawnKeys, [digest]);
+    }
+    world.assertForwardOnly(chain.notes);
+  });
+
+  run("restarts with a stale platform and takes the newest from peers", async (world, chain) => {
+    await startAll(world, 4);
+    chain.publish(world, generators.FIRST_CONTENT);
+    const staleWrites = world.platform.writes;
+    chain.publish(world, WITHDRAWAL);
+    chain.publish(world, NOTHING);
+    await world.clock.advance(BOUND_MILLISECONDS);
+
+    await world.stop("vm-1");
+    world.platform.setView("vm-1", { kind: "stale", writes: staleWrites });
+    const { configuration: service } = await world.start("vm-1");
+    const digest = generators.createTestKeyDigest(0);
+    for (let step = 0; step < 400; step++) {
+      await world.clock.advance(10);
+      if (service.isReady()) {
+        assert.equal(service.getSnapshot()?.number, 3);
+        assert.equal(service.getSnapshot()?.findKey(digest), undefined);
+      }
+    }
+    assert.ok(service.isReady());
+  });
+
+  run("restarts with the platform away", async (world, chain) => {
+    const names = await startAll(world, 4);
+    chain.publish(world, generators.FIRST_CONTENT);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    names.forEach((name) => world.platform.setView(name, { kind: "silent" }));
+    await world.stop("vm-2");
+    const { configuration: service } = await world.start("vm-2");
+    await world.clock.advance(10_000);
+    assert.equal(service.getSnapshot()?.number, 1);
+    assert.ok(service.isReady());
+  });
+
+  run("is not ready with nothing to be had", async (world) => {
+    world.platform.setView("vm-0", { kind: "away" });
+    const { configuration: service } = await world.start("vm-0");
+    await world.clock.advance(20_000);
+    assert.equal(service.isReady(), false);
+  });
+
+  run("waits out torn values and goes on", async (world, chain) => {
+    const [only] = await startAll(world, 1);
+    chain.publish(world, generators.FIRST_CONTENT);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    world.platform.setView(only ?? "", { kind: "torn" });
+    chain.publish(world, WITHDRAWAL);
+    await world.clock.advance(3_000);
+    assert.deepEqual(getNumbers(world), [1]);
+    const status = world.get("vm-0").configuration.getStatus?.();
+    assert.match(status?.refusedNotes[0]?.findings[0] ?? "", /^notes\/2:1:\d+ - HW1001/);
+    world.platform.heal();
+    await world.clock.advance(BOUND_MILLISECONDS);
+    assert.deepEqual(getNumbers(world), [2]);
+    assert.deepEqual(world.get("vm-0").configuration.getStatus?.().refusedNotes, []);
+  });
+
+  run("loads the published baseline where the first notes are gone", async (world, chain) => {
+    chain.add(generators.FIRST_CONTENT);
+    chain.add(WITHDRAWAL);
+    let snapshot: configuration.TableSnapshot | undefined;
+    for (const note of chain.notes) {
+      snapshot = configuration.applyNoteText(snapshot, note.text)._unsafeUnwrap();
+    }
+    assert.ok(snapshot !== undefined);
+    const baseline = configuration.runAtOnce(configuration.createBaselineInSteps(snapshot));
+    for (const [key, text] of baseline.chunks) {
+      world.platform.publish(key, text);
+    }
+    world.platform.publish(configuration.BASELINE_KEY, JSON.stringify(baseline.manifest));
+    chain.publish(world, NOTHING);
+    await startAll(world, 3);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    assert.deepEqual(getNumbers(world), [3, 3, 3]);
+    // A peer that has no notes from before the baseline gives its own state.
+    world.platform.setView("vm-3", { kind: "away" });
+    await world.start("vm-3");
+    await world.clock.advance(BOUND_MILLISECONDS);
+    assert.equal(world.getNumber("vm-3"), 3);
+    world.assertForwardOnly(chain.notes);
+  });
+
+  run("keeps both sides of a fork in force, tells of it, and heals by the next note", async (
+    world,
+    chain,
+  ) => {
+    const names = await startAll(world, 4);
+    chain.publish(world, generators.FIRST_CONTENT);
+    await world.clock.advance(BOUND_MILLISECONDS);
+
+    // Each data centre sees another note 2 while nothing passes between them.
+    const sides = [names.filter((_, index) => index % 2 === 0), ["vm-1", "vm-3"]] as const;
+    const setCuts = (cut: boolean) => {
+      for (const left of sides[0]) {
+        for (const right of sides[1]) {
+          world.setCut(left, right, cut);
+          world.setCut(right, left, cut);
+        }
+      }
+    };
+    setCuts(true);
+    const writes = world.platform.writes;
+    sides[1].forEach((name) => world.platform.setView(name, { kind: "stale", writes }));
+    chain.publish(world, WITHDRAWAL);
+    await world.clock.advance(1_000);
+    sides[0].forEach((name) => world.platform.setView(name, { kind: "away" }));
+    sides[1].forEach((name) => world.platform.setView(name, { kind: "normal" }));
+    const other = generators.writeNote(chain.notes[0], { ...NOTHING, added: { keys: [] } });
+    world.platform.publish(configuration.getNoteKey(2), other);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    const digests = names.map((name) => world.get(name).configuration.getSnapshot()?.digest);
+    const otherDigest = model.createNoteDigest(other);
+    const firstDigest = chain.notes[1]?.digest;
+    assert.deepEqual(digests, [firstDigest, otherDigest, firstDigest, otherDigest]);
+
+    setCuts(false);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    for (const name of names) {
+      const service = world.get(name).configuration;
+      assert.equal(service.getSnapshot()?.number, 2, "Nobody leaves what is in force.");
+      assert.equal(service.getStatus?.().forks[0]?.number, 2);
+    }
+    assert.deepEqual(
+      names.map((name) => world.get(name).configuration.getSnapshot()?.digest),
+      digests,
+    );
+
+    // The next note names one of the two; VMs on the other branch load a state that follows it.
+    world.platform.heal();
+    chain.publish(world, NOTHING);
+    await world.clock.advance(2 * BOUND_MILLISECONDS);
+    for (const name of names) {
+      const snapshot = world.get(name).configuration.getSnapshot();
+      assert.equal(snapshot?.digest, chain.notes[2]?.digest);
+      assert.equal(snapshot?.findKey(generators.createTestKeyDigest(0)), undefined);
+    }
+    const numbers = world.get("vm-1").changes.map((change) => change.current.number);
+    assert.deepEqual(numbers, [1, 2, 3]);
+  });
+
+  run("takes the note in force at peers over another one on the platform", async (world, chain) => {
+    await startAll(world, 3);
+    chain.publish(world, generators.FIRST_CONTENT);
+    chain.publish(world, WITHDRAWAL);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    const other = generators.writeNote(chain.notes[0], { ...NOTHING, added: { keys: [] } });
+    world.platform.publish(configuration.getNoteKey(2), other);
+    world.platform.publish(
+      configuration.HEAD_KEY,
+      configuration.createHeadText(2, model.createNoteDigest(other)),
+    );
+    await world.stop("vm-1");
+    await world.start("vm-1");
+    await world.clock.advance(30_000);
+    const digests = [...world.vms.values()]
+      .map((vm) => vm.configuration.getSnapshot()?.digest);
+    assert.deepEqual(digests, new Array(3).fill(chain.notes[1]?.digest));
+    // Readers compare the head from time to time, so the error in publishing is told of.
+    const statuses = [...world.vms.values()].map((vm) => vm.configuration.getStatus?.());
+    assert.ok(statuses.some((status) => status?.forks[0]?.seenAt === "platform"));
+  });
+
+  run("keeps to the call budget with the platform away for ten minutes", async (world, chain) => {
+    const names = await startAll(world, 6);
+    chain.publish(world, generators.FIRST_CONTENT);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    names.forEach((name) => world.platform.setView(name, { kind: "away" }));
+    const before = world.platform.calls;
+    const seconds = 600;
+    await world.clock.advance(seconds * 1_000, 100);
+    const rate = (world.platform.calls - before) / seconds;
+    // 2 data centres with 2 readers each and 2 watches a reader, none retried more than once a
+    // second on average; the other VMs try a few times a minute.
+    assert.ok(rate < 10, `${rate} calls a second`);
+    world.platform.heal();
+    chain.publish(world, WITHDRAWAL);
+    await world.clock.advance(2 * BOUND_MILLISECONDS);
+    assert.deepEqual(getNumbers(world), new Array(6).fill(2));
+  });
+});
--- a/packages/daemon/src/administration.ts
+++ b/packages/daemon/src/administration.ts
@@ -77,15 +77,13 @@
 
   #getStatus(): object {
     const membership = this.#services.get(fleet.MEMBERSHIP);
-    const snapshot = this.#services.get(configuration.CONFIGURATION).getSnapshot();
+    const configurationService = this.#services.get(configuration.CONFIGURATION);
     return {
       vm: membership.self.vm,
       incarnation: membership.self.incarnation,
       dataCentre: membership.self.dataCentre,
       state: this.#services.state,
-      configuration: snapshot === undefined
-        ? null
-        : { number: snapshot.number, digest: snapshot.digest },
+      configuration: configurationService.getStatus?.() ?? null,
       members: membership.listMembers(),
     };
   }
--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -19,12 +19,10 @@
   services.register(kernel.PAUSE_DETECTOR, new kernel.PauseDetector());
   registerFleet(services, settings);
   const platform = new configuration.PlatformClient(settings.platform.addresses);
-  const configurationService = services.register<configuration.ConfigurationService>(
-    configuration.CONFIGURATION,
-    new configuration.PlatformConfiguration(
-      platform,
-      new kernel.PartLogger(logger, "configuration"),
-    ),
+  const configurationService = configuration.registerConfiguration(
+    services,
+    platform,
+    new kernel.PartLogger(logger, "configuration"),
   );
   services.register<limits.RateLimiter>(
     limits.RATE_LIMITER,
