--- a/packages/configuration/src/baseline.ts
+++ b/packages/configuration/src/baseline.ts
@@ -99,7 +99,7 @@
     const text = yield* renderChunkInSteps(snapshot, index, chunkCount);
     const key = getChunkKey(snapshot.number, index);
     chunks.set(key, text);
-    listed.push({ key, digest: model.createNoteDigest(text) });
+    listed.push({ key, digest: model.createTextDigest(text) });
   }
   const { number, digest, fleet, size } = snapshot;
   const manifest: BaselineManifest = {
--- a/packages/configuration/src/baseline_sources.ts
+++ b/packages/configuration/src/baseline_sources.ts
@@ -112,7 +112,7 @@
     for (let attempt = 0; attempt < CHUNK_ATTEMPTS && !signal.aborted; attempt++) {
       const value = await this.#reader.get(key, READ_TIMEOUT_MILLISECONDS, signal);
       const text = value.isOk() ? value.value.text : undefined;
-      const actual = text === undefined ? undefined : model.createNoteDigest(text);
+      const actual = text === undefined ? undefined : model.createTextDigest(text);
       if (actual === digest) {
         return text;
       }
--- a/packages/configuration/src/note_chain.ts
+++ b/packages/configuration/src/note_chain.ts
@@ -78,7 +78,7 @@
    */
   offerNote(number: number, text: string, origin: types.Origin): Promise<types.OfferOutcome> {
     return this.#runAlone(async () => {
-      const outcome = await this.#decide(number, text, origin);
+      const outcome = await this.#decide(number, model.trimNoteText(text), origin);
       this.#counters.notes.inc({ source: getSource(origin), outcome });
       return outcome;
     });
--- a/packages/configuration/test/fleet_world.ts
+++ b/packages/configuration/test/fleet_world.ts
@@ -15,6 +15,9 @@
 
 const DATA_CENTRES = ["north-1", "north-2"] as const;
 
+const STOP_STEP_MILLISECONDS = 20;
+const STOP_STEPS = 250;
+
 const RANDOM_RANGE = 1_000_000;
 const RANDOM_VALUES = 5_000;
 
@@ -88,8 +91,14 @@
     this.hub.resume(vm.identity.vm);
     this.hub.disconnect(vm.identity.vm);
     this.#updateMemberships();
-    const stopped = vm.services.stop();
-    await this.clock.advance(20);
+    let isStopped = false;
+    const stopped = vm.services.stop().then(() => {
+      isStopped = true;
+    });
+    for (let step = 0; step < STOP_STEPS && !isStopped; step++) {
+      await this.clock.advance(STOP_STEP_MILLISECONDS);
+    }
+    assert.ok(isStopped, "A VM stops soon, also while its peers are silent.");
     await stopped;
   }
 
--- a/packages/configuration/test/relay_test.ts
+++ b/packages/configuration/test/relay_test.ts
@@ -155,6 +155,20 @@
     assert.deepEqual(world.get("vm-0").configuration.getStatus?.().refusedNotes, []);
   });
 
+  // Found by chain_model_test.ts (seed 31, path 4:0:4): cut within the white space behind it, a note
+  // was accepted under another digest than elsewhere.
+  run("sees the same note in a value cut within white space", async (world, chain) => {
+    await startAll(world, 2);
+    chain.publish(world, generators.FIRST_CONTENT);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    const text = chain.add(WITHDRAWAL);
+    world.platform.setView("vm-0", { kind: "torn" });
+    world.platform.publish(configuration.getNoteKey(2), text + "\n".repeat(text.length + 2));
+    await world.clock.advance(BOUND_MILLISECONDS);
+    assert.deepEqual(getNumbers(world), [2, 2]);
+    world.assertForwardOnly(chain.notes);
+  });
+
   run("loads the published baseline where the first notes are gone", async (world, chain) => {
     chain.add(generators.FIRST_CONTENT);
     chain.add(WITHDRAWAL);
--- a/packages/model/src/document.ts
+++ b/packages/model/src/document.ts
@@ -40,6 +40,27 @@
   return neverthrow.ok(value);
 }
 
+/**
+ * Parses JSON as the standard has it, without comments.
+ *
+ * @returns The value, or every syntax error with its position.
+ */
+export function parseStrictValue(
+  text: string,
+): neverthrow.Result<unknown, diagnostics.Diagnostic[]> {
+  const plain = parsePlain(text);
+  if (plain !== undefined) {
+    return neverthrow.ok(plain.value);
+  }
+  const errors: jsonc.ParseError[] = [];
+  jsonc.parse(text, errors, { disallowComments: true, allowEmptyContent: false });
+  const findings = errors.slice(0, diagnostics.MAXIMUM_FINDINGS)
+    .map((error) => createSyntaxDiagnostic(text, error));
+  // The two parsers differ in some escapes; what only one of them takes is refused all the same.
+  const unknown = diagnostics.createDiagnostic(diagnostics.Diagnostics.invalidJson, ["syntax"]);
+  return neverthrow.err(findings.length > 0 ? findings : [unknown]);
+}
+
 /** Parses JSON without comments, several times as fast as the parser that knows comments. */
 function parsePlain(text: string): { readonly value: unknown } | undefined {
   try {
--- a/packages/model/src/ids.ts
+++ b/packages/model/src/ids.ts
@@ -39,9 +39,24 @@
   return crypto.createHash("sha256").update(key).digest("hex") as types.KeyDigest;
 }
 
-/** The digest of a release note's exact text. */
+/**
+ * The text of a release note without white space behind it.
+ *
+ * A value that was cut short within that white space would otherwise be another note with the same
+ * meaning. Cut anywhere else, the text is no longer JSON.
+ */
+export function trimNoteText(text: string): string {
+  return text.trimEnd();
+}
+
+/** The digest of a release note's text, without the white space behind it. */
 export function createNoteDigest(text: string): types.NoteDigest {
-  return crypto.createHash("sha256").update(text).digest("hex") as types.NoteDigest;
+  return createTextDigest(trimNoteText(text)) as types.NoteDigest;
+}
+
+/** SHA-256 of a text, as 64 lower-case hexadecimal digits. */
+export function createTextDigest(text: string): string {
+  return crypto.createHash("sha256").update(text).digest("hex");
 }
 
 export function createNoteNumber(value: number): types.NoteNumber {
--- a/packages/model/src/release_note.ts
+++ b/packages/model/src/release_note.ts
@@ -169,7 +169,11 @@
 /** A checked release note, or everything that is wrong with its text. */
 export type NoteParseResult = neverthrow.Result<ReleaseNote, diagnostics.Diagnostic[]>;
 
-/** Checks the text of a release note by itself, without the state that it applies to. */
+/**
+ * Checks the text of a release note by itself: JSON without comments, since a text that was cut short
+ * within a comment behind the note would be another note. Does not look at the state that it applies
+ * to.
+ */
 export function parseReleaseNote(text: string): NoteParseResult {
   const steps = parseReleaseNoteInSteps(text);
   for (;;) {
@@ -181,7 +185,10 @@
 }
 
 /** Does the same as `parseReleaseNote` in short steps, between which other work may run. */
-export function* parseReleaseNoteInSteps(text: string): Generator<void, NoteParseResult> {
+export function* parseReleaseNoteInSteps(
+  untrimmedText: string,
+): Generator<void, NoteParseResult> {
+  const text = ids.trimNoteText(untrimmedText);
   const bytes = Buffer.byteLength(text);
   if (bytes > MAXIMUM_NOTE_BYTES) {
     return neverthrow.err([
@@ -191,7 +198,7 @@
       ),
     ]);
   }
-  const value = document.parseValue(text);
+  const value = document.parseStrictValue(text);
   yield;
   if (value.isErr()) {
     return neverthrow.err(value.error);
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -23,7 +23,7 @@
 export type KeyDigest = Brand<string, "KeyDigest">;
 /** Position of a release note in the chain, from 1. */
 export type NoteNumber = Brand<number, "NoteNumber">;
-/** SHA-256 of a release note's bytes, as 64 lower-case hexadecimal digits. */
+/** SHA-256 of a release note's trimmed text, as 64 lower-case hexadecimal digits. */
 export type NoteDigest = Brand<string, "NoteDigest">;
 
 /** A tenant with its own keys, rate and burst. */
