--- a/packages/configuration/src/platform_client.ts
+++ b/packages/configuration/src/platform_client.ts
@@ -53,17 +53,26 @@
     timeoutMilliseconds: number,
     signal: AbortSignal | undefined,
   ): Promise<neverthrow.Result<types.PlatformValue, errors.PlatformError>> {
-    const timeout = AbortSignal.timeout(timeoutMilliseconds);
-    const combined = signal === undefined ? timeout : AbortSignal.any([timeout, signal]);
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    const timer = setTimeout(abort, timeoutMilliseconds);
+    signal?.addEventListener("abort", abort, { once: true });
+    if (signal?.aborted) {
+      abort();
+    }
     try {
       const response = await undici.request(this.#takeAddress() + path, {
         dispatcher: this.#agent,
-        signal: combined,
+        signal: controller.signal,
       });
       const text = await response.body.text();
       return readAnswer(response.statusCode, response.headers[VERSION_HEADER], text);
     } catch (error) {
       return neverthrow.err({ kind: "unreachable", detail: String(error) });
+    } finally {
+      // The signal lives as long as the VM, so it must not keep what belongs to one call.
+      clearTimeout(timer);
+      signal?.removeEventListener("abort", abort);
     }
   }
 
