--- a/packages/configuration/src/baseline.ts
+++ b/packages/configuration/src/baseline.ts
@@ -92,11 +92,26 @@
 export function* createBaselineInSteps(
   snapshot: snapshots.TableSnapshot,
 ): Generator<void, Baseline> {
-  const chunkCount = getChunkCount(snapshot.size);
+  let chunkCount = getChunkCount(snapshot.size);
+  for (;;) {
+    const texts: string[] = [];
+    for (let index = 0; index < chunkCount; index++) {
+      texts.push(yield* renderChunkInSteps(snapshot, index, chunkCount));
+    }
+    const isWithinLimit = texts.every((text) =>
+      Buffer.byteLength(text) <= model.MAXIMUM_VALUE_BYTES
+    );
+    if (isWithinLimit || chunkCount === shardedMap.SHARD_COUNT) {
+      return assembleBaseline(snapshot, texts);
+    }
+    chunkCount *= 2;
+  }
+}
+
+function assembleBaseline(snapshot: snapshots.TableSnapshot, texts: readonly string[]): Baseline {
   const chunks = new Map<string, string>();
   const listed: BaselineManifest["chunks"] = [];
-  for (let index = 0; index < chunkCount; index++) {
-    const text = yield* renderChunkInSteps(snapshot, index, chunkCount);
+  for (const [index, text] of texts.entries()) {
     const key = getChunkKey(snapshot.number, index);
     chunks.set(key, text);
     listed.push({ key, digest: model.createTextDigest(text) });
--- /dev/null
+++ b/packages/operator/src/commands/key_new.ts
@@ -0,0 +1,19 @@
+/**
+ * `hemlockctl key new`: makes a caller's key.
+ */
+
+import * as crypto from "node:crypto";
+import * as model from "@hemlockwalk/model";
+import * as citty from "citty";
+import * as output from "../output.ts";
+
+const KEY_BYTES = 24;
+
+export const keyNewCommand = citty.defineCommand({
+  meta: { name: "new", description: "Makes a key; prints it once, with its digest for the note." },
+  run() {
+    const key = crypto.randomBytes(KEY_BYTES).toString("base64url");
+    output.printLine(`key:    ${key}`);
+    output.printLine(`digest: ${model.createKeyDigest(key)}`);
+  },
+});
