A change of any size takes effect in one short step

Cause: the step that put a note of 1,000 changes into the tables took about 2 ms and grew with the note, and each note made 512 maps for its counts of references.

Changes now stand beside their table, are seen at once, and move into it in short steps afterwards. Steps are shorter.

Ruled out: committing in slices into the table itself, which would show half a note. Shown by a test that looks at every break of a change of 300 keys.

--- /dev/null
+++ b/packages/configuration/bench/full_size.ts
@@ -0,0 +1,269 @@
+/**
+ * The configuration at the size to design for: heap, loading a baseline, and notes of a thousand
+ * changes, with the longest time for which the event loop stood still.
+ *
+ * Run after a build: `node --expose-gc packages/configuration/dist/bench/full_size.js`.
+ */
+
+import * as perfHooks from "node:perf_hooks";
+import process from "node:process";
+import * as kernel from "@hemlockwalk/kernel";
+import * as model from "@hemlockwalk/model";
+import * as counting from "../src/counters.ts";
+import * as configuration from "../src/mod.ts";
+import * as noteChain from "../src/note_chain.ts";
+
+const WORKSPACES = 72_000;
+const KEYS_PER_WORKSPACE = 2;
+const SERVICES = 200;
+const TARGETS = 10_000;
+const ROUTES = 15_000;
+const NOTE_CHANGES = 1_000;
+const NOTES = 50;
+const STALL_TARGET_MILLISECONDS = 5;
+
+const MEGABYTE = 1_000_000;
+
+function createKey(index: number): model.KeyDigest {
+  return model.createKeyDigest(`key-${index}`);
+}
+
+/** Writes the chunks of a baseline of the full size, one after the other. */
+function* writeLines(): Generator<string> {
+  for (let index = 0; index < WORKSPACES; index++) {
+    yield JSON.stringify(["workspaces", { id: `workspace-${index}`, rate: 20, burst: 40 }]);
+  }
+  for (let index = 0; index < WORKSPACES * KEYS_PER_WORKSPACE; index++) {
+    const workspace = `workspace-${index % WORKSPACES}`;
+    yield JSON.stringify(["keys", { digest: createKey(index), workspace }]);
+  }
+  for (let index = 0; index < SERVICES; index++) {
+    yield JSON.stringify(["services", { id: `service-${index}`, slots: 6, connections: 330 }]);
+  }
+  for (let index = 0; index < TARGETS; index++) {
+    yield JSON.stringify(["targets", {
+      id: `target-${index}`,
+      service: `service-${index % SERVICES}`,
+      address: `10.${index >> 12}.${(index >> 4) & 255}.${index & 15}:8080`,
+      dataCentre: `north-${index % 8}`,
+    }]);
+  }
+  for (let index = 0; index < ROUTES; index++) {
+    yield JSON.stringify(["routes", {
+      id: `route-${index}`,
+      host: `host-${index % 500}.example`,
+      pathPrefix: `/area-${index % 30}/desk-${index}`,
+      service: `service-${index % SERVICES}`,
+      workspaces: [`workspace-${index % WORKSPACES}`],
+    }]);
+  }
+}
+
+/** Collects lines into chunks of at most the platform's limit. */
+function writeChunks(): string[] {
+  const chunks: string[] = [];
+  let lines: string[] = [];
+  let bytes = 0;
+  for (const line of writeLines()) {
+    if (bytes + line.length + 1 > model.MAXIMUM_VALUE_BYTES) {
+      chunks.push(`${lines.join("\n")}\n`);
+      lines = [];
+      bytes = 0;
+    }
+    lines.push(line);
+    bytes += line.length + 1;
+  }
+  chunks.push(`${lines.join("\n")}\n`);
+  return chunks;
+}
+
+/** Measures how long the event loop stands still while something runs. */
+const collections: perfHooks.PerformanceEntry[] = [];
+new perfHooks.PerformanceObserver((list) => collections.push(...list.getEntries()))
+  .observe({ entryTypes: ["gc"] });
+
+async function watchLoop<Result>(
+  body: () => Promise<Result>,
+): Promise<{ result: Result; milliseconds: number; stallMilliseconds: number }> {
+  let isOver = false;
+  let longest = 0;
+  const start = kernel.getMonotonicMilliseconds();
+  let last = start;
+  const beat = () => {
+    const now = kernel.getMonotonicMilliseconds();
+    longest = Math.max(longest, now - last);
+    last = now;
+    if (!isOver) {
+      setImmediate(beat);
+    }
+  };
+  setImmediate(beat);
+  const result = await body();
+  const milliseconds = kernel.getMonotonicMilliseconds() - start;
+  await new Promise<void>((resolve) => setImmediate(resolve));
+  isOver = true;
+  return { result, milliseconds, stallMilliseconds: longest };
+}
+
+function getHeapBytes(): { heap: number; buffers: number } {
+  global.gc?.();
+  global.gc?.();
+  const usage = process.memoryUsage();
+  return { heap: usage.heapUsed, buffers: usage.arrayBuffers };
+}
+
+async function loadBaseline(chunks: string[]): Promise<configuration.TableSnapshot> {
+  const builder = new configuration.BaselineBuilder();
+  // Chunks are let go one by one, as they are when they come from the platform.
+  for (let chunk = chunks.shift(); chunk !== undefined; chunk = chunks.shift()) {
+    await configuration.runInSlices(builder.addChunkInSteps(chunk));
+  }
+  const entities = WORKSPACES * (1 + KEYS_PER_WORKSPACE) + SERVICES + TARGETS + ROUTES;
+  const identity = {
+    number: model.createNoteNumber(1),
+    digest: model.createNoteDigest("baseline"),
+    fleet: { vmLimit: 800, keyPlacement: { header: "hemlockwalk-key" }, regions: {} },
+  };
+  const loaded = await configuration.runInSlices(builder.finishInSteps(identity, entities));
+  return loaded._unsafeUnwrap();
+}
+
+/** A note that moves keys, adds and withdraws others, and changes rates, targets and routes. */
+function writeNote(snapshot: configuration.TableSnapshot, round: number): string {
+  const count = NOTE_CHANGES / 5;
+  const first = round * count;
+  const list = <T>(create: (index: number) => T) =>
+    Array.from({ length: count }, (_, offset) => create(first + offset));
+  return JSON.stringify({
+    format: 1,
+    number: snapshot.number + 1,
+    previous: snapshot.digest,
+    added: {
+      keys: list((index) => ({
+        digest: model.createKeyDigest(`new-${index}`),
+        workspace: `workspace-${index}`,
+      })),
+    },
+    changed: {
+      workspaces: list((index) => ({ id: `workspace-${index}`, rate: 30, burst: 40 })),
+      targets: list((index) => ({
+        id: `target-${index % TARGETS}`,
+        service: `service-${index % SERVICES}`,
+        address: `10.0.0.${index & 127}:8080`,
+        dataCentre: "north-1",
+        leaving: true,
+      })),
+      routes: list((index) => ({
+        id: `route-${index}`,
+        host: `host-${index % 500}.example`,
+        pathPrefix: `/area-${index % 30}/desk-${index}`,
+        service: `service-${(index + 1) % SERVICES}`,
+      })),
+    },
+    withdrawn: { keys: list((index) => createKey(index)) },
+  });
+}
+
+/** Lets the compiler see the code once; what it loads is not kept. */
+async function warmUp(): Promise<number> {
+  return (await loadBaseline(writeChunks())).size;
+}
+
+async function main(): Promise<void> {
+  const report = (name: string, value: string) => process.stdout.write(`${name}: ${value}\n`);
+  report("entities", String(await warmUp()));
+  const before = getHeapBytes();
+  const chunks = writeChunks();
+  const bytes = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+  report("baseline", `${(bytes / MEGABYTE).toFixed(1)} MB in ${chunks.length} chunks`);
+  let loaded: configuration.TableSnapshot | undefined;
+  const load = await watchLoop(async () => {
+    loaded = await loadBaseline(chunks);
+    // The snapshot is handed over once, since whoever keeps it keeps what later notes replace.
+    return () => {
+      const taken = kernel.getDefined(loaded, "The baseline is loaded.");
+      loaded = undefined;
+      return taken;
+    };
+  });
+  const after = getHeapBytes();
+  report(
+    "baseline load",
+    `${load.milliseconds.toFixed(0)} ms, longest stall ${load.stallMilliseconds.toFixed(2)} ms`,
+  );
+  report(
+    "configuration held",
+    `${((after.heap - before.heap) / MEGABYTE).toFixed(1)} MB heap and ` +
+      `${((after.buffers - before.buffers) / MEGABYTE).toFixed(1)} MB buffers`,
+  );
+
+  const logger = new kernel.PartLogger(kernel.createSilentLogger(), "bench");
+  const chain = new noteChain.NoteChain(logger, counting.createCounters(new kernel.Metrics()));
+  await chain.offerBaseline(load.result(), "platform");
+  const times: number[] = [];
+  const stalls: number[] = [];
+  let noteBytes = 0;
+  const notesStart = performance.now();
+  for (let round = 0; round < NOTES; round++) {
+    const snapshot = kernel.getDefined(chain.snapshot, "A baseline is in force.");
+    const text = writeNote(snapshot, round);
+    noteBytes = text.length;
+    const number = snapshot.number + 1;
+    const applied = await watchLoop(() => chain.offerNote(number, text, "platform"));
+    kernel.assert(applied.result === "applied", "The note fits.");
+    times.push(applied.milliseconds);
+    stalls.push(applied.stallMilliseconds);
+  }
+  const sort = (values: number[]) => values.sort((left, right) => left - right);
+  const format = (values: number[]) =>
+    `median ${sort(values)[NOTES >> 1]?.toFixed(2)} ms, worst ${values.at(-1)?.toFixed(2)} ms`;
+  report("note of 1,000 changes", `${(noteBytes / 1_000).toFixed(0)} KB, ${format(times)}`);
+  const first = stalls[0]?.toFixed(2);
+  report("longest stall for the first note, before the code is compiled", `${first} ms`);
+  const above = stalls.filter((stall) => stall > STALL_TARGET_MILLISECONDS).length;
+  report(`notes with a stall above ${STALL_TARGET_MILLISECONDS} ms`, `${above} of ${NOTES}`);
+  report("longest stall for each note", format(stalls));
+  const pauses = collections.filter((entry) => entry.startTime >= notesStart)
+    .map((entry) => entry.duration);
+  report(
+    "garbage collections meanwhile",
+    `${pauses.length}, longest ${Math.max(0, ...pauses).toFixed(2)} ms`,
+  );
+  const later = getHeapBytes();
+  report(
+    `held after ${NOTES} such notes`,
+    `${((later.heap - before.heap) / MEGABYTE).toFixed(1)} MB heap and ` +
+      `${((later.buffers - before.buffers) / MEGABYTE).toFixed(1)} MB buffers`,
+  );
+
+  const lookups = 1_000_000;
+  const snapshot = kernel.getDefined(chain.snapshot, "Notes are in force.");
+  const digests = Array.from({ length: 1_000 }, (_, index) => createKey(50_000 + index));
+  const start = kernel.getMonotonicMilliseconds();
+  for (let index = 0; index < lookups; index++) {
+    kernel.assert(
+      snapshot.findKey(digests[index % digests.length] ?? createKey(0)) !== undefined,
+      "The key exists.",
+    );
+  }
+  const nanoseconds = (kernel.getMonotonicMilliseconds() - start) * 1e6 / lookups;
+  report("key lookup", `${nanoseconds.toFixed(0)} ns`);
+
+  const chunkCount = configuration.getChunkCount(snapshot.size);
+  const served = await watchLoop(async () => {
+    let longest = 0;
+    for (let index = 0; index < chunkCount; index++) {
+      const steps = configuration.renderChunkInSteps(snapshot, index, chunkCount);
+      longest = Math.max(longest, (await configuration.runInSlices(steps)).length);
+    }
+    return longest;
+  });
+  report(
+    "state written for a peer",
+    `${chunkCount} chunks of at most ${(served.result / 1_000).toFixed(0)} KB in ` +
+      `${served.milliseconds.toFixed(0)} ms, longest stall ` +
+      `${served.stallMilliseconds.toFixed(2)} ms`,
+  );
+}
+
+await main();
--- a/packages/configuration/src/apply_note.ts
+++ b/packages/configuration/src/apply_note.ts
@@ -3,11 +3,10 @@
  * that all VMs accept and refuse alike.
  *
  * Only what the note touches is checked: references of its entities, and what refers to the entities
- * that it withdraws. Nothing is changed until everything has been checked; then the tables change in
- * one step.
+ * that it withdraws. Nothing is changed until everything has been checked; then all tables change
+ * over in one short step.
  */
 
-import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
 import * as neverthrow from "neverthrow";
 import type * as errors from "./errors.ts";
@@ -65,6 +64,9 @@
     const missing = model.createDiagnostic(model.Diagnostics.fleetMissing, [], ["fleet"]);
     return yield* refuse("invalid", text, [missing]);
   }
+  if (current !== undefined) {
+    yield* current.settleInSteps();
+  }
   const views = current?.views ?? snapshots.createEmptyViews();
   const counts = current?.referenceCounts ?? new references.ReferenceCounts();
   const check = new noteCheck.NoteCheck(note, views, counts);
@@ -74,30 +76,36 @@
   }
   const withdrawnKeys = check.listWithdrawnKeys();
   yield;
+  const next = yield* commitInSteps(views, check.staged);
   const identity = { number: note.number, digest, fleet };
-  return neverthrow.ok({ snapshot: commit(identity, views, counts, check), withdrawnKeys });
+  const snapshot = new snapshots.TableSnapshot(identity, next, counts, check.referenceDifferences);
+  return neverthrow.ok({ snapshot, withdrawnKeys });
 }
 
-/** Changes all tables without a break, so that no configuration is seen half changed. */
-function commit(
-  identity: snapshots.SnapshotIdentity,
+/**
+ * Makes the views after a note. What it replaces is collected in short steps first; the views then
+ * change over without a break. Views before the note show the same as ever.
+ */
+function* commitInSteps(
   views: snapshots.SnapshotViews,
-  counts: references.ReferenceCounts,
-  check: noteCheck.NoteCheck,
-): snapshots.TableSnapshot {
-  const { staged } = check;
-  const next: snapshots.SnapshotViews = {
-    workspaces: views.workspaces.commit(staged.workspaces.changes),
-    keys: views.keys.commit(staged.keys.changes),
-    services: views.services.commit(staged.services.changes),
-    targets: views.targets.commit(staged.targets.changes),
-    routes: views.routes.commit(staged.routes.changes),
-    places: views.places.commit(staged.places.changes),
-    serviceTargets: views.serviceTargets.commit(staged.serviceTargets.changes),
+  staged: noteCheck.StagedTables,
+): Generator<void, snapshots.SnapshotViews> {
+  const workspaces = yield* views.workspaces.prepareInSteps(staged.workspaces.changes);
+  const keys = yield* views.keys.prepareInSteps(staged.keys.changes);
+  const services = yield* views.services.prepareInSteps(staged.services.changes);
+  const targets = yield* views.targets.prepareInSteps(staged.targets.changes);
+  const routes = yield* views.routes.prepareInSteps(staged.routes.changes);
+  const places = yield* views.places.prepareInSteps(staged.places.changes);
+  const lists = yield* views.serviceTargets.prepareInSteps(staged.serviceTargets.changes);
+  return {
+    workspaces: views.workspaces.commit(workspaces),
+    keys: views.keys.commit(keys),
+    services: views.services.commit(services),
+    targets: views.targets.commit(targets),
+    routes: views.routes.commit(routes),
+    places: views.places.commit(places),
+    serviceTargets: views.serviceTargets.commit(lists),
   };
-  counts.addAll(check.referenceDifferences);
-  kernel.assert(next.keys.isNewest, "The views of a new configuration are the newest.");
-  return new snapshots.TableSnapshot(identity, next, counts);
 }
 
 function* refuse(
--- a/packages/configuration/src/baseline_loading.ts
+++ b/packages/configuration/src/baseline_loading.ts
@@ -14,6 +14,9 @@
 /** Lines that are read between two points where other work may run. */
 const LINES_PER_STEP = 32;
 
+/** Entities whose references are checked between two such points. */
+const ENTITIES_PER_STEP = 64;
+
 type EntityMap = shardedMap.EntityMap<string, references.Entity>;
 
 /** Collects entities into new tables, which nobody sees before all of them have been checked. */
@@ -97,11 +100,16 @@
 
   *#checkReferences(section: model.SectionName): Generator<void, void> {
     for (let shard = 0; shard < shardedMap.SHARD_COUNT; shard++) {
+      let count = 0;
       for (const entity of this.#getMap(section).copyShard(shard).values()) {
         for (const reference of references.listReferences(section, entity)) {
           this.#checkReference(section, entity, reference);
         }
         this.#shareIdentifiers(section, entity);
+        count++;
+        if (count % ENTITIES_PER_STEP === 0) {
+          yield;
+        }
       }
       yield;
     }
--- a/packages/configuration/src/note_chain.ts
+++ b/packages/configuration/src/note_chain.ts
@@ -149,7 +149,12 @@
       return this.#reportDivergence(note, digest, origin);
     }
     const steps = applying.applyNoteInSteps(this.#snapshot, note, digest, text);
-    return this.#finish(await slices.runInSlices(steps), text, { number, digest }, origin);
+    const result = await slices.runInSlices(steps);
+    const outcome = this.#finish(result, text, { number, digest }, origin);
+    if (result.isOk()) {
+      await slices.runInSlices(result.value.snapshot.settleInSteps());
+    }
+    return outcome;
   }
 
   #finish(
--- a/packages/configuration/src/note_check.ts
+++ b/packages/configuration/src/note_check.ts
@@ -9,7 +9,7 @@
 import * as tableView from "./table_view.ts";
 
 /** Entities that are checked between two points where other work may run. */
-const ENTITIES_PER_STEP = 32;
+const ENTITIES_PER_STEP = 8;
 
 type StagedEntities = tableView.StagedTable<string, references.Entity>;
 
@@ -44,7 +44,7 @@
   readonly staged: StagedTables;
   readonly diagnostics: model.Diagnostic[] = [];
   /** By how much the note changes the number of references to each entity. */
-  readonly referenceDifferences = new references.ReferenceCounts();
+  readonly referenceDifferences = new references.ReferenceDifferences();
   readonly #note: model.ReleaseNote;
   readonly #views: snapshots.SnapshotViews;
   readonly #counts: references.ReferenceCounts;
--- a/packages/configuration/src/references.ts
+++ b/packages/configuration/src/references.ts
@@ -8,6 +8,9 @@
 import type * as model from "@hemlockwalk/model";
 import * as shardedMap from "./sharded_map.ts";
 
+/** Counts that are changed between two points where other work may run. */
+const COUNTS_PER_STEP = 64;
+
 /** Sections whose entities others refer to. */
 export type ReferredSection = "workspaces" | "services";
 
@@ -62,7 +65,38 @@
   return references;
 }
 
-/** Counts of references by section and identifier. */
+/** A map of counts. */
+interface CountMap {
+  get(id: string): number | undefined;
+  set(id: string, count: number): unknown;
+  delete(id: string): unknown;
+}
+
+/** Adds to a count; a count of zero takes no room. */
+function addCount(counts: CountMap, id: string, difference: number): void {
+  const count = (counts.get(id) ?? 0) + difference;
+  if (count === 0) {
+    counts.delete(id);
+  } else {
+    counts.set(id, count);
+  }
+}
+
+/** By how much a note changes the numbers of references. */
+export class ReferenceDifferences {
+  readonly workspaces = new Map<string, number>();
+  readonly services = new Map<string, number>();
+
+  get(section: ReferredSection, id: string): number {
+    return this[section].get(id) ?? 0;
+  }
+
+  add(section: ReferredSection, id: string, difference: number): void {
+    addCount(this[section], id, difference);
+  }
+}
+
+/** Numbers of references to each entity. */
 export class ReferenceCounts {
   readonly #workspaces = new shardedMap.ShardedMap<string, number>();
   readonly #services = new shardedMap.ShardedMap<string, number>();
@@ -71,33 +105,25 @@
     return this.#getCounts(section).get(id) ?? 0;
   }
 
-  /** Adds to a count; a count of zero takes no room. */
   add(section: ReferredSection, id: string, difference: number): void {
-    const counts = this.#getCounts(section);
-    const count = (counts.get(id) ?? 0) + difference;
-    if (count === 0) {
-      counts.delete(id);
-    } else {
-      counts.set(id, count);
-    }
+    addCount(this.#getCounts(section), id, difference);
   }
 
-  /** Adds all counts of another. */
-  addAll(other: ReferenceCounts): void {
+  /** Adds what a note changes, in short steps. */
+  *addAllInSteps(differences: ReferenceDifferences): Generator<void, void> {
+    let count = 0;
     for (const section of ["workspaces", "services"] as const) {
-      for (const [id, difference] of other.#listCounts(section)) {
+      for (const [id, difference] of differences[section]) {
         this.add(section, id, difference);
+        count++;
+        if (count % COUNTS_PER_STEP === 0) {
+          yield;
+        }
       }
     }
   }
 
-  *#listCounts(section: ReferredSection): Generator<[string, number]> {
-    for (let shard = 0; shard < shardedMap.SHARD_COUNT; shard++) {
-      yield* this.#getCounts(section).copyShard(shard);
-    }
-  }
-
-  #getCounts(section: ReferredSection): shardedMap.ShardedMap<string, number> {
+  #getCounts(section: ReferredSection): CountMap {
     return section === "workspaces" ? this.#workspaces : this.#services;
   }
 }
--- a/packages/configuration/src/slices.ts
+++ b/packages/configuration/src/slices.ts
@@ -7,7 +7,7 @@
 import * as kernel from "@hemlockwalk/kernel";
 
 /** Time after which a computation lets other work run. */
-const SLICE_MILLISECONDS = 1.5;
+const SLICE_MILLISECONDS = 1;
 
 /** Runs a computation to its end without a break. */
 export function runAtOnce<Result>(steps: Generator<void, Result>): Result {
--- a/packages/configuration/src/snapshot.ts
+++ b/packages/configuration/src/snapshot.ts
@@ -61,19 +61,41 @@
   readonly digest: model.NoteDigest;
   readonly fleet: model.FleetDeclaration;
   readonly views: SnapshotViews;
-  /** How often each entity is referred to, in the newest snapshot of these tables. */
+  /**
+   * How often each entity is referred to, in the newest snapshot of these tables. Right only after
+   * that snapshot has settled.
+   */
   readonly referenceCounts: references.ReferenceCounts;
+  #pendingReferences: references.ReferenceDifferences | undefined;
 
   constructor(
     identity: SnapshotIdentity,
     views: SnapshotViews,
     referenceCounts: references.ReferenceCounts,
+    pendingReferences?: references.ReferenceDifferences,
   ) {
     this.number = identity.number;
     this.digest = identity.digest;
     this.fleet = identity.fleet;
     this.views = views;
     this.referenceCounts = referenceCounts;
+    this.#pendingReferences = pendingReferences;
+  }
+
+  /** Moves what the latest note changed into the shared tables, in short steps. */
+  *settleInSteps(): Generator<void, void> {
+    const { workspaces, keys, services, targets, routes, places, serviceTargets } = this.views;
+    yield* workspaces.settleInSteps();
+    yield* keys.settleInSteps();
+    yield* services.settleInSteps();
+    yield* targets.settleInSteps();
+    yield* routes.settleInSteps();
+    yield* places.settleInSteps();
+    yield* serviceTargets.settleInSteps();
+    if (this.#pendingReferences !== undefined) {
+      yield* this.referenceCounts.addAllInSteps(this.#pendingReferences);
+      this.#pendingReferences = undefined;
+    }
   }
 
   /** Number of entities of all kinds. */
--- a/packages/configuration/src/table_view.ts
+++ b/packages/configuration/src/table_view.ts
@@ -5,6 +5,9 @@
  * configuration before it keeps the few values that were replaced, and reads the rest through its
  * successor. So a change costs only what it touches, and an old configuration that no request holds
  * any more is collected with what it kept.
+ *
+ * A change of any size takes effect in one short step: it stands beside the table first, and moves
+ * into it in short steps afterwards.
  */
 
 import * as kernel from "@hemlockwalk/kernel";
@@ -24,16 +27,34 @@
   readonly view: TableView<Id, Value>;
 }
 
-/** One configuration's view of a shared table. It never changes. */
+/** Changes of a table, with what they replace. */
+export interface PreparedChanges<Id extends string, Value> {
+  readonly changes: Changes<Id, Value>;
+  readonly replaced: Changes<Id, Value>;
+  /** By how much the changes make the table larger. */
+  readonly growth: number;
+}
+
+/** Changes that are handled between two points where other work may run. */
+const CHANGES_PER_STEP = 32;
+
+/** One configuration's view of a shared table. What it shows never changes. */
 export class TableView<Id extends string, Value> implements ReadonlyTable<Id, Value> {
   readonly size: number;
-  readonly #newest: shardedMap.EntityMap<Id, Value>;
+  readonly #table: shardedMap.EntityMap<Id, Value>;
+  /** Changes that the table does not hold yet. */
+  #pending: Changes<Id, Value> | undefined;
   #successor: Successor<Id, Value> | undefined;
 
-  /** @param newest The table, which only this view and its successors change from now on. */
-  constructor(newest: shardedMap.EntityMap<Id, Value>) {
-    this.#newest = newest;
-    this.size = newest.size;
+  /** @param table The table, which only this view and its successors change from now on. */
+  constructor(
+    table: shardedMap.EntityMap<Id, Value>,
+    size = table.size,
+    pending?: Changes<Id, Value>,
+  ) {
+    this.#table = table;
+    this.size = size;
+    this.#pending = pending;
   }
 
   /** Whether this view is the newest of its table. */
@@ -42,14 +63,16 @@
   }
 
   get(id: Id): Value | undefined {
+    let pending = this.#pending;
     let successor = this.#successor;
     while (successor !== undefined) {
       if (successor.replaced.has(id)) {
         return successor.replaced.get(id);
       }
+      pending = successor.view.#pending;
       successor = successor.view.#successor;
     }
-    return this.#newest.get(id);
+    return pending?.has(id) ? pending.get(id) : this.#table.get(id);
   }
 
   /** Lists all values, in an order that holds nothing of the history. */
@@ -61,14 +84,19 @@
 
   /** Copies one part as it is in this view, also when later notes have changed the table. */
   copyShard(shard: number): Map<Id, Value> {
-    const copy = this.#newest.copyShard(shard);
-    const replaced: Changes<Id, Value>[] = [];
+    const copy = this.#table.copyShard(shard);
+    const layers: Changes<Id, Value>[] = [];
+    let pending = this.#pending;
     let successor = this.#successor;
     while (successor !== undefined) {
-      replaced.push(successor.replaced);
+      layers.push(successor.replaced);
+      pending = successor.view.#pending;
       successor = successor.view.#successor;
     }
-    for (const changes of replaced.reverse()) {
+    if (pending !== undefined) {
+      layers.push(pending);
+    }
+    for (const changes of layers.reverse()) {
       for (const [id, value] of changes) {
         if (shardedMap.getShardIndex(id) === shard) {
           setOrDelete(copy, id, value);
@@ -78,21 +106,49 @@
     return copy;
   }
 
-  /** Puts changes into the table and returns the view after them. */
-  commit(changes: Changes<Id, Value>): TableView<Id, Value> {
+  /** Collects what changes replace, in short steps. */
+  *prepareInSteps(
+    changes: Changes<Id, Value>,
+  ): Generator<void, PreparedChanges<Id, Value>> {
     kernel.assert(this.isNewest, "Only the newest view of a table takes changes.");
-    if (changes.size === 0) {
-      return this;
-    }
+    kernel.assert(this.#pending === undefined, "Earlier changes have moved into the table.");
     const replaced = new Map<Id, Value | undefined>();
+    let growth = 0;
     for (const [id, value] of changes) {
-      replaced.set(id, this.#newest.get(id));
-      setOrDelete(this.#newest, id, value);
+      const before = this.#table.get(id);
+      replaced.set(id, before);
+      growth += Number(value !== undefined) - Number(before !== undefined);
+      if (replaced.size % CHANGES_PER_STEP === 0) {
+        yield;
+      }
     }
-    const view = new TableView(this.#newest);
+    return { changes, replaced, growth };
+  }
+
+  /** Returns the view after changes that were prepared for this one. */
+  commit(prepared: PreparedChanges<Id, Value>): TableView<Id, Value> {
+    const { changes, replaced, growth } = prepared;
+    kernel.assert(this.isNewest, "Only the newest view of a table takes changes.");
+    if (changes.size === 0) {
+      return this;
+    }
+    const view = new TableView(this.#table, this.size + growth, changes);
     this.#successor = { replaced, view };
     return view;
   }
+
+  /** Moves the changes of the newest view into the table, in short steps. */
+  *settleInSteps(): Generator<void, void> {
+    let count = 0;
+    for (const [id, value] of this.#pending ?? []) {
+      setOrDelete(this.#table, id, value);
+      count++;
+      if (count % CHANGES_PER_STEP === 0) {
+        yield;
+      }
+    }
+    this.#pending = undefined;
+  }
 }
 
 /** A view with changes that are not yet committed. */
--- a/packages/configuration/test/apply_note_test.ts
+++ b/packages/configuration/test/apply_note_test.ts
@@ -59,6 +59,14 @@
     .sort((left, right) => getRank(right) - getRank(left))[0];
 }
 
+function applyWhole(
+  current: configuration.TableSnapshot | undefined,
+  content: generators.NoteContent,
+): configuration.TableSnapshot {
+  const text = generators.writeNote(current, content);
+  return configuration.applyNoteText(current, text)._unsafeUnwrap();
+}
+
 const manyContents = fastCheck.array(generators.noteContent, { minLength: 10, maxLength: 25 });
 
 test.describe("applying notes", () => {
@@ -89,6 +97,46 @@
     assert.ok(accepted > 1_000 && refused > 1_000, `${accepted} accepted, ${refused} refused`);
   });
 
+  test.it("shows one configuration whole at every moment of a change", () => {
+    const keys = Array.from({ length: 300 }, (_, index) => model.createKeyDigest(`many-${index}`));
+    const first = applyWhole(undefined, {
+      ...generators.FIRST_CONTENT,
+      added: {
+        workspaces: [{ id: "w0", rate: 1, burst: 1 }, { id: "w1", rate: 1, burst: 1 }],
+        keys: keys.map((digest) => ({ digest, workspace: "w0" })),
+      },
+    });
+    const text = generators.writeNote(first, {
+      added: {},
+      changed: { keys: keys.slice(0, 150).map((digest) => ({ digest, workspace: "w1" })) },
+      withdrawn: { keys: keys.slice(150) },
+    });
+    const assertBefore = () => {
+      assert.ok(keys.every((digest) => first.findKey(digest)?.workspace === "w0"));
+      assert.equal([...first.listKeys()].length, keys.length);
+    };
+    const note = model.parseReleaseNote(text)._unsafeUnwrap();
+    const digest = model.createNoteDigest(text);
+    const steps = configuration.applyNoteInSteps(first, note, digest, text);
+    let breaks = 0;
+    let step = steps.next();
+    for (; step.done !== true; step = steps.next()) {
+      assertBefore();
+      breaks++;
+    }
+    const { snapshot, withdrawnKeys } = step.value._unsafeUnwrap();
+    assert.deepEqual(withdrawnKeys.toSorted(), keys.toSorted());
+    const settling = snapshot.settleInSteps();
+    do {
+      assertBefore();
+      assert.ok(keys.slice(0, 150).every((key) => snapshot.findKey(key)?.workspace === "w1"));
+      assert.ok(keys.slice(150).every((key) => snapshot.findKey(key) === undefined));
+      assert.equal([...snapshot.listKeys()].length, 150);
+      breaks++;
+    } while (settling.next().done !== true);
+    assert.ok(breaks > 50, `${breaks} breaks`);
+  });
+
   test.it("gives the same configuration from a baseline as from the notes", () => {
     fastCheck.assert(
       fastCheck.property(manyContents, (contents) => {
--- a/packages/configuration/test/relay_test.ts
+++ b/packages/configuration/test/relay_test.ts
@@ -98,6 +98,16 @@
     world.assertForwardOnly(chain.notes);
   });
 
+  run("pushes a note at once, without waiting for an exchange of states", async (world, chain) => {
+    await startAll(world, 12);
+    chain.publish(world, generators.FIRST_CONTENT);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    chain.publish(world, WITHDRAWAL);
+    // Few links of 1 ms, while states are exchanged once a second.
+    await world.clock.advance(50, 1);
+    assert.deepEqual(getNumbers(world), new Array(12).fill(2));
+  });
+
   run("restarts with a stale platform and takes the newest from peers", async (world, chain) => {
     await startAll(world, 4);
     chain.publish(world, generators.FIRST_CONTENT);
--- a/packages/model/src/release_note.ts
+++ b/packages/model/src/release_note.ts
@@ -20,7 +20,7 @@
 export const MAXIMUM_NOTE_BYTES = MAXIMUM_VALUE_BYTES;
 
 /** Entities that are checked between two points where a parser may pause. */
-const ENTITIES_PER_STEP = 32;
+const ENTITIES_PER_STEP = 8;
 
 /** Methods that HTTP defines as idempotent. */
 export const STANDARD_IDEMPOTENT_METHODS = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"] as const;
