Tests for the fall-back, stale restarts, older baselines and the list of VMs

The restart test now has a stale platform that answers before the peers; the others are new. A note with another predecessor is refused twice over (by the chain and when it is applied), so taking one of the two away changes nothing that a test could see.

--- a/packages/configuration/test/relay_test.ts
+++ b/packages/configuration/test/relay_test.ts
@@ -4,8 +4,11 @@
 
 import assert from "node:assert/strict";
 import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
+import * as counting from "../src/counters.ts";
 import * as configuration from "../src/mod.ts";
+import * as noteChains from "../src/note_chain.ts";
 import * as fleetWorld from "./fleet_world.ts";
 import * as generators from "./note_generators.ts";
 
@@ -118,6 +121,11 @@
 
     await world.stop("vm-1");
     world.platform.setView("vm-1", { kind: "stale", writes: staleWrites });
+    // The stale platform answers long before the peers do.
+    for (const other of ["vm-0", "vm-2", "vm-3"]) {
+      world.hub.getLink(model.createVmId("vm-1"), model.createVmId(other)).delayMilliseconds = 400;
+      world.hub.getLink(model.createVmId(other), model.createVmId("vm-1")).delayMilliseconds = 400;
+    }
     const { configuration: service } = await world.start("vm-1");
     const digest = generators.createTestKeyDigest(0);
     for (let step = 0; step < 400; step++) {
@@ -130,6 +138,47 @@
     assert.ok(service.isReady());
   });
 
+  run("reads the platform at a VM that is no reader when no reader can", async (world, chain) => {
+    const names = await startAll(world, 8);
+    chain.publish(world, generators.FIRST_CONTENT);
+    await world.clock.advance(BOUND_MILLISECONDS);
+    const isReader = (name: string) =>
+      world.get(name).configuration.getStatus?.().platformReader === true;
+    const last = names.find((name) => !isReader(name));
+    assert.ok(last !== undefined);
+    for (const name of names.filter((name) => name !== last)) {
+      world.platform.setView(name, { kind: "away" });
+    }
+    chain.publish(world, WITHDRAWAL);
+    await world.clock.advance(60_000, 50);
+    assert.deepEqual(getNumbers(world), new Array(8).fill(2));
+    assert.equal(isReader(last), false);
+  });
+
+  run("refuses a baseline that is not above what is in force", async (world, chain) => {
+    const first = chain.add(generators.FIRST_CONTENT);
+    const second = chain.add(WITHDRAWAL);
+    const load = (...texts: string[]) =>
+      texts.reduce<configuration.TableSnapshot | undefined>(
+        (snapshot, text) => configuration.applyNoteText(snapshot, text)._unsafeUnwrap(),
+        undefined,
+      );
+    const logger = new kernel.PartLogger(kernel.createSilentLogger(), "configuration");
+    const counters = counting.createCounters(new kernel.Metrics());
+    const noteChain = new noteChains.NoteChain(logger, counters);
+    const older = load(first);
+    const same = load(first, second);
+    assert.ok(older !== undefined && same !== undefined);
+    await noteChain.offerNote(1, first, "platform");
+    await noteChain.offerNote(2, second, "platform");
+    assert.equal(await noteChain.offerBaseline(older, "platform"), false);
+    assert.equal(await noteChain.offerBaseline(same, "platform"), false);
+    assert.equal(noteChain.number, 2);
+    assert.equal(await noteChain.offerNote(1, first, "platform"), "known");
+    assert.equal(noteChain.number, 2);
+    await world.clock.flush();
+  });
+
   run("restarts with the platform away", async (world, chain) => {
     const names = await startAll(world, 4);
     chain.publish(world, generators.FIRST_CONTENT);
@@ -284,6 +333,37 @@
     assert.ok(statuses.some((status) => status?.forks[0]?.seenAt === "platform"));
   });
 
+  run("passes the list of VMs on, and never an older one", async (world) => {
+    const names = await startAll(world, 6);
+    const lists = new Map<string, number[]>();
+    for (const name of names) {
+      const seen: number[] = [];
+      lists.set(name, seen);
+      world.get(name).services.get(configuration.VM_LIST_SOURCE)
+        .onList((vms) => seen.push(vms.length));
+    }
+    const publish = (count: number) =>
+      world.platform.publish(
+        configuration.VMS_KEY,
+        JSON.stringify({
+          vms: Array.from({ length: count }, (_, index) => ({
+            vm: `vm-${index}`,
+            address: `10.0.0.${index}:7000`,
+            dataCentre: "north-1",
+          })),
+        }),
+      );
+    publish(6);
+    const writes = world.platform.writes;
+    await world.clock.advance(BOUND_MILLISECONDS);
+    publish(5);
+    await world.clock.advance(2 * BOUND_MILLISECONDS);
+    assert.deepEqual([...lists.values()], new Array(6).fill([6, 5]));
+    names.forEach((name) => world.platform.setView(name, { kind: "stale", writes }));
+    await world.clock.advance(100_000, 50);
+    assert.deepEqual([...lists.values()], new Array(6).fill([6, 5]));
+  });
+
   run("keeps to the call budget with the platform away for ten minutes", async (world, chain) => {
     const names = await startAll(world, 6);
     chain.publish(world, generators.FIRST_CONTENT);
