--- /dev/null
+++ b/packages/measure/src/emulator/commands.ts
@@ -0,0 +1,119 @@
+/**
+ * Commands from the experiment to its worker processes, and what they answer.
+ */
+
+import type * as types from "../types.ts";
+
+/** A VM that a worker runs. */
+export interface VmPlan {
+  readonly vm: string;
+  readonly dataCentre: string;
+  readonly listener: string;
+  readonly admin: string;
+  readonly peers: string;
+}
+
+/** Which implementations the VMs use. */
+export type Variant = "built" | "baseline";
+
+/** What a VM host tells of one VM. */
+export interface VmReport {
+  readonly vm: string;
+  readonly ready: boolean;
+  /** Number of the release note in force; 0 for none. */
+  readonly note: number;
+  /** Metrics in the Prometheus text format. */
+  readonly metrics: string;
+}
+
+/** What a worker tells of its process. */
+export interface ProcessReport {
+  readonly cpuMilliseconds: number;
+  readonly residentBytes: number;
+}
+
+/** Load that a caller host sends. */
+export interface LoadPlan {
+  readonly seed: number;
+  readonly deployment: types.DeploymentPlan;
+  /** Listener addresses of the VMs that the balancer knows. */
+  readonly listeners: readonly string[];
+  /** Share of its rate that each workspace sends. */
+  readonly load: number;
+  /** Share of requests that are not idempotent. */
+  readonly writes: number;
+  /** Identifiers of this host's requests are congruent to `offset` modulo `stride`. */
+  readonly offset: number;
+  readonly stride: number;
+}
+
+/** A command and its answer. */
+export interface Commands {
+  readonly startVms: {
+    readonly request: {
+      readonly vms: readonly VmPlan[];
+      readonly platformAddress: string;
+      readonly secretFile: string;
+      readonly variant: Variant;
+    };
+    readonly answer: undefined;
+  };
+  readonly stopVm: { readonly request: { readonly vm: string }; readonly answer: undefined };
+  readonly cutDataCentres: {
+    readonly request: { readonly from: string; readonly to: string; readonly cut: boolean };
+    readonly answer: undefined;
+  };
+  readonly reportVms: { readonly request: undefined; readonly answer: readonly VmReport[] };
+  readonly reportProcess: { readonly request: undefined; readonly answer: ProcessReport };
+  readonly startTargets: {
+    readonly request: {
+      readonly seed: number;
+      readonly deployment: types.DeploymentPlan;
+    };
+    /** Address of each target by its identifier. */
+    readonly answer: Readonly<Record<string, string>>;
+  };
+  readonly setFault: {
+    readonly request: { readonly target: string; readonly fault: types.TargetFault | undefined };
+    readonly answer: undefined;
+  };
+  readonly startClock: { readonly request: undefined; readonly answer: undefined };
+  readonly takeRuns: { readonly request: undefined; readonly answer: readonly types.RunRecord[] };
+  readonly startLoad: { readonly request: LoadPlan; readonly answer: undefined };
+  readonly setListeners: {
+    readonly request: { readonly listeners: readonly string[] };
+    readonly answer: undefined;
+  };
+  readonly setLoadFactor: {
+    readonly request: { readonly workspace: number; readonly factor: number };
+    readonly answer: undefined;
+  };
+  readonly stopLoad: {
+    readonly request: undefined;
+    readonly answer: readonly types.RequestRecord[];
+  };
+}
+
+/** The name of a command. */
+export type CommandName = keyof Commands;
+
+/** Handlers of the commands that one kind of worker knows. */
+export type CommandHandlers = {
+  readonly [Name in CommandName]?: (
+    request: Commands[Name]["request"],
+  ) => Promise<Commands[Name]["answer"]> | Commands[Name]["answer"];
+};
+
+/** A command on its way to a worker. */
+export interface CommandMessage {
+  readonly id: number;
+  readonly name: CommandName;
+  readonly request: unknown;
+}
+
+/** The answer of a worker. */
+export interface AnswerMessage {
+  readonly id: number;
+  readonly answer?: unknown;
+  readonly error?: string | undefined;
+}
--- /dev/null
+++ b/packages/measure/src/emulator/emulated_target.ts
@@ -0,0 +1,148 @@
+/**
+ * An emulated target: slots, a service time that varies, load shedding, delays of the network, and
+ * the faults that a scenario asks for. It counts each run of each request.
+ */
+
+import * as http from "node:http";
+import type * as net from "node:net";
+import type * as random from "../random.ts";
+import type * as types from "../types.ts";
+
+/** Header that carries the identifier of a request. */
+export const REQUEST_ID_HEADER = "measure-request";
+
+/** Header and value by which a target says that it did not run a request. */
+export const NOT_RUN_HEADER = "target-not-run";
+export const NOT_RUN_VALUE = "shed";
+
+/** Requests beyond the slots that wait in the target, as a multiple of the slots. */
+const QUEUE_FACTOR = 2;
+
+const SERVICE_TIME_SIGMA = 0.35;
+
+const BODY_BYTES = 512;
+
+/** One target on loopback. */
+export class EmulatedTarget {
+  readonly id: string;
+  readonly #slots: number;
+  readonly #serviceTimeMilliseconds: number;
+  readonly #delayMilliseconds: number;
+  readonly #random: random.RandomStream;
+  readonly #onRun: (id: number, target: string) => void;
+  readonly #waiting: (() => void)[] = [];
+  readonly #silentSockets = new WeakSet<net.Socket>();
+  readonly #sockets = new Set<net.Socket>();
+  readonly #server = http.createServer((request, response) => this.#answer(request, response));
+  #running = 0;
+  #fault: types.TargetFault | undefined;
+  #faultStart = 0;
+
+  constructor(
+    id: string,
+    service: types.ServicePlan,
+    deployment: types.DeploymentPlan,
+    randomStream: random.RandomStream,
+    onRun: (id: number, target: string) => void,
+  ) {
+    this.id = id;
+    this.#slots = service.slots;
+    this.#serviceTimeMilliseconds = deployment.serviceTimeMilliseconds;
+    this.#delayMilliseconds = deployment.dataCentreDelayMilliseconds;
+    this.#random = randomStream;
+    this.#onRun = onRun;
+    this.#server.keepAliveTimeout = 60_000;
+    this.#server.on("connection", (socket: net.Socket) => this.#accept(socket));
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.#server.address() as net.AddressInfo).port}`;
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+  }
+
+  /** Begins or, with undefined, ends a fault. */
+  setFault(fault: types.TargetFault | undefined): void {
+    this.#fault = fault;
+    this.#faultStart = performance.now();
+    if (fault?.kind === "silent_connections") {
+      for (const socket of this.#sockets) {
+        this.#silentSockets.add(socket);
+      }
+    }
+    if (fault?.kind === "reset") {
+      for (const socket of this.#sockets) {
+        socket.destroy();
+      }
+    }
+  }
+
+  #accept(socket: net.Socket): void {
+    if (this.#fault?.kind === "reset") {
+      socket.destroy();
+      return;
+    }
+    this.#sockets.add(socket);
+    socket.once("close", () => this.#sockets.delete(socket));
+  }
+
+  #answer(request: http.IncomingMessage, response: http.ServerResponse): void {
+    request.resume();
+    if (this.#fault?.kind === "hang" || this.#silentSockets.has(request.socket)) {
+      return;
+    }
+    if (this.#running < this.#slots) {
+      this.#run(request, response);
+      return;
+    }
+    if (this.#waiting.length >= this.#slots * QUEUE_FACTOR) {
+      response.writeHead(503, { [NOT_RUN_HEADER]: NOT_RUN_VALUE });
+      response.end();
+      return;
+    }
+    this.#waiting.push(() => this.#run(request, response));
+  }
+
+  #run(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const id = Number(request.headers[REQUEST_ID_HEADER]);
+    this.#running++;
+    this.#onRun(id, this.id);
+    const slow = this.#fault?.kind === "slow" ? this.#fault.factor : 1;
+    const serviceTime = slow *
+      this.#random.nextLogNormal(this.#serviceTimeMilliseconds, SERVICE_TIME_SIGMA);
+    setTimeout(() => {
+      this.#running--;
+      this.#waiting.shift()?.();
+      this.#finish(id, response);
+    }, serviceTime + 2 * this.#delayMilliseconds);
+  }
+
+  #finish(id: number, response: http.ServerResponse): void {
+    const body = `${id} `.padEnd(BODY_BYTES, ".");
+    if (this.#isErring()) {
+      response.writeHead(500);
+      response.end("error");
+      return;
+    }
+    response.writeHead(200, { "content-length": BODY_BYTES });
+    if (this.#fault?.kind === "truncate") {
+      response.write(body.slice(0, BODY_BYTES / 2), () => response.destroy());
+      return;
+    }
+    response.end(body);
+  }
+
+  #isErring(): boolean {
+    const fault = this.#fault;
+    if (fault?.kind === "errors") {
+      return this.#random.nextUniform() < fault.share;
+    }
+    if (fault?.kind === "flapping") {
+      const elapsed = performance.now() - this.#faultStart;
+      return elapsed % fault.periodMilliseconds < fault.periodMilliseconds / 2;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/measure/src/experiment/experiment.ts
@@ -0,0 +1,247 @@
+/**
+ * Runs one scenario on one deployment, with real sockets on loopback.
+ */
+
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import type * as commands from "../emulator/commands.ts";
+import * as workerHandle from "../emulator/worker_handle.ts";
+import * as deployments from "../deployments.ts";
+import type * as scenarios from "../scenario.ts";
+import type * as types from "../types.ts";
+import * as releaseNotes from "./release_note.ts";
+import * as vmFleet from "./vm_fleet.ts";
+
+const CALLER_HOSTS = 2;
+
+/** After the load, requests that still run may end. */
+const COOL_DOWN_MILLISECONDS = 1_000;
+
+/** What one run of a scenario yielded. */
+export interface ExperimentData {
+  readonly deployment: types.DeploymentPlan;
+  readonly scenario: scenarios.Scenario;
+  readonly seed: number;
+  readonly variant: commands.Variant;
+  /** Requests that started after the warm-up; times count from its end. */
+  readonly records: readonly types.RequestRecord[];
+  readonly runs: readonly types.RunRecord[];
+  /** Processor time of all VM processes, from the end of the warm-up to the end of the load. */
+  readonly vmCpuMilliseconds: number;
+  readonly vmResidentBytes: number;
+  readonly vmReports: readonly commands.VmReport[];
+  readonly platformCalls: number;
+}
+
+/** One run of a scenario. */
+export class Experiment {
+  readonly #deployment: types.DeploymentPlan;
+  readonly #scenario: scenarios.Scenario;
+  readonly #seed: number;
+  readonly #variant: commands.Variant;
+  readonly #folder = fs.mkdtempSync(path.join(os.tmpdir(), "hemlockwalk-measure-"));
+  readonly #fleet: vmFleet.VmFleet;
+  readonly #targetHost = new workerHandle.WorkerHandle("target_host_main.js");
+  readonly #callerHosts = Array.from(
+    { length: CALLER_HOSTS },
+    () => new workerHandle.WorkerHandle("caller_host_main.js"),
+  );
+  #lastNote: releaseNotes.NoteText | undefined;
+
+  constructor(
+    deployment: types.DeploymentPlan,
+    scenario: scenarios.Scenario,
+    seed: number,
+    variant: commands.Variant,
+  ) {
+    this.#deployment = deployment;
+    this.#scenario = scenario;
+    this.#seed = seed;
+    this.#variant = variant;
+    const secretFile = path.join(this.#folder, "peer-secret");
+    fs.writeFileSync(secretFile, "a secret that only this measurement uses\n");
+    this.#fleet = new vmFleet.VmFleet(deployment, variant, secretFile);
+  }
+
+  /** Runs the scenario from the start of the fleet to its end. */
+  async run(): Promise<ExperimentData> {
+    try {
+      await this.#startFleet();
+      return await this.#measure();
+    } finally {
+      await this.#stop();
+    }
+  }
+
+  async #startFleet(): Promise<void> {
+    const addresses = await this.#targetHost.call("startTargets", {
+      seed: this.#seed,
+      deployment: this.#deployment,
+    });
+    await this.#fleet.start();
+    this.#publish(releaseNotes.createFirstNote(this.#deployment, addresses));
+    await this.#fleet.waitForNote(1);
+    this.#fleet.observeListeners(async (listeners) => {
+      await this.#callAll("setListeners", { listeners });
+    });
+  }
+
+  async #measure(): Promise<ExperimentData> {
+    const warmUp = this.#scenario.warmUpSeconds * 1_000;
+    await this.#targetHost.call("startClock", undefined);
+    await this.#startLoad();
+    await wait(warmUp);
+    const cpuBefore = await this.#fleet.getCpuMilliseconds();
+    const start = performance.now();
+    await this.#playEvents(start);
+    await waitUntil(start + this.#scenario.durationSeconds * 1_000);
+    const vmCpuMilliseconds = await this.#fleet.getCpuMilliseconds() - cpuBefore;
+    const records = await this.#stopLoad();
+    await wait(COOL_DOWN_MILLISECONDS);
+    const runs = await this.#targetHost.call("takeRuns", undefined);
+    return {
+      deployment: this.#deployment,
+      scenario: this.#scenario,
+      seed: this.#seed,
+      variant: this.#variant,
+      records: shiftTimes(records, warmUp).filter((record) => record.startMilliseconds >= 0),
+      runs: shiftTimes(runs, warmUp),
+      vmCpuMilliseconds,
+      vmResidentBytes: await this.#fleet.getResidentBytes(),
+      vmReports: await this.#fleet.report(),
+      platformCalls: this.#fleet.platform.calls,
+    };
+  }
+
+  async #startLoad(): Promise<void> {
+    const { listeners } = this.#fleet;
+    await Promise.all(this.#callerHosts.map((host, offset) =>
+      host.call("startLoad", {
+        seed: this.#seed * CALLER_HOSTS + offset,
+        deployment: this.#deployment,
+        listeners,
+        load: this.#scenario.load,
+        writes: this.#scenario.writes,
+        offset,
+        stride: CALLER_HOSTS,
+      })
+    ));
+  }
+
+  async #stopLoad(): Promise<types.RequestRecord[]> {
+    const records = await Promise.all(
+      this.#callerHosts.map((host) => host.call("stopLoad", undefined)),
+    );
+    return records.flat();
+  }
+
+  /** Starts the task of each event. All have ended when the promise resolves. */
+  async #playEvents(start: number): Promise<void> {
+    await Promise.all(this.#scenario.events.map((event) => this.#playEvent(event, start)));
+  }
+
+  async #playEvent(event: scenarios.ScenarioEvent, start: number): Promise<void> {
+    const waitSeconds = (seconds: number) => waitUntil(start + seconds * 1_000);
+    await waitSeconds(event.fromSeconds);
+    switch (event.kind) {
+      case "target_fault": {
+        const target = this.getTargetId(event.service, event.target);
+        await this.#targetHost.call("setFault", { target, fault: event.fault });
+        await waitSeconds(event.untilSeconds);
+        await this.#targetHost.call("setFault", { target, fault: undefined });
+        return;
+      }
+      case "pause_vms":
+        this.#fleet.pauseSmallHost();
+        await waitSeconds(event.untilSeconds);
+        this.#fleet.resumeSmallHost();
+        return;
+      case "kill_vms":
+        await this.#fleet.killSmallHost();
+        return;
+      case "replace_vms":
+        for (let index = 0; index < event.count; index++) {
+          await waitSeconds(event.fromSeconds + index * event.everySeconds);
+          await this.#fleet.replaceVm(index);
+        }
+        return;
+      case "cut_data_centres":
+        await this.#fleet.cutDataCentres(event.from, event.to, true);
+        await waitSeconds(event.untilSeconds);
+        await this.#fleet.cutDataCentres(event.from, event.to, false);
+        return;
+      case "platform_away":
+        await this.#fleet.takePlatformAway();
+        await waitSeconds(event.untilSeconds);
+        await this.#fleet.bringPlatformBack();
+        return;
+      case "withdraw_key":
+        this.#withdrawKey(event.workspace);
+        return;
+      case "surge":
+        await this.#callAll("setLoadFactor", {
+          workspace: event.workspace,
+          factor: event.factor,
+        });
+        await waitSeconds(event.untilSeconds);
+        await this.#callAll("setLoadFactor", { workspace: event.workspace, factor: 1 });
+        return;
+    }
+  }
+
+  /** Identifier of a target by the positions of service and target. */
+  getTargetId(service: number, target: number): string {
+    const plan = this.#deployment.services[service];
+    if (plan === undefined || target >= plan.targets) {
+      throw new Error(`The deployment has no target ${target} of service ${service}.`);
+    }
+    return deployments.getTargetId(plan, target + 1);
+  }
+
+  #withdrawKey(workspace: number): void {
+    const plan = this.#deployment.workspaces[workspace];
+    if (plan === undefined || this.#lastNote === undefined) {
+      throw new Error(`The deployment has no workspace ${workspace}.`);
+    }
+    this.#publish(releaseNotes.createWithdrawal(this.#lastNote, plan.key));
+  }
+
+  #publish(note: releaseNotes.NoteText): void {
+    const { number, digest } = note;
+    this.#fleet.platform.publish(`notes/${number}`, note.text);
+    this.#fleet.platform.publish("head", JSON.stringify({ number, digest }));
+    this.#lastNote = note;
+  }
+
+  async #callAll<Name extends "setListeners" | "setLoadFactor">(
+    name: Name,
+    request: commands.Commands[Name]["request"],
+  ): Promise<void> {
+    await Promise.all(this.#callerHosts.map((host) => host.call(name, request)));
+  }
+
+  async #stop(): Promise<void> {
+    await Promise.all([...this.#callerHosts, this.#targetHost].map((host) => host.kill()));
+    await this.#fleet.stop();
+    fs.rmSync(this.#folder, { recursive: true });
+  }
+}
+
+function shiftTimes<Item extends { readonly startMilliseconds: number }>(
+  items: readonly Item[],
+  byMilliseconds: number,
+): Item[] {
+  return items.map((item) => ({
+    ...item,
+    startMilliseconds: item.startMilliseconds - byMilliseconds,
+  }));
+}
+
+async function waitUntil(time: number): Promise<void> {
+  await wait(time - performance.now());
+}
+
+function wait(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
