--- a/packages/measure/src/experiment/oracle.ts
+++ b/packages/measure/src/experiment/oracle.ts
@@ -78,5 +78,5 @@
     previous = startMilliseconds;
     lowest = Math.min(lowest, level);
   }
-  return -lowest;
+  return Math.abs(lowest);
 }
--- a/packages/measure/src/experiment/table.ts
+++ b/packages/measure/src/experiment/table.ts
@@ -47,12 +47,18 @@
   },
 ];
 
+/** The cells of the table: a header row, then a row for each measure. */
+export function listTableCells(results: readonly analysis.ExperimentResult[]): string[][] {
+  const header = ["measure", ...results.map((result) => result.variant)];
+  const rows = ROWS.map((row) => [row.title, ...results.map(row.format)]);
+  return [header, ...rows];
+}
+
 /** Formats results as a table in Markdown, a column for each. */
 export function formatTable(results: readonly analysis.ExperimentResult[]): string {
-  const header = ["measure", ...results.map((result) => result.variant)];
-  const lines = ROWS.map((row) => [row.title, ...results.map(row.format)]);
+  const [header = [], ...rows] = listTableCells(results);
   const divider = header.map(() => "---");
-  return [header, divider, ...lines].map((cells) => `| ${cells.join(" | ")} |`).join("\n");
+  return [header, divider, ...rows].map((cells) => `| ${cells.join(" | ")} |`).join("\n");
 }
 
 function formatShare(share: number): string {
--- /dev/null
+++ b/scripts/report.mjs
@@ -0,0 +1,10 @@
+/**
+ * `npm run report`: builds, then draws measured results.
+ */
+
+import process from "node:process";
+import * as steps from "./steps.mjs";
+
+steps.installIfMissing();
+steps.runTool("tsc", ["-b"]);
+steps.run("node", ["packages/measure/dist/src/report_main.js", ...process.argv.slice(2)]);
