Settings of the listener's bounds; bodyLimitBytes on routes

Cause: the request path needs bounds that operators can set, and the size of a body depends on the route. The field of the route is optional, so that notes and literals written before stay valid. Ruled out: one bound for the whole listener, since a route for uploads would then loosen all others.

--- a/packages/model/src/release_note.ts
+++ b/packages/model/src/release_note.ts
@@ -47,6 +47,7 @@
   open: zod.boolean().default(false),
   workspaces: zod.array(workspaceId).optional(),
   timeoutMilliseconds: zod.number().int().min(1).max(600_000).default(DEFAULT_TIMEOUT_MILLISECONDS),
+  bodyLimitBytes: zod.number().int().min(0).max(1_073_741_824).optional(),
   idempotentMethods: zod.array(zod.string().regex(/^[A-Z]+$/)).default(DEFAULT_IDEMPOTENT_METHODS),
   weight,
 });
--- a/packages/model/src/settings.ts
+++ b/packages/model/src/settings.ts
@@ -14,9 +14,32 @@
   keyFile: zod.string().min(1),
 });
 
+const DEFAULT_MAXIMUM_HEADER_BYTES = 16 * 1_024;
+const DEFAULT_HEADER_TIMEOUT_MILLISECONDS = 10_000;
+const DEFAULT_BODY_IDLE_TIMEOUT_MILLISECONDS = 10_000;
+const DEFAULT_DRAIN_LAG_MILLISECONDS = 5_000;
+
+const timeoutMilliseconds = zod.number().int().min(100).max(600_000);
+
 const listener = zod.strictObject({
   address: schemas.socketAddress,
   tls: tlsFiles.optional(),
+  /** Largest request line and headers together. */
+  maximumHeaderBytes: zod.number().int().min(4_096).max(1_048_576).default(
+    DEFAULT_MAXIMUM_HEADER_BYTES,
+  ),
+  /** Time for the request line and headers to arrive. */
+  headerTimeoutMilliseconds: timeoutMilliseconds.default(DEFAULT_HEADER_TIMEOUT_MILLISECONDS),
+  /** Longest silence within a request's body. */
+  bodyIdleTimeoutMilliseconds: timeoutMilliseconds.default(
+    DEFAULT_BODY_IDLE_TIMEOUT_MILLISECONDS,
+  ),
+  /** Time for which a stopping VM goes on to serve new requests, since the balancer lags. */
+  drainLagMilliseconds: zod.number().int().min(0).max(600_000).default(
+    DEFAULT_DRAIN_LAG_MILLISECONDS,
+  ),
+  /** Whether what the sender says in `Forwarded` and `X-Forwarded-*` comes from the balancer. */
+  trustForwardedHeaders: zod.boolean().default(false),
 });
 
 const peerSeed = zod.strictObject({
@@ -46,6 +69,9 @@
 /** Checked settings of one VM. */
 export type Settings = zod.output<typeof settingsSchema>;
 
+/** The caller-facing listener. */
+export type ListenerSettings = Settings["listener"];
+
 /** Checks the text of a settings file. */
 export function parseSettings(
   text: string,
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -57,6 +57,8 @@
   readonly workspaces?: readonly WorkspaceId[] | undefined;
   /** Longest time from the request's arrival to the end of its answer. */
   readonly timeoutMilliseconds: number;
+  /** Largest body of a request; absent for the gateway's own limit. */
+  readonly bodyLimitBytes?: number | undefined;
   /** Methods whose repetition does no harm on this route. */
   readonly idempotentMethods: readonly string[];
   /** Factor on the weight of a workspace for requests on this route. */
