Request path: checks, both-way streaming, retries, withdrawal and drain

Cause: the thin path trusted what callers sent, sent nothing again, and acted on no withdrawal. Ruled out: the pool and the request method of the HTTP client, which do not tell whether a byte was sent and which connection a request goes onto. Shown so far by the test of the whole path only; tests of the parts follow.

--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -35,7 +35,10 @@
     targets.TARGET_POOL,
     new targets.RoundRobinPool(configurationService),
   );
-  services.register(gateway.GATEWAY, new gateway.Gateway(services, settings.listener.address));
+  services.register(
+    gateway.GATEWAY,
+    new gateway.Gateway(services, settings.listener, new kernel.PartLogger(logger, "gateway")),
+  );
   services.register(
     administration.ADMINISTRATION,
     new administration.Administration(services, settings.admin.address),
--- a/packages/daemon/test/whole_path_test.ts
+++ b/packages/daemon/test/whole_path_test.ts
@@ -38,7 +38,7 @@
   const settings = model.parseSettings(JSON.stringify({
     vm: "vm-1",
     dataCentre: "north-1",
-    listener: { address: "127.0.0.1:0" },
+    listener: { address: "127.0.0.1:0", drainLagMilliseconds: 0 },
     admin: { address: "127.0.0.1:0" },
     platform: { addresses: [platformAddress] },
   }));
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -7,58 +7,108 @@
 import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
 import * as neverthrow from "neverthrow";
+import * as headers from "./headers.ts";
 import * as keys from "./keys.ts";
 import * as refusals from "./refusals.ts";
+import * as requests from "./requests.ts";
 import type * as types from "./types.ts";
 
 type AcceptResult = neverthrow.Result<types.AcceptedRequest, refusals.Refusal>;
 
+/** Largest body where the route declares no limit of its own. */
+const DEFAULT_BODY_LIMIT_BYTES = 10 * 1_024 * 1_024;
+
+interface Caller {
+  readonly workspace: model.Workspace | undefined;
+  readonly keyDigest: model.KeyDigest | undefined;
+}
+
 /** Finds the route and the workspace of a request. Nothing has run when it refuses. */
 export function acceptRequest(
   snapshot: configuration.Snapshot | undefined,
   request: http.IncomingMessage,
 ): AcceptResult {
+  const arrivedMilliseconds = kernel.getMonotonicMilliseconds();
+  const checked = requests.checkRequest(request);
+  if (checked.isErr()) {
+    return neverthrow.err(checked.error);
+  }
+  if (isUnsupportedUpgrade(request)) {
+    return refuse(refusals.Refusals.upgradeNotSupported);
+  }
   if (snapshot === undefined) {
     return refuse(refusals.Refusals.noConfiguration);
   }
-  const { key, target } = keys.findKey(request, snapshot.fleet.keyPlacement);
-  const host = (request.headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
-  const path = target.split("?", 1)[0] ?? "/";
-  const route = snapshot.matchRoute(host, path);
+  const head = checked.value;
+  const found = keys.findKeys(request, head, snapshot.fleet.keyPlacement);
+  if (found.keys.size > 1) {
+    return refuse(refusals.Refusals.keyConflict);
+  }
+  const [key] = found.keys;
+  if (key !== undefined && keys.containsKey(found.target, key)) {
+    return refuse(refusals.Refusals.keyMisplaced);
+  }
+  const route = snapshot.matchRoute(head.host, head.routingPath);
   if (route === undefined) {
     return refuse(refusals.Refusals.routeNotFound);
   }
-  return findWorkspace(snapshot, route, key).map((workspace) => ({
+  const bodyLimitBytes = route.bodyLimitBytes ?? DEFAULT_BODY_LIMIT_BYTES;
+  if ((head.contentLength ?? 0) > bodyLimitBytes) {
+    return refuse(refusals.Refusals.bodyTooLarge);
+  }
+  const timeout = Math.min(
+    route.timeoutMilliseconds,
+    headers.getCallerTimeoutMilliseconds(request) ?? Number.POSITIVE_INFINITY,
+  );
+  return findCaller(snapshot, route, key).map((caller) => ({
+    head,
     snapshot,
     route,
     service: kernel.getDefined(snapshot.findService(route.service), "A route has a service."),
-    workspace,
-    target,
-    idempotent: route.idempotentMethods.includes(request.method ?? ""),
-    deadlineMilliseconds: kernel.getMonotonicMilliseconds() + route.timeoutMilliseconds,
+    workspace: caller.workspace,
+    key,
+    keyDigest: caller.keyDigest,
+    target: found.target,
+    idempotent: route.idempotentMethods.includes(head.method),
+    bodyLimitBytes,
+    arrivedMilliseconds,
+    deadlineMilliseconds: arrivedMilliseconds + timeout,
   }));
 }
 
-function findWorkspace(
+function findCaller(
   snapshot: configuration.Snapshot,
   route: model.Route,
   key: string | undefined,
-): neverthrow.Result<model.Workspace | undefined, refusals.Refusal> {
+): neverthrow.Result<Caller, refusals.Refusal> {
   if (route.open) {
-    return neverthrow.ok(undefined);
+    return neverthrow.ok({ workspace: undefined, keyDigest: undefined });
   }
   if (key === undefined) {
     return refuse(refusals.Refusals.keyMissing);
   }
-  const found = snapshot.findKey(model.createKeyDigest(key));
+  const keyDigest = model.createKeyDigest(key);
+  const found = snapshot.findKey(keyDigest);
   if (found === undefined) {
     return refuse(refusals.Refusals.keyUnknown);
   }
   if (route.workspaces !== undefined && !route.workspaces.includes(found.workspace)) {
     return refuse(refusals.Refusals.workspaceNotAllowed);
   }
-  const workspace = snapshot.findWorkspace(found.workspace);
-  return neverthrow.ok(kernel.getDefined(workspace, "A key has a workspace."));
+  const workspace = kernel.getDefined(
+    snapshot.findWorkspace(found.workspace),
+    "A key has a workspace.",
+  );
+  return neverthrow.ok({ workspace, keyDigest });
+}
+
+/**
+ * Whether the caller wants another protocol. An offer of HTTP/2 is passed over, as HTTP allows, since
+ * common clients make it with every first request.
+ */
+function isUnsupportedUpgrade(request: http.IncomingMessage): boolean {
+  const { upgrade } = request.headers;
+  return upgrade !== undefined && upgrade.toLowerCase() !== "h2c";
 }
 
 function refuse(row: refusals.RefusalRow): neverthrow.Err<never, refusals.Refusal> {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,122 +1,242 @@
 /**
- * The caller-facing listener: each request is checked, admitted, given a target and forwarded.
+ * The caller-facing side of a VM: each request is checked, admitted, given a target and forwarded.
  */
 
-import * as http from "node:http";
-import type * as net from "node:net";
+import type * as http from "node:http";
+import * as claims from "@hemlockwalk/claims";
 import * as configuration from "@hemlockwalk/configuration";
 import * as kernel from "@hemlockwalk/kernel";
 import * as limits from "@hemlockwalk/limits";
-import * as model from "@hemlockwalk/model";
+import type * as model from "@hemlockwalk/model";
 import * as targets from "@hemlockwalk/targets";
-import type * as neverthrow from "neverthrow";
-import * as undici from "undici";
 import * as admission from "./admission.ts";
+import * as answers from "./answers.ts";
+import * as bodies from "./bodies.ts";
+import * as connections from "./connections.ts";
 import * as forwarding from "./forwarding.ts";
+import * as idempotency from "./idempotency.ts";
+import * as listeners from "./listener.ts";
+import * as meters from "./meters.ts";
 import * as refusals from "./refusals.ts";
+import * as running from "./running_requests.ts";
 import type * as types from "./types.ts";
 
-const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+/** An unread rest of a request up to this size is read and dropped, to keep the connection. */
+const MAXIMUM_DROPPED_BYTES = 64 * 1_024;
+
+/** One request and everything that belongs to it on the way. */
+interface Call {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly wantsContinue: boolean;
+  /** Time that passed only since the caller's body was not there yet. */
+  callerMilliseconds: number;
+  targetMilliseconds: number;
+}
 
 /** Serves callers. */
 export class Gateway implements kernel.Service {
   readonly #services: kernel.Kernel;
-  readonly #address: string;
-  readonly #server: http.Server;
-  readonly #dispatcher: undici.Agent;
-  readonly #refusals;
-  readonly #requests;
-  #running = 0;
-  #drained: (() => void) | undefined;
+  readonly #settings: model.ListenerSettings;
+  readonly #logger: kernel.PartLogger;
+  readonly #meters: meters.GatewayMeters;
+  readonly #running = new running.RunningRequests();
+  readonly #bodyMemory = new bodies.BodyMemory();
+  readonly #listener: listeners.Listener;
+  #connections: connections.ConnectionTable | undefined;
+  #forwarder: forwarding.Forwarder | undefined;
+  #closing = false;
 
   /**
    * @param services Where the gateway finds the services it uses.
-   * @param address IP number and port to listen on.
+   * @param settings The listener's part of the settings.
+   * @throws {tlsFiles.TlsStartError} When the TLS files cannot be used.
    */
-  constructor(services: kernel.Kernel, address: string) {
+  constructor(
+    services: kernel.Kernel,
+    settings: model.ListenerSettings,
+    logger: kernel.PartLogger,
+  ) {
     this.#services = services;
-    this.#address = address;
-    this.#dispatcher = new undici.Agent({
-      connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
-      pipelining: 1,
-    });
+    this.#settings = settings;
+    this.#logger = logger;
     const metrics = services.get(kernel.METRICS);
-    this.#requests = metrics.createLatency(
-      "hemlockwalk_request_seconds",
-      "Time from a request's arrival to the end of its answer.",
+    this.#meters = new meters.GatewayMeters(metrics);
+    metrics.createGauge(
+      "hemlockwalk_running_requests",
+      "Requests whose answer is not complete.",
+      () => this.#running.count,
     );
-    this.#refusals = metrics.createCounter(
-      "hemlockwalk_refusals_total",
-      "Requests that this VM answered itself, by reason.",
-      ["reason", "run"],
+    metrics.createGauge(
+      "hemlockwalk_open_target_connections",
+      "Connections that this VM holds open to targets.",
+      () => this.#connections?.size ?? 0,
+    );
+    this.#listener = new listeners.Listener(
+      settings,
+      (request, response, wantsContinue) => {
+        void this.#serve(request, response, wantsContinue);
+      },
+      this.#running,
+      this.#meters,
+      logger,
     );
-    this.#server = http.createServer((request, response) => {
-      void this.#serve(request, response);
-    });
   }
 
   /** The port that the listener is bound to. */
   get port(): number {
-    return (this.#server.address() as net.AddressInfo).port;
+    return this.#listener.port;
   }
 
   async start(): Promise<void> {
+    const pool = this.#services.get(targets.TARGET_POOL);
     const queue = this.#services.get(limits.FAIR_QUEUE);
-    this.#services.get(targets.TARGET_POOL).onCapacity((service) => queue.notifyCapacity(service));
-    const place = kernel.getDefined(
-      model.splitSocketAddress(this.#address),
-      "Settings hold checked addresses.",
+    pool.onCapacity((service) => queue.notifyCapacity(service));
+    const table = new connections.ConnectionTable(
+      pool,
+      (event) => this.#meters.connections.inc({ event }),
     );
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(place.port, place.host, resolve);
+    this.#connections = table;
+    this.#forwarder = new forwarding.Forwarder(pool, queue, table, this.#meters);
+    this.#services.get(configuration.CONFIGURATION).onChange((change) => {
+      this.#withdrawKeys(change.withdrawnKeys);
+      table.retain(change.current);
     });
+    await this.#listener.start();
   }
 
+  /**
+   * Serves on while the balancer still sends requests here, with answers that end their connections,
+   * and then until the last answer is complete.
+   */
   async drain(): Promise<void> {
-    this.#server.close();
-    this.#server.closeIdleConnections();
-    if (this.#running > 0) {
-      await new Promise<void>((resolve) => {
-        this.#drained = resolve;
-      });
-    }
+    this.#closing = true;
+    await kernel.sleep(this.#settings.drainLagMilliseconds);
+    await this.#listener.close();
   }
 
-  async stop(): Promise<void> {
-    this.#server.closeAllConnections();
-    await this.#dispatcher.destroy();
+  stop(): void {
+    this.#listener.stop();
+    this.#connections?.close();
   }
 
-  async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const started = kernel.getMonotonicMilliseconds();
-    this.#running++;
-    const refusal = await this.#answer(request, response);
-    if (refusal !== undefined) {
-      this.#refusals.inc({ reason: refusal.row.reason, run: refusal.run });
-      refusals.sendRefusal(response, refusal);
+  #withdrawKeys(digests: readonly model.KeyDigest[]): void {
+    let ended = 0;
+    for (const digest of digests) {
+      ended += this.#running.withdraw(digest);
     }
-    this.#requests.record(kernel.getMonotonicMilliseconds() - started);
-    this.#running--;
-    if (this.#running === 0) {
-      this.#drained?.();
+    if (ended > 0) {
+      this.#meters.withdrawnRequests.inc(ended);
+      this.#logger.info("Requests of withdrawn keys were ended.", { ended });
     }
   }
 
-  async #answer(
+  async #serve(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-  ): Promise<refusals.Refusal | undefined> {
+    wantsContinue: boolean,
+  ): Promise<void> {
+    const started = kernel.getMonotonicMilliseconds();
+    this.#running.openAnswer(request.socket, response);
+    // The caller's connection may break at any moment; its `close` event tells so too.
+    response.on("error", ignoreError);
+    const call: Call = {
+      request,
+      response,
+      wantsContinue,
+      callerMilliseconds: 0,
+      targetMilliseconds: 0,
+    };
+    const refusal = await this.#answer(call);
+    if (refusal !== undefined && !response.destroyed) {
+      this.#meters.refusals.inc({ reason: refusal.row.reason, run: refusal.run });
+      refusals.sendRefusal(response, refusal, this.#endsConnection(call, refusal));
+    }
+    // What the caller still sends must not keep its connection from the next request.
+    request.resume();
+    const elapsed = kernel.getMonotonicMilliseconds() - started;
+    this.#meters.total.record(elapsed);
+    this.#meters.added.record(elapsed - call.targetMilliseconds - call.callerMilliseconds);
+  }
+
+  #endsConnection(call: Call, refusal: refusals.Refusal): boolean {
+    if (this.#closing || refusal.row === refusals.Refusals.keyWithdrawn) {
+      return true;
+    }
+    if (call.request.complete) {
+      return false;
+    }
+    const length = call.request.headers["content-length"];
+    return call.wantsContinue || length === undefined || Number(length) > MAXIMUM_DROPPED_BYTES;
+  }
+
+  async #answer(call: Call): Promise<refusals.Refusal | undefined> {
     const snapshot = this.#services.get(configuration.CONFIGURATION).getSnapshot();
-    const accepted = admission.acceptRequest(snapshot, request);
-    if (accepted.isErr()) {
-      return accepted.error;
+    const checked = admission.acceptRequest(snapshot, call.request);
+    if (checked.isErr()) {
+      return checked.error;
+    }
+    const accepted = checked.value;
+    const runningRequest = new running.RunningRequest(
+      accepted.deadlineMilliseconds - kernel.getMonotonicMilliseconds(),
+    );
+    call.response.once("close", () => {
+      if (!call.response.writableFinished) {
+        runningRequest.end("caller_gone");
+      }
+    });
+    if (accepted.keyDigest !== undefined) {
+      this.#running.add(runningRequest, accepted.keyDigest, call.request.socket);
+    }
+    const body = new bodies.RequestBody(
+      call.request,
+      accepted,
+      this.#bodyMemory,
+      this.#settings.bodyIdleTimeoutMilliseconds,
+    );
+    try {
+      return await this.#run(call, accepted, runningRequest, body);
+    } finally {
+      body.release();
+      runningRequest.finish();
+      if (accepted.keyDigest !== undefined) {
+        this.#running.remove(runningRequest, accepted.keyDigest);
+      }
     }
-    const overRate = await this.#checkRate(accepted.value);
+  }
+
+  async #run(
+    call: Call,
+    accepted: types.AcceptedRequest,
+    runningRequest: running.RunningRequest,
+    body: bodies.RequestBody,
+  ): Promise<refusals.Refusal | undefined> {
+    const failed = body.isComplete ? undefined : await bufferBody(call, body, runningRequest);
+    if (failed !== undefined) {
+      return runningRequest.endReason === undefined ? failed : createEndRefusal(runningRequest);
+    }
+    // A token is taken after the body is there, so that slow bodies can't run all at once later.
+    const overRate = await this.#checkRate(accepted);
     if (overRate !== undefined) {
       return overRate;
     }
-    return this.#forward(accepted.value, request, response);
+    if (runningRequest.endReason !== undefined) {
+      return createEndRefusal(runningRequest);
+    }
+    const answer = new answers.CallerAnswer(call.response, () => this.#closing);
+    const idempotencyKey = idempotency.findIdempotencyKey(call.request, accepted);
+    const store = this.#services.find(claims.CLAIM_STORE);
+    const ready: forwarding.ReadyRequest = {
+      accepted,
+      request: call.request,
+      body,
+      running: runningRequest,
+      answer,
+      trustForwardedHeaders: this.#settings.trustForwardedHeaders,
+    };
+    return idempotencyKey === undefined || store === undefined
+      ? (await this.#forward(call, ready)).refusal
+      : this.#forwardClaimed(call, ready, store, idempotencyKey);
   }
 
   async #checkRate(accepted: types.AcceptedRequest): Promise<refusals.Refusal | undefined> {
@@ -124,7 +244,8 @@
       return undefined;
     }
     const limiter = this.#services.get(limits.RATE_LIMITER);
-    const decision = await limiter.admit(accepted.workspace, accepted.deadlineMilliseconds);
+    const pending = limiter.admit(accepted.workspace, accepted.deadlineMilliseconds);
+    const decision = pending instanceof Promise ? await pending : pending;
     if (decision.isOk()) {
       return undefined;
     }
@@ -135,59 +256,76 @@
   }
 
   async #forward(
-    accepted: types.AcceptedRequest,
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
+    call: Call,
+    ready: forwarding.ReadyRequest,
+  ): Promise<forwarding.ForwardResult> {
+    const forwarder = kernel.getDefined(this.#forwarder, "The gateway serves after its start.");
+    const result = await forwarder.forward(ready);
+    call.targetMilliseconds = result.targetMilliseconds;
+    return result;
+  }
+
+  async #forwardClaimed(
+    call: Call,
+    ready: forwarding.ReadyRequest,
+    store: claims.ClaimStore,
+    idempotencyKey: string,
   ): Promise<refusals.Refusal | undefined> {
-    const callerGone = new AbortController();
-    response.once("close", () => {
-      if (!response.writableFinished) {
-        callerGone.abort();
+    const claimed = await idempotency.claimRequest(
+      store,
+      idempotencyKey,
+      ready.accepted,
+      ready.body,
+      this.#meters,
+    );
+    if (claimed.isErr()) {
+      return claimed.error;
+    }
+    if (claimed.value.kind === "replay") {
+      // The key may have been withdrawn while the fleet was asked.
+      if (ready.running.endReason !== undefined) {
+        return createEndRefusal(ready.running);
       }
-    });
-    const lease = await this.#acquire(accepted, callerGone.signal);
-    if (lease.isErr()) {
-      return createQueueRefusal(lease.error);
+      ready.answer.replay(claimed.value.answer);
+      return undefined;
     }
-    const { outcome, refusal } = await forwarding.forwardRequest(
-      this.#dispatcher,
-      accepted,
-      lease.value.target,
-      request,
-      response,
-      callerGone.signal,
-    );
-    lease.value.release(outcome);
-    return refusal;
+    const { claim } = claimed.value;
+    if (ready.running.endReason !== undefined) {
+      claim.abandon();
+      return createEndRefusal(ready.running);
+    }
+    ready.answer.record();
+    const result = await this.#forward(call, ready);
+    idempotency.settleClaim(claim, result, ready.answer);
+    return result.refusal;
   }
+}
 
-  #acquire(
-    accepted: types.AcceptedRequest,
-    signal: AbortSignal,
-  ): Promise<neverthrow.Result<targets.TargetLease, limits.QueueRefusal>> {
-    const pool = this.#services.get(targets.TARGET_POOL);
-    const targetRequest: targets.TargetRequest = {
-      service: accepted.service.id,
-      route: accepted.route.id,
-      idempotent: accepted.idempotent,
-      exclude: new Set<model.TargetId>(),
-    };
-    return this.#services.get(limits.FAIR_QUEUE).enter({
-      service: accepted.service.id,
-      workspace: accepted.workspace?.id,
-      weight: (accepted.workspace?.weight ?? 1) * accepted.route.weight,
-      deadlineMilliseconds: accepted.deadlineMilliseconds,
-      signal,
-      tryAcquire: () => pool.tryAcquire(targetRequest),
-    });
+async function bufferBody(
+  call: Call,
+  body: bodies.RequestBody,
+  runningRequest: running.RunningRequest,
+): Promise<refusals.Refusal | undefined> {
+  if (call.wantsContinue) {
+    call.response.writeContinue();
   }
+  const started = kernel.getMonotonicMilliseconds();
+  const buffered = await body.buffer(runningRequest);
+  call.callerMilliseconds = kernel.getMonotonicMilliseconds() - started;
+  return buffered.isErr() ? buffered.error : undefined;
+}
+
+/** What the caller of a request is told that was ended before it was sent anywhere. */
+function createEndRefusal(runningRequest: running.RunningRequest): refusals.Refusal {
+  return refusals.createNotRunRefusal(
+    runningRequest.endReason === "key_withdrawn"
+      ? refusals.Refusals.keyWithdrawn
+      : refusals.Refusals.deadlineExceeded,
+  );
 }
 
-function createQueueRefusal(refusal: limits.QueueRefusal): refusals.Refusal {
-  const row = refusal.kind === "queue_full"
-    ? refusals.Refusals.queueFull
-    : refusals.Refusals.queueTimeout;
-  return refusals.createNotRunRefusal(row, refusal.retryAfterMilliseconds);
+function ignoreError(): void {
+  // See where the listener is added.
 }
 
 /** The name under which the gateway is found. */
--- a/packages/gateway/src/keys.ts
+++ b/packages/gateway/src/keys.ts
@@ -4,38 +4,56 @@
 
 import type * as http from "node:http";
 import type * as model from "@hemlockwalk/model";
+import type * as types from "./types.ts";
 
 const BEARER = /^bearer +(\S+) *$/i;
+const BASIC = /^basic +(\S+) *$/i;
 
-/** Headers that may carry a key or a caller's claim of identity, and never reach a target. */
-const REMOVED_HEADERS = ["authorization", "proxy-authorization"] as const;
+/** Headers that may carry a key and never reach a target, whatever their scheme. */
+const CREDENTIAL_HEADERS = new Set(["authorization", "proxy-authorization"]);
 
 /** Prefix of headers that only hemlockwalk itself sets. */
 export const OWN_HEADER_PREFIX = "hemlockwalk-";
 
-/** The caller's key and the request's path and query without it. */
+/** The caller's keys and the request's path and query without them. */
 export interface KeyFinding {
-  readonly key: string | undefined;
+  /** The different keys found. A request with more than one is refused. */
+  readonly keys: ReadonlySet<string>;
   readonly target: string;
 }
 
-/** Looks for the key in the header, bearer token, query and cookie, in this order. */
-export function findKey(
+/** Collects the keys of the key header, the credentials, the query and the cookies. */
+export function findKeys(
   request: http.IncomingMessage,
+  head: types.RequestHead,
   placement: model.KeyPlacement,
 ): KeyFinding {
-  const fromQuery = takeQueryKey(request.url ?? "/", placement.queryParameter);
-  const key = getHeader(request, placement.header) ??
-    BEARER.exec(request.headers.authorization ?? "")?.[1] ??
-    fromQuery.key ??
-    findCookieKey(request.headers.cookie, placement.cookie);
-  return { key, target: fromQuery.target };
+  const keys = new Set<string>();
+  for (let index = 0; index < request.rawHeaders.length; index += 2) {
+    const name = normalizeName(request.rawHeaders[index] ?? "");
+    const value = request.rawHeaders[index + 1] ?? "";
+    if (name === placement.header) {
+      addKey(keys, value.trim());
+    } else if (CREDENTIAL_HEADERS.has(name)) {
+      addKey(keys, getCredentialKey(value));
+    } else if (name === "cookie" && placement.cookie !== undefined) {
+      addCookieKeys(keys, value, placement.cookie);
+    }
+  }
+  const query = takeQueryKeys(keys, head.query, placement.queryParameter);
+  const target = query === undefined ? head.path : `${head.path}?${query}`;
+  return { keys, target };
+}
+
+/** The name in lower case, with the underscores that some servers take for hyphens as hyphens. */
+export function normalizeName(name: string): string {
+  const lower = name.toLowerCase();
+  return lower.includes("_") ? lower.replaceAll("_", "-") : lower;
 }
 
-/** Whether a header must not be forwarded since it may carry a key or a forged identity. */
+/** Whether a header, by its normalized name, may carry a key or a forged identity. */
 export function isRemovedHeader(name: string, placement: model.KeyPlacement): boolean {
-  return (REMOVED_HEADERS as readonly string[]).includes(name) ||
-    name === placement.header ||
+  return CREDENTIAL_HEADERS.has(name) || name === placement.header ||
     name.startsWith(OWN_HEADER_PREFIX);
 }
 
@@ -49,36 +67,83 @@
   return joined === "" ? undefined : joined;
 }
 
-function getHeader(request: http.IncomingMessage, name: string): string | undefined {
-  const value = request.headers[name];
-  return Array.isArray(value) ? value[0] : value;
+/** Whether a text holds the key as it is or percent-encoded. */
+export function containsKey(text: string, key: string): boolean {
+  return text.includes(key) || (text.includes("%") && decodeLeniently(text).includes(key));
 }
 
-function takeQueryKey(url: string, parameter: string | undefined): KeyFinding {
+/** Removes the key's parameter from a URL such as that of the `Referer` header. */
+export function removeUrlKey(url: string, parameter: string | undefined): string {
   const queryStart = url.indexOf("?");
   if (parameter === undefined || queryStart === -1) {
-    return { key: undefined, target: url };
+    return url;
   }
-  const query = new URLSearchParams(url.slice(queryStart + 1));
-  const key = query.get(parameter) ?? undefined;
-  if (key === undefined) {
-    return { key, target: url };
-  }
-  query.delete(parameter);
-  const rest = query.toString();
+  const query = takeQueryKeys(new Set(), url.slice(queryStart + 1), parameter);
   const path = url.slice(0, queryStart);
-  return { key, target: rest === "" ? path : `${path}?${rest}` };
+  return query === undefined ? path : `${path}?${query}`;
 }
 
-function findCookieKey(
-  header: string | undefined,
-  cookie: string | undefined,
-): string | undefined {
-  if (header === undefined || cookie === undefined) {
+function addKey(keys: Set<string>, key: string | undefined): void {
+  if (key !== undefined && key !== "") {
+    keys.add(key);
+  }
+}
+
+function getCredentialKey(value: string): string | undefined {
+  const bearer = BEARER.exec(value)?.[1];
+  if (bearer !== undefined) {
+    return bearer;
+  }
+  const basic = BASIC.exec(value)?.[1];
+  if (basic === undefined) {
     return undefined;
   }
-  const part = header.split(";").find((candidate) => getCookieName(candidate) === cookie);
-  return part?.slice(part.indexOf("=") + 1).trim();
+  // The key is the password; where there is none, it is the user name.
+  const pair = Buffer.from(basic, "base64").toString("utf8");
+  const colon = pair.indexOf(":");
+  const password = colon === -1 ? "" : pair.slice(colon + 1);
+  return password === "" ? pair.slice(0, colon === -1 ? undefined : colon) : password;
+}
+
+function takeQueryKeys(
+  keys: Set<string>,
+  query: string | undefined,
+  parameter: string | undefined,
+): string | undefined {
+  if (query === undefined || parameter === undefined) {
+    return query;
+  }
+  const wanted = parameter.toLowerCase();
+  let kept: string | undefined;
+  // Some servers separate parameters by semicolons too; separators stay as the caller wrote them.
+  const parts = query.split(/([&;])/);
+  for (let index = 0; index < parts.length; index += 2) {
+    const part = parts[index] ?? "";
+    const equals = part.indexOf("=");
+    const name = equals === -1 ? part : part.slice(0, equals);
+    if (decodeLeniently(name).trim().toLowerCase() === wanted) {
+      addKey(keys, decodeLeniently(equals === -1 ? "" : part.slice(equals + 1)));
+    } else {
+      kept = kept === undefined ? part : `${kept}${parts[index - 1] ?? ""}${part}`;
+    }
+  }
+  return kept;
+}
+
+function decodeLeniently(text: string): string {
+  if (!text.includes("%") && !text.includes("+")) {
+    return text;
+  }
+  return new URLSearchParams(`a=${text.replaceAll("&", "%26")}`).get("a") ?? "";
+}
+
+function addCookieKeys(keys: Set<string>, header: string, cookie: string): void {
+  for (const part of header.split(";")) {
+    if (getCookieName(part) === cookie) {
+      const value = part.slice(part.indexOf("=") + 1).trim();
+      addKey(keys, value.replace(/^"(.*)"$/, "$1"));
+    }
+  }
 }
 
 function getCookieName(part: string): string {
