fleet: peer links over WebSockets with mutual proof of a shared secret

Cause: VMs had only an in-memory network for tests. What it does: one link per pair in use, opened on demand; handshake with an HMAC over both nonces, identities, versions and the role; heartbeats in both directions each 500 ms, a link without traffic for 1.7 s ends, and a VM that is not heard learns it from the other side's heartbeats; frames of at most 2 MiB; at most 2 MiB queued for a peer; jittered backoff; counters. PeerMessaging checks received frames, bounds the handlers that run for a peer, and ends calls when a link ends. Errors gain the kind too_large. Ruled out: proofs by the acceptor first, which would give any stranger material to guess a secret.

--- a/packages/fleet/src/errors.ts
+++ b/packages/fleet/src/errors.ts
@@ -10,6 +10,29 @@
     | "queue_full"
     | "timeout"
     | "no_handler"
+    | "too_large"
     | "failed";
   readonly detail: string;
 }
+
+/** Why a connection did not become a link. */
+export type HandshakeRefusal =
+  | "timeout"
+  | "malformed"
+  | "version"
+  | "wrong_peer"
+  | "wrong_proof"
+  | "stale_incarnation"
+  | "no_secret"
+  | "closed";
+
+/** Why a link ended. */
+export type LinkEnd =
+  | "closed_by_peer"
+  | "silent"
+  | "one_way"
+  | "malformed"
+  | "idle"
+  | "replaced"
+  | "stale_incarnation"
+  | "stopped";
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -4,6 +4,9 @@
 
 export type * from "./errors.ts";
 export * from "./membership.ts";
+export * from "./peer_counters.ts";
 export * from "./peer_messaging.ts";
+export * from "./peer_secrets.ts";
 export * from "./rendezvous.ts";
 export type * from "./types.ts";
+export * from "./web_socket_peer_network.ts";
--- a/packages/fleet/src/peer_messaging.ts
+++ b/packages/fleet/src/peer_messaging.ts
@@ -31,17 +31,44 @@
   return name as types.ChannelName;
 }
 
+/** Handlers that may run at once for one peer; a peer that asks for more is refused. */
+const MAX_RUNNING_HANDLERS_PER_PEER = 512;
+
+const NO_HANDLER = "no handler";
+
+/** Called with the reason for which a frame was dropped. */
+export type DropListener = (reason: "malformed" | "version" | "overloaded" | "late") => void;
+
+const FRAME_KINDS: ReadonlySet<unknown> = new Set(["message", "call", "answer", "failure"]);
+
+/** Checks the shape of a received frame; undefined when it is not one. */
+export function parseFrame(value: unknown): Frame | undefined {
+  if (typeof value !== "object" || value === null) {
+    return undefined;
+  }
+  const frame = value as Partial<Frame>;
+  const isFrame = typeof frame.version === "number" && FRAME_KINDS.has(frame.kind) &&
+    typeof frame.channel === "string" && Number.isSafeInteger(frame.callId);
+  return isFrame ? frame as Frame : undefined;
+}
+
 /** What all peer networks have in common. A subclass moves the frames. */
 export abstract class PeerMessaging implements types.PeerNetwork {
   readonly self: types.VmIdentity;
   readonly #handlers = new Map<string, types.PeerHandler>();
   readonly #calls = new Map<number, PendingCall>();
+  readonly #running = new Map<model.VmId, number>();
   #lastCallId = 0;
 
   constructor(self: types.VmIdentity) {
     this.self = self;
   }
 
+  /** Calls that wait for an answer. */
+  get pendingCalls(): number {
+    return this.#calls.size;
+  }
+
   handle(channel: types.ChannelName, handler: types.PeerHandler): void {
     kernel.assert(!this.#handlers.has(channel), `Channel '${channel}' has two handlers.`);
     this.#handlers.set(channel, handler);
@@ -63,10 +90,6 @@
   ): Promise<neverthrow.Result<unknown, errors.PeerError>> {
     this.#lastCallId++;
     const callId = this.#lastCallId;
-    const sent = this.transmit(to, createFrame("call", channel, callId, payload));
-    if (sent.isErr()) {
-      return Promise.resolve(neverthrow.err(sent.error));
-    }
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         this.#settle(callId, to, neverthrow.err({ kind: "timeout", detail: channel }));
@@ -75,7 +98,12 @@
         clearTimeout(timer);
         resolve(result);
       };
+      // The call is known before its frame leaves, since a failing link ends it at once.
       this.#calls.set(callId, { to, settle });
+      const sent = this.transmit(to, createFrame("call", channel, callId, payload));
+      if (sent.isErr()) {
+        this.#settle(callId, to, neverthrow.err(sent.error));
+      }
     });
   }
 
@@ -85,9 +113,29 @@
     frame: Frame,
   ): neverthrow.Result<void, errors.PeerError>;
 
-  /** Takes a frame that came from another VM. */
-  protected receive(from: types.VmIdentity, frame: Frame): void {
+  /** Counts a frame that was dropped. */
+  protected reportDrop(_reason: Parameters<DropListener>[0]): void {
+    // A network without metrics counts nothing.
+  }
+
+  /** Ends the calls to one VM, or all calls, whose answers can no longer come. */
+  protected failCalls(detail: string, to?: model.VmId): void {
+    for (const [callId, pending] of [...this.#calls]) {
+      if (to === undefined || pending.to === to) {
+        this.#settle(callId, pending.to, neverthrow.err({ kind: "failed", detail }));
+      }
+    }
+  }
+
+  /** Takes what came from another VM, which may be anything. */
+  protected receive(from: types.VmIdentity, value: unknown): void {
+    const frame = parseFrame(value);
+    if (frame === undefined) {
+      this.reportDrop("malformed");
+      return;
+    }
     if (frame.version !== FRAME_VERSION) {
+      this.reportDrop("version");
       return;
     }
     switch (frame.kind) {
@@ -99,11 +147,7 @@
         this.#settle(frame.callId, from.vm, neverthrow.ok(frame.payload));
         return;
       case "failure":
-        this.#settle(
-          frame.callId,
-          from.vm,
-          neverthrow.err({ kind: "failed", detail: String(frame.payload) }),
-        );
+        this.#settle(frame.callId, from.vm, neverthrow.err(createFailure(frame.payload)));
         return;
       default:
         kernel.assertNever(frame.kind);
@@ -114,14 +158,32 @@
     const handler = this.#handlers.get(frame.channel);
     const channel = createChannelName(frame.channel);
     if (handler === undefined) {
-      this.#answer(from, frame, "failure", "no handler");
+      this.#answer(from, frame, "failure", NO_HANDLER);
+      return;
+    }
+    const running = this.#running.get(from.vm) ?? 0;
+    if (running >= MAX_RUNNING_HANDLERS_PER_PEER) {
+      this.reportDrop("overloaded");
+      this.#answer(from, frame, "failure", "overloaded");
       return;
     }
+    this.#running.set(from.vm, running + 1);
     try {
       const answer = await handler({ from, channel, payload: frame.payload });
       this.#answer(from, frame, "answer", answer);
     } catch (error) {
       this.#answer(from, frame, "failure", String(error));
+    } finally {
+      this.#finishHandler(from.vm);
+    }
+  }
+
+  #finishHandler(vm: model.VmId): void {
+    const running = (this.#running.get(vm) ?? 1) - 1;
+    if (running === 0) {
+      this.#running.delete(vm);
+    } else {
+      this.#running.set(vm, running);
     }
   }
 
@@ -144,6 +206,7 @@
     const pending = this.#calls.get(callId);
     // An answer may be late, duplicated, or come from a VM that was not asked.
     if (pending === undefined || pending.to !== from) {
+      this.reportDrop("late");
       return;
     }
     this.#calls.delete(callId);
@@ -151,6 +214,12 @@
   }
 }
 
+function createFailure(payload: unknown): errors.PeerError {
+  return payload === NO_HANDLER
+    ? { kind: "no_handler", detail: NO_HANDLER }
+    : { kind: "failed", detail: String(payload) };
+}
+
 function createFrame(
   kind: Frame["kind"],
   channel: string,
--- a/packages/fleet/src/testing/mod.ts
+++ b/packages/fleet/src/testing/mod.ts
@@ -84,7 +84,7 @@
 
   #arrive(from: types.VmIdentity, to: model.VmId, bytes: Buffer): void {
     const deliver = () => {
-      const frame = msgpackr.unpack(bytes) as messaging.Frame;
+      const frame: unknown = msgpackr.unpack(bytes);
       this.#networks.get(to)?.deliver(from, frame);
     };
     const held = this.#held.get(to);
@@ -106,10 +106,14 @@
   }
 
   /** Takes a frame from the hub. */
-  deliver(from: types.VmIdentity, frame: messaging.Frame): void {
+  deliver(from: types.VmIdentity, frame: unknown): void {
     this.receive(from, frame);
   }
 
+  stop(): void {
+    this.failCalls("The network has stopped.");
+  }
+
   protected transmit(
     to: model.VmId,
     frame: messaging.Frame,
