Escrow limiter, first form: votes by shard, grants, oracle in tests

Rates and bursts counted over all VMs need a holder that survives partitions and pauses. Every VM holds a small part by right; the rest is pooled at one coordinator per shard, for which more than half of vmLimit VMs have voted. One test (absence of accrual after expiry) does not yet find its fault.

--- /dev/null
+++ b/packages/limits/test/fleet_harness.ts
@@ -0,0 +1,331 @@
+/**
+ * Several VMs with escrow limiters on one in-memory network, and the oracle that every admission of
+ * every VM goes through.
+ */
+
+import * as asyncHooks from "node:async_hooks";
+import * as configuration from "@hemlockwalk/configuration";
+import * as fleet from "@hemlockwalk/fleet";
+import * as fleetTesting from "@hemlockwalk/fleet/testing";
+import * as kernel from "@hemlockwalk/kernel";
+import * as model from "@hemlockwalk/model";
+import * as limits from "../src/mod.ts";
+
+const TOLERANCE = 1e-6;
+
+/** The process that the running code belongs to. */
+interface TestProcess {
+  isPaused: boolean;
+  /** Timers that became due during the pause. */
+  readonly dueTimers: (() => void)[];
+}
+
+/**
+ * Makes timers belong to the VM that set them, so that a pause holds them too. Created after the
+ * test's clock and restored before it.
+ */
+class ProcessTimers {
+  readonly #storage = new asyncHooks.AsyncLocalStorage<TestProcess | undefined>();
+  readonly #setTimeout = globalThis.setTimeout;
+
+  constructor() {
+    const set = (callback: () => void, milliseconds?: number) => {
+      const owner = this.#storage.getStore();
+      const fire = () => this.run(owner, callback);
+      const onDue = () => owner?.isPaused ? void owner.dueTimers.push(fire) : fire();
+      return this.#setTimeout(onDue, milliseconds);
+    };
+    globalThis.setTimeout = set as typeof globalThis.setTimeout;
+  }
+
+  /** Runs code as part of a process, or of none. */
+  run<T>(owner: TestProcess | undefined, code: () => T): T {
+    return this.#storage.run(owner, code);
+  }
+
+  restore(): void {
+    globalThis.setTimeout = this.#setTimeout;
+  }
+}
+
+/** One token bucket for a workspace, fed with every admission. It may not run below zero. */
+export class Oracle {
+  readonly #bucket: limits.TokenBucket;
+  admissions = 0;
+  violations = 0;
+
+  constructor(rate: number, burst: number, nowMilliseconds: number) {
+    this.#bucket = new limits.TokenBucket(rate, burst, burst, nowMilliseconds);
+  }
+
+  record(nowMilliseconds: number): void {
+    this.admissions++;
+    if (!this.#bucket.tryTake(1 - TOLERANCE, nowMilliseconds)) {
+      this.violations++;
+    }
+  }
+
+  configure(rate: number, burst: number, nowMilliseconds: number): void {
+    this.#bucket.configure(rate, burst, nowMilliseconds);
+  }
+}
+
+/** A configuration that the test sets. */
+export class SettableConfiguration implements configuration.ConfigurationService {
+  #snapshot: configuration.Snapshot;
+  readonly #listeners: configuration.SnapshotListener[] = [];
+
+  constructor(snapshot: configuration.Snapshot) {
+    this.#snapshot = snapshot;
+  }
+
+  getSnapshot(): configuration.Snapshot {
+    return this.#snapshot;
+  }
+
+  isReady(): boolean {
+    return true;
+  }
+
+  onChange(listener: configuration.SnapshotListener): void {
+    this.#listeners.push(listener);
+  }
+
+  set(snapshot: configuration.Snapshot): void {
+    if (snapshot.number <= this.#snapshot.number) {
+      return;
+    }
+    const previous = this.#snapshot;
+    this.#snapshot = snapshot;
+    for (const listener of this.#listeners) {
+      listener({ previous, current: snapshot, withdrawnKeys: [] });
+    }
+  }
+}
+
+export function createWorkspace(id: string, rate: number, burst: number): model.Workspace {
+  return { id: model.createWorkspaceId(id), rate, burst, weight: 1 };
+}
+
+/** A configuration with nothing but workspaces. */
+export function createSnapshot(
+  number: number,
+  vmLimit: number,
+  workspaces: readonly model.Workspace[],
+): configuration.Snapshot {
+  const tables = configuration.createEmptyTables();
+  for (const workspace of workspaces) {
+    tables.workspaces.set(workspace.id, workspace);
+  }
+  return new configuration.TableSnapshot(
+    model.createNoteNumber(number),
+    model.createNoteDigest(`note ${number}`),
+    { vmLimit, keyPlacement: { header: "x-key" }, regions: {} },
+    tables,
+  );
+}
+
+/** One VM of the test. */
+export interface TestVm {
+  readonly identity: fleet.VmIdentity;
+  readonly membership: fleetTesting.FixedMembership;
+  readonly configuration: SettableConfiguration;
+  readonly metrics: kernel.Metrics;
+  readonly limiter: limits.EscrowLimiter;
+  readonly process: TestProcess;
+  state: "alive" | "paused" | "leaving" | "dead";
+}
+
+/** What a fleet of a test is made of. */
+export interface FleetOptions {
+  readonly vmCount: number;
+  readonly vmLimit: number;
+  readonly workspaces: readonly model.Workspace[];
+  readonly margins?: limits.SafetyMargins;
+  readonly reservedShare?: number;
+  /** Speed of a VM's clock against real time. */
+  readonly getClockSpeed?: (index: number) => number;
+}
+
+const WAIT_MILLISECONDS = 1_000;
+
+/** The VMs of one test. */
+export class TestFleet {
+  readonly hub: fleetTesting.MemoryHub;
+  readonly vms: TestVm[] = [];
+  readonly oracles = new Map<model.WorkspaceId, Oracle>();
+  snapshot: configuration.Snapshot;
+  readonly #options: FleetOptions;
+  readonly #timers = new ProcessTimers();
+  #started = 0;
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    this.hub = new fleetTesting.MemoryHub();
+    const transmit = this.hub.transmit.bind(this.hub);
+    // A frame on its way is no longer in the hands of the sender.
+    this.hub.transmit = (...frame) => this.#timers.run(undefined, () => transmit(...frame));
+    this.snapshot = createSnapshot(1, options.vmLimit, options.workspaces);
+    const now = kernel.getMonotonicMilliseconds();
+    for (const workspace of options.workspaces) {
+      this.oracles.set(workspace.id, new Oracle(workspace.rate, workspace.burst, now));
+    }
+    for (let index = 0; index < options.vmCount; index++) {
+      this.addVm();
+    }
+    this.publishMembers();
+  }
+
+  get violations(): number {
+    return [...this.oracles.values()].reduce((sum, oracle) => sum + oracle.violations, 0);
+  }
+
+  get admissions(): number {
+    return [...this.oracles.values()].reduce((sum, oracle) => sum + oracle.admissions, 0);
+  }
+
+  /** Members as the platform would list them now. */
+  listMembers(): fleet.Member[] {
+    return this.vms.filter((vm) => vm.state !== "dead").map((vm) => ({
+      ...vm.identity,
+      address: "127.0.0.1:1",
+      state: vm.state === "leaving" ? "leaving" as const : "live" as const,
+    }));
+  }
+
+  /** Tells VMs the true list; the others keep the one they have. */
+  publishMembers(isTold: (vm: TestVm) => boolean = () => true): void {
+    const members = this.listMembers();
+    for (const vm of this.vms) {
+      if (vm.state !== "dead" && isTold(vm)) {
+        vm.membership.set(members);
+      }
+    }
+  }
+
+  /** Starts a VM that nobody else knows yet. */
+  addVm(): TestVm {
+    const index = this.#started++;
+    const identity: fleet.VmIdentity = {
+      vm: model.createVmId(`vm-${index}`),
+      incarnation: `incarnation-${index}` as model.Incarnation,
+      dataCentre: model.createDataCentreId(`dc-${index % 4}`),
+    };
+    const member: fleet.Member = { ...identity, address: "127.0.0.1:1", state: "live" };
+    const membership = new fleetTesting.FixedMembership(identity, [member]);
+    const settable = new SettableConfiguration(this.snapshot);
+    const metrics = new kernel.Metrics();
+    const speed = this.#options.getClockSpeed?.(index) ?? 1;
+    const process: TestProcess = { isPaused: false, dueTimers: [] };
+    const limiter = new limits.EscrowLimiter({
+      configuration: settable,
+      network: this.#connect(identity, process),
+      membership,
+      metrics,
+      logger: new kernel.PartLogger(kernel.createSilentLogger(), "limits"),
+    }, {
+      ...(this.#options.margins === undefined ? {} : { margins: this.#options.margins }),
+      ...(this.#options.reservedShare === undefined
+        ? {}
+        : { reservedShare: this.#options.reservedShare }),
+      now: () => kernel.getMonotonicMilliseconds() * speed,
+    });
+    this.#timers.run(process, () => limiter.start());
+    const vm: TestVm = {
+      identity,
+      membership,
+      configuration: settable,
+      metrics,
+      limiter,
+      process,
+      state: "alive",
+    };
+    this.vms.push(vm);
+    return vm;
+  }
+
+  kill(vm: TestVm): void {
+    vm.state = "dead";
+    vm.limiter.stop();
+    this.hub.disconnect(vm.identity.vm);
+  }
+
+  /** The process stands still: nothing arrives, and the test sends it no requests. */
+  pause(vm: TestVm): void {
+    vm.state = "paused";
+    vm.process.isPaused = true;
+    this.hub.pause(vm.identity.vm);
+  }
+
+  resume(vm: TestVm): void {
+    vm.state = "alive";
+    vm.process.isPaused = false;
+    for (const fire of vm.process.dueTimers.splice(0)) {
+      fire();
+    }
+    this.hub.resume(vm.identity.vm);
+  }
+
+  /** Stops a VM in order. */
+  async drain(vm: TestVm): Promise<void> {
+    vm.state = "leaving";
+    await this.#timers.run(vm.process, () => vm.limiter.drain());
+    if (vm.state === "leaving") {
+      this.kill(vm);
+    }
+  }
+
+  /** Cuts or heals one direction between two VMs. */
+  setCut(from: TestVm, to: TestVm, cut: boolean): void {
+    this.hub.getLink(from.identity.vm, to.identity.vm).cut = cut;
+  }
+
+  /**
+   * Sends a request to a VM. Its admission goes through the oracle when it is given.
+   *
+   * @param onDecision Called with the decision and the time for which it took.
+   */
+  request(
+    vm: TestVm,
+    workspace: model.WorkspaceId,
+    onDecision: (admitted: boolean, waitedMilliseconds: number) => void = () => {},
+  ): void {
+    const declared = kernel.getDefined(
+      vm.configuration.getSnapshot().findWorkspace(workspace),
+      "The test knows its workspaces.",
+    );
+    const now = kernel.getMonotonicMilliseconds();
+    const settle = (decision: limits.RateDecision) => {
+      const settled = kernel.getMonotonicMilliseconds();
+      if (decision.isOk()) {
+        this.oracles.get(workspace)?.record(settled);
+      }
+      onDecision(decision.isOk(), settled - now);
+    };
+    const decision = this.#timers.run(
+      vm.process,
+      () => vm.limiter.admit(declared, now * 2 + WAIT_MILLISECONDS),
+    );
+    if (decision instanceof Promise) {
+      void decision.then(settle);
+    } else {
+      settle(decision);
+    }
+  }
+
+  stop(): void {
+    for (const vm of this.vms) {
+      if (vm.state !== "dead") {
+        this.kill(vm);
+      }
+    }
+    this.#timers.restore();
+  }
+
+  #connect(identity: fleet.VmIdentity, owner: TestProcess): fleet.PeerNetwork {
+    const network = this.hub.connect(identity);
+    const deliver = network.deliver.bind(network);
+    network.deliver = (from, frame) => this.#timers.run(owner, () => deliver(from, frame));
+    return network;
+  }
+}
--- /dev/null
+++ b/packages/limits/test/safety_margins_test.ts
@@ -0,0 +1,276 @@
+/**
+ * Each safety margin in the situation that it is meant for: with it no admission is too many, and
+ * with it switched off the oracle finds some.
+ */
+
+import assert from "node:assert/strict";
+import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
+import type * as model from "@hemlockwalk/model";
+import * as limits from "../src/mod.ts";
+import * as shards from "../src/shards.ts";
+import * as harness from "./fleet_harness.ts";
+
+const READY_MILLISECONDS = 4_500;
+
+/** Just before the last votes for a coordinator end that was cut off. */
+const PAUSE_AFTER_CUT_MILLISECONDS = 1_400;
+
+/** A situation, played with the given margins. */
+class Scenario {
+  readonly fleet: harness.TestFleet;
+  readonly workspace: model.Workspace;
+  readonly clock: kernelTesting.TestClock;
+
+  constructor(
+    clock: kernelTesting.TestClock,
+    margins: limits.SafetyMargins,
+    rate: number,
+    burst: number,
+    options: Partial<harness.FleetOptions> = {},
+  ) {
+    this.clock = clock;
+    this.workspace = harness.createWorkspace("antwerp", rate, burst);
+    this.fleet = new harness.TestFleet({
+      vmCount: 5,
+      vmLimit: 5,
+      workspaces: [this.workspace],
+      margins,
+      ...options,
+    });
+  }
+
+  /** The VM that coordinates the workspace, by the view of one that knows the given VMs. */
+  getCoordinator(): harness.TestVm {
+    const viewer = kernel.getDefined(
+      this.fleet.vms.find((vm) => vm.state === "alive"),
+      "A VM is alive.",
+    );
+    const owners = new shards.ShardOwners(viewer.membership);
+    const owner = owners.getOwner(shards.getShard(this.workspace.id));
+    return kernel.getDefined(
+      this.fleet.vms.find((vm) => vm.identity.vm === owner),
+      "The owner is a VM of the test.",
+    );
+  }
+
+  /** Sends requests to a VM at once. */
+  send(vm: harness.TestVm, count: number): void {
+    for (let index = 0; index < count; index++) {
+      this.fleet.request(vm, this.workspace.id);
+    }
+  }
+
+  /** Sends requests to some VMs every 10 ms. */
+  async load(vms: readonly harness.TestVm[], milliseconds: number, count: number): Promise<void> {
+    for (let elapsed = 0; elapsed < milliseconds; elapsed += 10) {
+      for (const vm of vms) {
+        this.send(vm, count);
+      }
+      await this.clock.advance(10, 5);
+    }
+  }
+
+  /** Cuts a VM off from some others in both directions. */
+  isolate(vm: harness.TestVm, from: readonly harness.TestVm[]): void {
+    for (const other of from) {
+      if (other !== vm) {
+        this.fleet.setCut(vm, other, true);
+        this.fleet.setCut(other, vm, true);
+      }
+    }
+  }
+
+  getOthers(...vms: harness.TestVm[]): harness.TestVm[] {
+    return this.fleet.vms.filter((vm) => vm.state === "alive" && !vms.includes(vm));
+  }
+}
+
+type Play = (
+  clock: kernelTesting.TestClock,
+  margins: limits.SafetyMargins,
+) => Promise<Scenario>;
+
+/** All clocks are fast by as much as the margin allows for. */
+const playFastClocks: Play = async (clock, margins) => {
+  const scenario = new Scenario(clock, margins, 400, 5, { getClockSpeed: () => 1.001 });
+  await clock.advance(READY_MILLISECONDS);
+  await scenario.load([scenario.getCoordinator()], 20_000, 6);
+  return scenario;
+};
+
+/** A VM that holds grants stands still, while the others use what the coordinator has. */
+const playWakeWithOldGrants: Play = async (clock, margins) => {
+  const scenario = new Scenario(clock, margins, 200, 100);
+  await clock.advance(READY_MILLISECONDS);
+  const coordinator = scenario.getCoordinator();
+  const holder = scenario.getOthers(coordinator)[0]!;
+  await scenario.load([holder], 1_000, 1);
+  scenario.fleet.pause(holder);
+  await clock.advance(10_000);
+  scenario.send(coordinator, 200);
+  // The first requests come before the process has handled anything else.
+  scenario.send(holder, 200);
+  scenario.fleet.resume(holder);
+  await clock.advance(500);
+  return scenario;
+};
+
+/** The coordinator dies just after the burst was spent. */
+const playCoordinatorLost: Play = async (clock, margins) => {
+  const scenario = new Scenario(clock, margins, 2, 100);
+  await clock.advance(READY_MILLISECONDS + 60_000, 100);
+  const coordinator = scenario.getCoordinator();
+  scenario.send(coordinator, 150);
+  scenario.fleet.kill(coordinator);
+  scenario.fleet.publishMembers();
+  await clock.advance(5_000);
+  scenario.send(scenario.getCoordinator(), 150);
+  return scenario;
+};
+
+/** A coordinator grants up to the end of its votes, to a VM that spends late. */
+const playLateGrants: Play = async (clock, margins) => {
+  const scenario = new Scenario(clock, margins, 400, 100);
+  await clock.advance(READY_MILLISECONDS);
+  const { fleet } = scenario;
+  const earlier = scenario.getCoordinator();
+  const holder = scenario.getOthers(earlier)[0]!;
+  const rest = scenario.getOthers(earlier, holder);
+  scenario.isolate(earlier, rest);
+  const members = fleet.listMembers().filter((member) => member.vm !== earlier.identity.vm);
+  for (const vm of rest) {
+    vm.membership.set(members);
+  }
+  await scenario.load([holder], PAUSE_AFTER_CUT_MILLISECONDS, 2);
+  fleet.pause(holder);
+  await clock.advance(900);
+  const owners = new shards.ShardOwners(rest[0]!.membership);
+  const owner = owners.getOwner(shards.getShard(scenario.workspace.id));
+  scenario.send(fleet.vms.find((vm) => vm.identity.vm === owner)!, 150);
+  scenario.send(holder, 150);
+  fleet.resume(holder);
+  await clock.advance(500);
+  return scenario;
+};
+
+/** Two parts of the fleet each believe that the other is gone. */
+const playSplit: Play = async (clock, margins) => {
+  const scenario = new Scenario(clock, margins, 50, 50);
+  await clock.advance(READY_MILLISECONDS);
+  const { fleet } = scenario;
+  const left = fleet.vms.slice(0, 2);
+  const right = fleet.vms.slice(2);
+  for (const vm of left) {
+    scenario.isolate(vm, right);
+  }
+  for (const part of [left, right]) {
+    const names = new Set(part.map((vm) => vm.identity.vm));
+    for (const vm of part) {
+      vm.membership.set(fleet.listMembers().filter((member) => names.has(member.vm)));
+    }
+  }
+  await clock.advance(5_000);
+  await scenario.load(fleet.vms, 5_000, 2);
+  return scenario;
+};
+
+/** Three of five voters are replaced while the cut-off coordinator still holds their votes. */
+const playVotersReplaced: Play = async (clock, margins) => {
+  const scenario = new Scenario(clock, margins, 100, 20);
+  await clock.advance(READY_MILLISECONDS);
+  const { fleet } = scenario;
+  const earlier = scenario.getCoordinator();
+  scenario.isolate(earlier, fleet.vms);
+  for (const vm of scenario.getOthers(earlier).slice(0, 3)) {
+    fleet.kill(vm);
+    fleet.addVm();
+  }
+  const members = fleet.listMembers().filter((member) => member.vm !== earlier.identity.vm);
+  for (const vm of scenario.getOthers(earlier)) {
+    scenario.isolate(earlier, [vm]);
+    vm.membership.set(members);
+  }
+  await scenario.load(scenario.getOthers(), 2_000, 2);
+  return scenario;
+};
+
+/** A note lowers the rate, and the coordinator never hears of it. */
+const playCoordinatorBehind: Play = async (clock, margins) => {
+  const scenario = new Scenario(clock, margins, 100, 20, { reservedShare: 0 });
+  await clock.advance(READY_MILLISECONDS);
+  const { fleet } = scenario;
+  const coordinator = scenario.getCoordinator();
+  const lowered = harness.createWorkspace("antwerp", 1, 1);
+  const snapshot = harness.createSnapshot(2, 5, [lowered]);
+  for (const vm of scenario.getOthers(coordinator)) {
+    vm.configuration.set(snapshot);
+  }
+  await clock.advance(limits.CONFIGURATION_GRACE_MILLISECONDS + 3_000);
+  const now = kernel.getMonotonicMilliseconds();
+  fleet.oracles.get(lowered.id)!.configure(lowered.rate, lowered.burst, now);
+  await scenario.load(fleet.vms, 2_000, 1);
+  return scenario;
+};
+
+/** A VM gives unused tokens back, and then the whole burst is asked for. */
+const playReturn: Play = async (clock, margins) => {
+  const scenario = new Scenario(clock, margins, 20, 100);
+  await clock.advance(READY_MILLISECONDS + 10_000);
+  const coordinator = scenario.getCoordinator();
+  const holder = scenario.getOthers(coordinator)[0]!;
+  await scenario.load([holder], 1_000, 1);
+  await clock.advance(700);
+  scenario.send(coordinator, 200);
+  scenario.send(holder, 200);
+  await clock.advance(500);
+  return scenario;
+};
+
+interface Row {
+  readonly name: string;
+  readonly play: Play;
+  readonly off: Partial<limits.SafetyMargins>;
+}
+
+const ROWS: readonly Row[] = [
+  { name: "drift", play: playFastClocks, off: { clockDrift: 0 } },
+  { name: "grant expiry", play: playWakeWithOldGrants, off: { grantExpiry: false } },
+  { name: "empty start", play: playCoordinatorLost, off: { emptyStart: false } },
+  { name: "accrual after expiry", play: playLateGrants, off: { accrualAfterExpiry: false } },
+  { name: "vote quorum", play: playSplit, off: { quorum: false } },
+  { name: "voting wait", play: playVotersReplaced, off: { votingWait: false } },
+  {
+    name: "configuration agreement",
+    play: playCoordinatorBehind,
+    off: { configurationAgreement: false },
+  },
+  { name: "deduction before sending", play: playReturn, off: { deductionBeforeSending: false } },
+];
+
+test.describe("safety margins", () => {
+  let clock: kernelTesting.TestClock;
+
+  test.beforeEach(() => {
+    clock = new kernelTesting.TestClock();
+  });
+  test.afterEach(() => {
+    clock.restore();
+  });
+
+  for (const { name, play, off } of ROWS) {
+    test.it(`${name}: keeps the promise`, async () => {
+      const scenario = await play(clock, limits.SAFETY_MARGINS);
+      assert.equal(scenario.fleet.violations, 0);
+      assert.ok(scenario.fleet.admissions > 0);
+      scenario.fleet.stop();
+    });
+
+    test.it(`${name}: the oracle finds its absence`, async () => {
+      const scenario = await play(clock, { ...limits.SAFETY_MARGINS, ...off });
+      assert.ok(scenario.fleet.violations > 0, "no admission was too many");
+      scenario.fleet.stop();
+    });
+  }
+});
