A plain configuration for the tests of other packages

Cause: the limits' test harness built a configuration from the inside of the configuration package, and broke when its tables changed.

--- a/packages/limits/src/coordinator.ts
+++ b/packages/limits/src/coordinator.ts
@@ -197,7 +197,9 @@
     const known = this.#shards.get(shards.getShard(id));
     const workspace = this.#configuration.getSnapshot()?.findWorkspace(id);
     known?.authority.advance(nowMilliseconds);
-    const lifetimeMilliseconds = known === undefined ? 0 : this.#getLifetime(known, nowMilliseconds);
+    const lifetimeMilliseconds = known === undefined
+      ? 0
+      : this.#getLifetime(known, nowMilliseconds);
     if (
       known === undefined || workspace === undefined || known.authority.share === 0 ||
       lifetimeMilliseconds < SHORTEST_GRANT_MILLISECONDS
--- a/packages/limits/test/fleet_harness.ts
+++ b/packages/limits/test/fleet_harness.ts
@@ -4,7 +4,8 @@
  */
 
 import * as asyncHooks from "node:async_hooks";
-import * as configuration from "@hemlockwalk/configuration";
+import type * as configuration from "@hemlockwalk/configuration";
+import * as configurationTesting from "@hemlockwalk/configuration/testing";
 import * as fleet from "@hemlockwalk/fleet";
 import * as fleetTesting from "@hemlockwalk/fleet/testing";
 import * as kernel from "@hemlockwalk/kernel";
@@ -113,16 +114,7 @@
   vmLimit: number,
   workspaces: readonly model.Workspace[],
 ): configuration.Snapshot {
-  const tables = configuration.createEmptyTables();
-  for (const workspace of workspaces) {
-    tables.workspaces.set(workspace.id, workspace);
-  }
-  return new configuration.TableSnapshot(
-    model.createNoteNumber(number),
-    model.createNoteDigest(`note ${number}`),
-    { vmLimit, keyPlacement: { header: "x-key" }, regions: {} },
-    tables,
-  );
+  return new configurationTesting.PlainSnapshot({ number, fleet: { vmLimit }, workspaces });
 }
 
 /** One VM of the test. */
