Detection counts what reaches a target, not only what it runs

Cause: a target that hangs or resets runs nothing, so both faults looked detected at once (0 ms). Emulated targets now record every request and every connection that they close.

--- a/packages/measure/src/emulator/commands.ts
+++ b/packages/measure/src/emulator/commands.ts
@@ -47,6 +47,12 @@
   readonly stride: number;
 }
 
+/** What all targets of a host saw. */
+export interface TargetRecords {
+  readonly runs: readonly types.RunRecord[];
+  readonly attempts: readonly types.AttemptRecord[];
+}
+
 /** A command and its answer. */
 export interface Commands {
   readonly startVms: {
@@ -78,7 +84,7 @@
     readonly answer: undefined;
   };
   readonly startClock: { readonly request: undefined; readonly answer: undefined };
-  readonly takeRuns: { readonly request: undefined; readonly answer: readonly types.RunRecord[] };
+  readonly takeRecords: { readonly request: undefined; readonly answer: TargetRecords };
   readonly startLoad: { readonly request: LoadPlan; readonly answer: undefined };
   readonly setListeners: {
     readonly request: { readonly listeners: readonly string[] };
--- a/packages/measure/src/emulator/emulated_target.ts
+++ b/packages/measure/src/emulator/emulated_target.ts
@@ -22,6 +22,14 @@
 
 const BODY_BYTES = 512;
 
+/** Learns what reaches the targets of a host. */
+export interface TargetObserver {
+  /** A request or a connection has reached a target. */
+  recordAttempt(target: string): void;
+  /** A target has begun to run the request with the given identifier. */
+  recordRun(target: string, id: number): void;
+}
+
 /** One target on loopback. */
 export class EmulatedTarget {
   readonly id: string;
@@ -29,7 +37,7 @@
   readonly #serviceTimeMilliseconds: number;
   readonly #delayMilliseconds: number;
   readonly #random: random.RandomStream;
-  readonly #onRun: (id: number, target: string) => void;
+  readonly #observer: TargetObserver;
   readonly #waiting: (() => void)[] = [];
   readonly #silentSockets = new WeakSet<net.Socket>();
   readonly #sockets = new Set<net.Socket>();
@@ -43,14 +51,14 @@
     service: types.ServicePlan,
     deployment: types.DeploymentPlan,
     randomStream: random.RandomStream,
-    onRun: (id: number, target: string) => void,
+    observer: TargetObserver,
   ) {
     this.id = id;
     this.#slots = service.slots;
     this.#serviceTimeMilliseconds = deployment.serviceTimeMilliseconds;
     this.#delayMilliseconds = deployment.dataCentreDelayMilliseconds;
     this.#random = randomStream;
-    this.#onRun = onRun;
+    this.#observer = observer;
     this.#server.keepAliveTimeout = 60_000;
     this.#server.on("connection", (socket: net.Socket) => this.#accept(socket));
   }
@@ -81,6 +89,7 @@
 
   #accept(socket: net.Socket): void {
     if (this.#fault?.kind === "reset") {
+      this.#observer.recordAttempt(this.id);
       socket.destroy();
       return;
     }
@@ -90,6 +99,7 @@
 
   #answer(request: http.IncomingMessage, response: http.ServerResponse): void {
     request.resume();
+    this.#observer.recordAttempt(this.id);
     if (this.#fault?.kind === "hang" || this.#silentSockets.has(request.socket)) {
       return;
     }
@@ -108,7 +118,7 @@
   #run(request: http.IncomingMessage, response: http.ServerResponse): void {
     const id = Number(request.headers[REQUEST_ID_HEADER]);
     this.#running++;
-    this.#onRun(id, this.id);
+    this.#observer.recordRun(this.id, id);
     const slow = this.#fault?.kind === "slow" ? this.#fault.factor : 1;
     const serviceTime = slow *
       this.#random.nextLogNormal(this.#serviceTimeMilliseconds, SERVICE_TIME_SIGMA);
--- a/packages/measure/src/emulator/target_host_main.ts
+++ b/packages/measure/src/emulator/target_host_main.ts
@@ -11,11 +11,17 @@
 
 const targets = new Map<string, emulatedTarget.EmulatedTarget>();
 let runs: types.RunRecord[] = [];
+let attempts: types.AttemptRecord[] = [];
 let clockStart = performance.now();
 
-function recordRun(id: number, target: string): void {
-  runs.push({ id, target, startMilliseconds: performance.now() - clockStart });
-}
+const observer: emulatedTarget.TargetObserver = {
+  recordAttempt(target) {
+    attempts.push({ target, startMilliseconds: performance.now() - clockStart });
+  },
+  recordRun(target, id) {
+    runs.push({ id, target, startMilliseconds: performance.now() - clockStart });
+  },
+};
 
 async function startTargets(
   request: commands.Commands["startTargets"]["request"],
@@ -31,7 +37,7 @@
         service,
         request.deployment,
         new random.RandomStream(seed),
-        recordRun,
+        observer,
       );
       await target.start();
       targets.set(id, target);
@@ -50,8 +56,9 @@
   startClock() {
     clockStart = performance.now();
     runs = [];
+    attempts = [];
     return undefined;
   },
-  takeRuns: () => runs,
+  takeRecords: () => ({ runs, attempts }),
   reportProcess: worker.getProcessReport,
 });
--- a/packages/measure/src/experiment/analysis.ts
+++ b/packages/measure/src/experiment/analysis.ts
@@ -156,9 +156,9 @@
     return [];
   }
   const target = deployments.getTargetId(service, event.target + 1);
-  const runs = data.runs.filter((run) => run.target.startsWith(`${service.id}-`));
+  const attempts = data.attempts.filter((attempt) => attempt.target.startsWith(`${service.id}-`));
   const milliseconds = detection.getDetectionMilliseconds(
-    runs,
+    attempts,
     target,
     service.targets,
     event.fromSeconds * 1_000,
--- a/packages/measure/src/experiment/detection.ts
+++ b/packages/measure/src/experiment/detection.ts
@@ -1,6 +1,6 @@
 /**
- * How long a failing target went on receiving requests, seen from outside: from the runs that the
- * targets counted.
+ * How long a failing target went on receiving requests, seen from outside: from the requests and
+ * connections that reached the targets.
  */
 
 import type * as types from "../types.ts";
@@ -15,11 +15,10 @@
  * Milliseconds from the start of a fault until the target was avoided for a whole window; undefined
  * when it never was.
  *
- * @param runs Runs of the service's targets. A fault that keeps requests from running at all cannot
- *   be seen this way.
+ * @param attempts What reached the targets of the service.
  */
 export function getDetectionMilliseconds(
-  runs: readonly types.RunRecord[],
+  attempts: readonly types.AttemptRecord[],
   target: string,
   targetCount: number,
   fromMilliseconds: number,
@@ -31,10 +30,10 @@
     start += STEP_MILLISECONDS
   ) {
     const end = start + WINDOW_MILLISECONDS;
-    const inWindow = runs.filter((run) =>
-      run.startMilliseconds >= start && run.startMilliseconds < end
+    const inWindow = attempts.filter((attempt) =>
+      attempt.startMilliseconds >= start && attempt.startMilliseconds < end
     );
-    const own = inWindow.filter((run) => run.target === target).length;
+    const own = inWindow.filter((attempt) => attempt.target === target).length;
     if (own < inWindow.length / targetCount * AVOIDED_SHARE) {
       return start - fromMilliseconds;
     }
--- a/packages/measure/src/experiment/experiment.ts
+++ b/packages/measure/src/experiment/experiment.ts
@@ -27,6 +27,7 @@
   /** Requests that started after the warm-up; times count from its end. */
   readonly records: readonly types.RequestRecord[];
   readonly runs: readonly types.RunRecord[];
+  readonly attempts: readonly types.AttemptRecord[];
   /** Processor time of all VM processes, from the end of the warm-up to the end of the load. */
   readonly vmCpuMilliseconds: number;
   readonly vmResidentBytes: number;
@@ -99,14 +100,15 @@
     const vmCpuMilliseconds = await this.#fleet.getCpuMilliseconds() - cpuBefore;
     const records = await this.#stopLoad();
     await wait(COOL_DOWN_MILLISECONDS);
-    const runs = await this.#targetHost.call("takeRuns", undefined);
+    const seen = await this.#targetHost.call("takeRecords", undefined);
     return {
       deployment: this.#deployment,
       scenario: this.#scenario,
       seed: this.#seed,
       variant: this.#variant,
       records: shiftTimes(records, warmUp).filter((record) => record.startMilliseconds >= 0),
-      runs: shiftTimes(runs, warmUp),
+      runs: shiftTimes(seen.runs, warmUp),
+      attempts: shiftTimes(seen.attempts, warmUp),
       vmCpuMilliseconds,
       vmResidentBytes: await this.#fleet.getResidentBytes(),
       vmReports: await this.#fleet.report(),
--- a/packages/measure/src/types.ts
+++ b/packages/measure/src/types.ts
@@ -79,7 +79,14 @@
   readonly mixed: boolean;
 }
 
-/** What an emulated target saw of a request. */
+/** A request, or a connection that was closed at once, that reached an emulated target. */
+export interface AttemptRecord {
+  readonly target: string;
+  /** Milliseconds after the start of the load. */
+  readonly startMilliseconds: number;
+}
+
+/** What an emulated target saw of a request that it ran. */
 export interface RunRecord {
   /** Identifier of the request. */
   readonly id: number;
--- a/packages/measure/test/analysis_test.ts
+++ b/packages/measure/test/analysis_test.ts
@@ -60,23 +60,32 @@
 });
 
 test.describe("detection", () => {
-  function createRuns(avoidedAfter: number): types.RunRecord[] {
-    const runs: types.RunRecord[] = [];
+  function createAttempts(avoidedAfter: number): types.AttemptRecord[] {
+    const attempts: types.AttemptRecord[] = [];
     for (let time = 0; time < 10_000; time += 10) {
       const target = time / 10 % 2 === 0 && time < avoidedAfter ? "desk-1" : "desk-2";
-      runs.push({ id: time, target, startMilliseconds: time });
+      attempts.push({ target, startMilliseconds: time });
     }
-    return runs;
+    return attempts;
   }
 
   test.it("is the time until the target gets nearly nothing", () => {
-    const found = detection.getDetectionMilliseconds(createRuns(3_000), "desk-1", 2, 1_000, 9_000);
+    const found = detection.getDetectionMilliseconds(
+      createAttempts(3_000),
+      "desk-1",
+      2,
+      1_000,
+      9_000,
+    );
     assert.ok(found !== undefined && found >= 1_500 && found <= 2_000, String(found));
   });
 
   test.it("is undefined for a target that is never avoided", () => {
-    const runs = createRuns(Number.POSITIVE_INFINITY);
-    assert.equal(detection.getDetectionMilliseconds(runs, "desk-1", 2, 1_000, 9_000), undefined);
+    const attempts = createAttempts(Number.POSITIVE_INFINITY);
+    assert.equal(
+      detection.getDetectionMilliseconds(attempts, "desk-1", 2, 1_000, 9_000),
+      undefined,
+    );
   });
 });
 
