Answers: whole or visibly cut, whatever the target does

Cause: the property over random framings found an answer that was cut and ended cleanly. Its end was that of the connection, and both the HTTP client and the runtime below it report a reset that comes together with the last bytes as an orderly end. A process that dies closes its connections in an orderly way as well, so no check could have told. Ruled out: listening for the error on the connection (the runtime reports none when data and reset come together), and passing such answers on with a reset at their end (callers get every byte and an error). An answer without length or chunks is now refused as answer_unframed, run unknown.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -26,6 +26,8 @@
   | "not_run_signal"
   /** The target answered with an error that was not passed on, since another attempt may follow. */
   | "server_error"
+  /** The answer would end with its connection, so that a cut one could not be told. */
+  | "unframed"
   /** No connection could be opened, or it was found closed before the first byte. */
   | "connect_failed"
   /** The connection ended before an answer began. */
@@ -42,7 +44,7 @@
   | "body_failed";
 
 /** What is to be done with an answer, decided by its head. */
-export type HeadDecision = "pass" | "not_run_signal" | "server_error";
+export type HeadDecision = "pass" | "not_run_signal" | "server_error" | "unframed";
 
 /** What became of one attempt. */
 export interface AttemptResult {
@@ -138,6 +140,8 @@
     this.#decision = this.#request.decide(status, rawHeaders);
     if (this.#decision === "pass") {
       this.#request.answer.begin(status, statusText, rawHeaders, resume);
+    } else if (this.#decision === "unframed") {
+      this.#abort?.();
     }
     return true;
   }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -176,6 +176,9 @@
     rawHeaders: readonly Buffer[],
   ): exchanges.HeadDecision {
     const { accepted } = run.ready;
+    if (!headers.isAnswerFramed(accepted.head.method, status, rawHeaders)) {
+      return "unframed";
+    }
     const signal = accepted.service.notRunSignal;
     if (
       signal !== undefined && status === signal.status &&
@@ -216,6 +219,8 @@
         return this.#finishFailed(run, result, createBodyRefusal(run, result.error));
       case "truncated":
         return this.#finishFailed(run, result, run.createRefusal(refusals.Refusals.targetReset));
+      case "unframed":
+        return run.finish(run.createRefusal(refusals.Refusals.answerUnframed));
       case "not_run_signal":
         return this.#retryOrFinish(run, result.end, true, refusals.Refusals.targetShed);
       case "invalid":
@@ -355,6 +360,8 @@
       return reused ? "cancelled" : "reset";
     case "attempt_timeout":
       return "timeout";
+    case "unframed":
+      return "server_error";
     case "ended":
       return isTargetToBlame(ready, result) ? "timeout" : "cancelled";
     case "body_failed":
--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -143,13 +143,29 @@
   return kept;
 }
 
+/**
+ * Whether an answer says where it ends. One that only ends with its connection can't be told from one
+ * that was cut, since a process that dies closes its connections as well.
+ */
+export function isAnswerFramed(
+  method: string,
+  status: number,
+  rawHeaders: readonly Buffer[],
+): boolean {
+  return method === "HEAD" || status === 204 || status === 304 ||
+    findAnswerHeader(rawHeaders, "content-length") !== undefined ||
+    findAnswerHeader(rawHeaders, "transfer-encoding") !== undefined;
+}
+
 /** Finds a header's value in an answer's raw headers. */
 export function findAnswerHeader(
   rawHeaders: readonly Buffer[],
   wanted: string,
 ): string | undefined {
   for (let index = 0; index < rawHeaders.length; index += 2) {
-    if (rawHeaders[index]?.toString("latin1").toLowerCase() === wanted) {
+    const name = rawHeaders[index];
+    // Most names already differ in length, which spares the conversion.
+    if (name?.length === wanted.length && name.toString("latin1").toLowerCase() === wanted) {
       return rawHeaders[index + 1]?.toString("latin1");
     }
   }
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -62,6 +62,11 @@
   connectFailed: createRow("connect_failed", 502, "No connection to a target could be opened."),
   targetShed: createRow("target_shed", 503, "The target said that it did not run the request."),
   targetReset: createRow("target_reset", 502, "The target ended the connection without an answer."),
+  answerUnframed: createRow(
+    "answer_unframed",
+    502,
+    "The target's answer has neither a length nor chunks, so a cut one could not be told.",
+  ),
   deadlineExceeded: createRow("deadline_exceeded", 504, "The answer did not come in time."),
   idempotencyKeyInvalid: createRow(
     "idempotency_key_invalid",
--- /dev/null
+++ b/packages/gateway/test/answers_test.ts
@@ -0,0 +1,292 @@
+/**
+ * Each caller gets its own complete answer, and a cut answer never ends cleanly.
+ */
+
+import assert from "node:assert/strict";
+import type * as net from "node:net";
+import * as test from "node:test";
+import * as fc from "fast-check";
+import * as harness from "./harness.ts";
+
+const SEED = 20_260_302;
+
+type Framing = "length" | "chunked";
+
+/** What a target does with one request. */
+interface Script {
+  readonly framing: Framing;
+  readonly size: number;
+  /** Lengths of the pieces in which the answer is written, in turn. */
+  readonly pieces: readonly number[];
+  /** Turns of the event loop before the first piece. */
+  readonly delay: number;
+  /** Share of the answer after which the connection breaks; undefined for a complete answer. */
+  readonly cutAfter: number | undefined;
+}
+
+/** Letters that stand in no chunk's length, one for each answer. */
+const MARKS = "GHIJKLMN";
+
+function createBody(index: number, size: number): string {
+  return MARKS.charAt(index).repeat(size);
+}
+
+function createAnswer(index: number, script: Script): string {
+  const body = createBody(index, script.size);
+  const head = `HTTP/1.1 200 OK\r\nx-index: ${index}\r\n`;
+  switch (script.framing) {
+    case "length":
+      return `${head}content-length: ${body.length}\r\n\r\n${body}`;
+    case "chunked": {
+      const half = Math.ceil(body.length / 2);
+      const chunks = [body.slice(0, half), body.slice(half)].filter((chunk) => chunk !== "");
+      const text = chunks.map((chunk) => `${chunk.length.toString(16)}\r\n${chunk}\r\n`).join("");
+      return `${head}transfer-encoding: chunked\r\n\r\n${text}0\r\n\r\n`;
+    }
+    default:
+      throw new Error("unreachable");
+  }
+}
+
+async function turn(times: number): Promise<void> {
+  for (let count = 0; count < times; count++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+async function play(socket: net.Socket, index: number, script: Script): Promise<void> {
+  const whole = createAnswer(index, script);
+  const end = script.cutAfter === undefined
+    ? whole.length
+    // At least the last byte stays away.
+    : Math.min(whole.length - 1, Math.floor(whole.length * script.cutAfter));
+  await turn(script.delay);
+  let from = 0;
+  for (let piece = 0; from < end; piece++) {
+    const length = script.pieces[piece % script.pieces.length] ?? 1;
+    socket.write(whole.slice(from, Math.min(end, from + length)));
+    from += length;
+    await turn(1);
+  }
+  if (script.cutAfter !== undefined) {
+    // The orderly end of a process that dies and the reset of a broken path, in turn.
+    if (index % 2 === 0) {
+      socket.end();
+    } else {
+      socket.resetAndDestroy();
+    }
+  }
+}
+
+/** A target that reads bare requests whose path ends in the number of their script. */
+function startScriptedTarget(getScript: (index: number) => Script): Promise<harness.TestServer> {
+  return harness.startRawTarget((socket) => {
+    let text = "";
+    socket.on("data", (chunk) => {
+      text += chunk.toString("latin1");
+      const match = /^GET \/fines\/(\d+) .*?\r\n\r\n/s.exec(text);
+      if (match !== null) {
+        text = text.slice(match[0].length);
+        const index = Number(match[1]);
+        void play(socket, index, getScript(index));
+      }
+    });
+  });
+}
+
+const script: fc.Arbitrary<Script> = fc.record({
+  framing: fc.constantFrom<Framing>("length", "chunked"),
+  size: fc.oneof(fc.integer({ min: 3, max: 60 }), fc.integer({ min: 3, max: 20_000 })),
+  pieces: fc.array(fc.oneof(fc.integer({ min: 40, max: 90 }), fc.constant(8_192)), {
+    minLength: 1,
+    maxLength: 3,
+  }),
+  delay: fc.integer({ min: 0, max: 5 }),
+  cutAfter: fc.option(fc.double({ min: 0.5, max: 1, noNaN: true }), { nil: undefined, freq: 3 }),
+});
+
+function checkComplete(scripts: readonly Script[], index: number, body: string): void {
+  const expected = scripts[index];
+  assert.ok(expected !== undefined && expected.cutAfter === undefined, "A cut answer ended.");
+  assert.equal(body, createBody(index, expected.size));
+}
+
+test.describe("answers", () => {
+  test.it("never mix, and never end cleanly when cut, on parallel callers", async (context) => {
+    let scripts: readonly Script[] = [];
+    const target = await startScriptedTarget((index) => scripts[index] as Script);
+    // Not retried, so that each cut is seen.
+    const vm = await harness.startVm({
+      targets: [target.address],
+      route: { idempotentMethods: [] },
+    });
+    context.after(async () => {
+      await vm.services.stop();
+      await target.stop();
+    });
+    let complete = 0;
+    let cut = 0;
+    await fc.assert(
+      fc.asyncProperty(fc.array(script, { minLength: 1, maxLength: 8 }), async (drawn) => {
+        scripts = drawn;
+        const results = await Promise.allSettled(
+          drawn.map((_, index) => harness.call(vm.port, { path: `/fines/${index}` })),
+        );
+        results.forEach((result, index) => {
+          if (result.status === "rejected") {
+            cut++;
+            assert.notEqual(scripts[index]?.cutAfter, undefined, String(result.reason));
+          } else if (result.value.status === 502) {
+            // The cut came before the whole head.
+            assert.notEqual(scripts[index]?.cutAfter, undefined);
+          } else {
+            complete++;
+            checkComplete(scripts, index, result.value.body);
+          }
+        });
+      }),
+      { seed: SEED, numRuns: 150 },
+    );
+    assert.ok(complete > 100 && cut > 50, `${complete} complete, ${cut} cut`);
+  });
+
+  test.it("come in order and unmixed to a caller that sends all at once", async (context) => {
+    let scripts: readonly Script[] = [];
+    const target = await startScriptedTarget((index) => scripts[index] as Script);
+    const vm = await harness.startVm({
+      targets: [target.address],
+      route: { idempotentMethods: [] },
+    });
+    context.after(async () => {
+      await vm.services.stop();
+      await target.stop();
+    });
+    const whole = script.map((drawn) => ({ ...drawn, cutAfter: undefined }));
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(whole, { minLength: 1, maxLength: 6 }),
+        fc.integer({ min: 1, max: 200 }),
+        async (drawn, pieceLength) => {
+          scripts = drawn;
+          const requests = drawn.map((_, index) =>
+            `GET /fines/${index} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n` +
+            `${index === drawn.length - 1 ? "Connection: close\r\n" : ""}\r\n`
+          ).join("");
+          const pieces = requests.match(new RegExp(`[^]{1,${pieceLength}}`, "g")) ?? [];
+          const { text } = await harness.sendRaw(vm.port, pieces);
+          const parts = text.split(/(?=HTTP\/1\.1 200 OK\r\n)/);
+          assert.equal(parts.length, drawn.length, text);
+          parts.forEach((part, index) => {
+            assert.match(part, new RegExp(`x-index: ${index}\r\n`));
+            const marks = part.slice(part.indexOf("\r\n\r\n")).replace(/[^G-N]/g, "");
+            assert.equal(marks, createBody(index, drawn[index]?.size ?? 0));
+          });
+        },
+      ),
+      { seed: SEED, numRuns: 100 },
+    );
+  });
+
+  test.it("that are cut reset a caller that reads until the close", async (context) => {
+    const target = await harness.startRawTarget((socket) => {
+      socket.once("data", () => {
+        socket.end("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+      });
+    });
+    const vm = await harness.startVm({ targets: [target.address] });
+    context.after(async () => {
+      await vm.services.stop();
+      await target.stop();
+    });
+    const answer = await harness.sendRaw(vm.port, [
+      `GET /fines HTTP/1.0\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`,
+    ]);
+    assert.equal(answer.reset, true);
+    assert.equal(await vm.getCount("hemlockwalk_cut_answers_total", { reason: "truncated" }), 1);
+  });
+
+  test.it("that end only with their connection are refused", async (context) => {
+    const target = await harness.startRawTarget((socket) => {
+      socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\n\r\nperhaps half"));
+    });
+    const vm = await harness.startVm({ targets: [target.address] });
+    context.after(async () => {
+      await vm.services.stop();
+      await target.stop();
+    });
+    const answer = await harness.call(vm.port);
+    assert.equal(harness.getReason(answer), "answer_unframed");
+    assert.equal(answer.headers["hemlockwalk-run"], "unknown");
+  });
+
+  test.it("keep HEAD, 204, 304, early hints and trailers as they are", async (context) => {
+    const target = await harness.startTarget((request, response) => {
+      if (request.method === "HEAD") {
+        response.writeHead(200, { "content-length": "12" }).end();
+      } else if (request.url === "/fines/trailers") {
+        response.writeEarlyHints({ link: "</a>; rel=preload" });
+        response.writeHead(200, { trailer: "digest", "hemlockwalk-run": "no" });
+        response.write("body");
+        response.addTrailers({ "digest": "abc", "hemlockwalk-run": "no" });
+        response.end();
+      } else {
+        response.writeHead(Number(request.url?.slice(7)), { etag: '"1"' }).end();
+      }
+    });
+    const vm = await harness.startVm({ targets: [target.address] });
+    context.after(async () => {
+      await vm.services.stop();
+      await target.stop();
+    });
+    const head = await harness.call(vm.port, { method: "HEAD" });
+    assert.deepEqual([head.status, head.headers["content-length"], head.body], [200, "12", ""]);
+    for (const status of [204, 304]) {
+      const answer = await harness.call(vm.port, { path: `/fines/${status}` });
+      assert.deepEqual([answer.status, answer.headers.etag, answer.body], [status, '"1"', ""]);
+    }
+    const trailed = await harness.call(vm.port, { path: "/fines/trailers" });
+    assert.deepEqual([trailed.body, { ...trailed.trailers }], ["body", { digest: "abc" }]);
+  });
+
+  test.it("stream both ways under back-pressure, and the caller's cancel arrives", async (context) => {
+    let received = 0;
+    let cancelled = false;
+    const sockets: net.Socket[] = [];
+    const target = await harness.startTarget((request, response) => {
+      response.on("close", () => {
+        cancelled = !response.writableFinished;
+      });
+      sockets.push(request.socket);
+      request.on("data", (chunk: Buffer) => {
+        received += chunk.length;
+      });
+      request.on("end", () => {
+        const write = () => {
+          while (!response.destroyed && response.write(Buffer.alloc(65_536))) {
+            // Until the connection takes no more.
+          }
+        };
+        response.on("drain", write);
+        write();
+      });
+    });
+    const vm = await harness.startVm({ targets: [target.address] });
+    context.after(async () => {
+      await vm.services.stop();
+      await target.stop();
+    });
+    const size = 2_000_000;
+    const answer = harness.sendRaw(
+      vm.port,
+      [
+        `POST /fines HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n` +
+        `Expect: 100-continue\r\nContent-Length: ${size}\r\n\r\n`,
+        Buffer.alloc(size),
+      ],
+      (text) => text.length > 3_000_000,
+    );
+    assert.match((await answer).text, /^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 OK\r\n/);
+    assert.equal(received, size);
+    await harness.waitFor(() => cancelled);
+  });
+});
