model: incarnations in the order of their starts

Cause: the membership must tell which of two processes under one identifier is the later one, and random identifiers have no order. Now an incarnation begins with its starting time in base 36 and ends with 64 random bits; comparing two as text tells the later start. Nothing that must always hold rests on the order.

--- a/packages/model/src/ids.ts
+++ b/packages/model/src/ids.ts
@@ -9,9 +9,19 @@
   return value as types.VmId;
 }
 
-/** A new random incarnation, for the start of a process. */
+/** Digits of the starting time in an incarnation, in base 36. */
+const INCARNATION_TIME_DIGITS = 9;
+
+const INCARNATION_RANDOM_BYTES = 8;
+
+/**
+ * A new incarnation, for the start of a process. Of two incarnations of a VM, the one that compares
+ * greater as text started later on the wall clock.
+ */
 export function createIncarnation(): types.Incarnation {
-  return crypto.randomUUID() as types.Incarnation;
+  const time = Date.now().toString(36).padStart(INCARNATION_TIME_DIGITS, "0");
+  const random = crypto.randomBytes(INCARNATION_RANDOM_BYTES).toString("hex");
+  return `${time}-${random}` as types.Incarnation;
 }
 
 export function createDataCentreId(value: string): types.DataCentreId {
