fleet: membership by heartbeats with a bounded number of neighbours

Each VM sends heartbeats to two successors on a ring over all VMs, two VMs further along its own data centre's ring and two in other data centres; changes travel with them, digests of 64 groups repair what was lost. A VM is suspected only after a third VM that answered could not reach it either; an own pause or isolation voids the finding. The platform's list adds VMs to try and confirms doubts, and alone removes nobody that is heard. findOwner picks an owner without allocation or sorting. Ruled out: SWIM with random partners (a new connection for almost every probe), heartbeats of all to all (square), the list alone (lags, may be away).

--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -3,7 +3,9 @@
  */
 
 export type * from "./errors.ts";
+export * from "./gossip_membership.ts";
 export * from "./membership.ts";
+export * from "./membership_counters.ts";
 export * from "./peer_counters.ts";
 export * from "./peer_messaging.ts";
 export * from "./peer_secrets.ts";
