VMs linked: WebSocket peer network, gossip membership and escrow limits in the daemon

Cause: the parts existed but no VM used them. The daemon registers them where settings name peers; without peers it stays with one VM and static shares. Parts that measurements replace are factories.

--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -12,30 +12,49 @@
 import type bunyan from "bunyan";
 import * as administration from "./administration.ts";
 
+/** The parts that measurements replace by baselines or by parts that can be disturbed. */
+export interface VirtualMachineParts {
+  createPeerNetwork(
+    self: fleet.VmIdentity,
+    options: fleet.PeerNetworkOptions,
+  ): fleet.WebSocketPeerNetwork;
+  createRateLimiter(services: kernel.Kernel, logger: kernel.PartLogger): limits.RateLimiter;
+  createFairQueue(services: kernel.Kernel): limits.FairQueue;
+  createTargetPool(services: kernel.Kernel): targets.TargetPool;
+}
+
+const STANDARD_PARTS: VirtualMachineParts = {
+  createPeerNetwork: (self, options) => new fleet.WebSocketPeerNetwork(self, options),
+  createRateLimiter,
+  createFairQueue: () => new limits.ArrivalOrderQueue(),
+  createTargetPool: (services) =>
+    new targets.RoundRobinPool(services.get(configuration.CONFIGURATION)),
+};
+
 /** Creates the kernel of a VM with all its services, ready to start. */
-export function createVirtualMachine(settings: model.Settings, logger: bunyan): kernel.Kernel {
+export function createVirtualMachine(
+  settings: model.Settings,
+  logger: bunyan,
+  replacedParts: Partial<VirtualMachineParts> = {},
+): kernel.Kernel {
+  const parts = { ...STANDARD_PARTS, ...replacedParts };
+  const createLogger = (part: string) => new kernel.PartLogger(logger, part);
   const services = new kernel.Kernel();
   services.register(kernel.METRICS, new kernel.Metrics());
   services.register(kernel.PAUSE_DETECTOR, new kernel.PauseDetector());
-  registerFleet(services, settings);
-  const platform = new configuration.PlatformClient(settings.platform.addresses);
-  const configurationService = configuration.registerConfiguration(
+  const network = registerPeerNetwork(services, settings, parts, createLogger("peers"));
+  configuration.registerConfiguration(
     services,
-    platform,
-    new kernel.PartLogger(logger, "configuration"),
-  );
-  services.register<limits.RateLimiter>(
-    limits.RATE_LIMITER,
-    new limits.StaticShareLimiter(configurationService),
-  );
-  services.register<limits.FairQueue>(limits.FAIR_QUEUE, new limits.ArrivalOrderQueue());
-  services.register<targets.TargetPool>(
-    targets.TARGET_POOL,
-    new targets.RoundRobinPool(configurationService),
+    new configuration.PlatformClient(settings.platform.addresses),
+    createLogger("configuration"),
   );
+  registerMembership(services, settings, network, createLogger("membership"));
+  services.register(limits.RATE_LIMITER, parts.createRateLimiter(services, createLogger("limits")));
+  services.register(limits.FAIR_QUEUE, parts.createFairQueue(services));
+  services.register(targets.TARGET_POOL, parts.createTargetPool(services));
   services.register(
     gateway.GATEWAY,
-    new gateway.Gateway(services, settings.listener, new kernel.PartLogger(logger, "gateway")),
+    new gateway.Gateway(services, settings.listener, createLogger("gateway")),
   );
   services.register(
     administration.ADMINISTRATION,
@@ -44,15 +63,72 @@
   return services;
 }
 
-function registerFleet(services: kernel.Kernel, settings: model.Settings): void {
-  const self: fleet.VmIdentity = {
+/** Registers the links to other VMs; undefined when the settings name none. */
+function registerPeerNetwork(
+  services: kernel.Kernel,
+  settings: model.Settings,
+  parts: VirtualMachineParts,
+  logger: kernel.PartLogger,
+): fleet.WebSocketPeerNetwork | undefined {
+  if (settings.peers === undefined) {
+    return undefined;
+  }
+  const network = parts.createPeerNetwork(createIdentity(settings), {
+    address: settings.peers.address,
+    secrets: new fleet.FilePeerSecrets(settings.peers.secretFile),
+    counters: new fleet.PeerCounters(services.get(kernel.METRICS)),
+    logger,
+  });
+  services.register<fleet.PeerNetwork>(fleet.PEER_NETWORK, network);
+  return network;
+}
+
+function registerMembership(
+  services: kernel.Kernel,
+  settings: model.Settings,
+  network: fleet.WebSocketPeerNetwork | undefined,
+  logger: kernel.PartLogger,
+): void {
+  if (network === undefined || settings.peers === undefined) {
+    const sole = new fleet.SoleMembership(createIdentity(settings), settings.listener.address);
+    services.register<fleet.Membership>(fleet.MEMBERSHIP, sole);
+    return;
+  }
+  const membership = new fleet.GossipMembership({
+    network,
+    address: settings.peers.address,
+    seeds: settings.peers.seeds.map((seed) => ({ ...seed, state: "live" as const })),
+    list: services.get(configuration.VM_LIST_SOURCE),
+    pauses: services.get(kernel.PAUSE_DETECTOR),
+    counters: new fleet.MembershipCounters(services.get(kernel.METRICS)),
+    logger,
+  });
+  network.useDirectory(membership);
+  services.register<fleet.Membership>(fleet.MEMBERSHIP, membership);
+}
+
+function createRateLimiter(
+  services: kernel.Kernel,
+  logger: kernel.PartLogger,
+): limits.RateLimiter {
+  const network = services.find(fleet.PEER_NETWORK);
+  const configurationService = services.get(configuration.CONFIGURATION);
+  if (network === undefined) {
+    return new limits.StaticShareLimiter(configurationService);
+  }
+  return new limits.EscrowLimiter({
+    configuration: configurationService,
+    network,
+    membership: services.get(fleet.MEMBERSHIP),
+    metrics: services.get(kernel.METRICS),
+    logger,
+  });
+}
+
+function createIdentity(settings: model.Settings): fleet.VmIdentity {
+  return {
     vm: settings.vm,
     incarnation: model.createIncarnation(),
     dataCentre: settings.dataCentre,
   };
-  const address = settings.peers?.address ?? settings.listener.address;
-  services.register<fleet.Membership>(
-    fleet.MEMBERSHIP,
-    new fleet.SoleMembership(self, address),
-  );
 }
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -6,6 +6,8 @@
  * the clock of the runtime itself, so no clock is passed around.
  */
 
+import * as events from "node:events";
+
 /** Milliseconds on the monotonic clock of the process. Only differences have a meaning. */
 export function getMonotonicMilliseconds(): number {
   return performance.now();
@@ -22,6 +24,10 @@
   if (signal?.aborted) {
     return Promise.resolve(false);
   }
+  if (signal !== undefined) {
+    // Many tasks of one service wait on the service's signal; that is no leak.
+    events.EventEmitter.setMaxListeners(0, signal);
+  }
   return new Promise((resolve) => {
     const timer = setTimeout(() => {
       signal?.removeEventListener("abort", onAbort);
--- a/packages/measure/src/demo/demo_fleet.ts
+++ b/packages/measure/src/demo/demo_fleet.ts
@@ -105,7 +105,7 @@
       dataCentre: "north-1",
       state: "live",
     }));
-    this.platform.publish("vms", JSON.stringify(listed));
+    this.platform.publish("vms", JSON.stringify({ vms: listed }));
     for (const place of vms) {
       const settings = {
         vm: place.vm,
--- a/packages/measure/src/experiment/vm_fleet.ts
+++ b/packages/measure/src/experiment/vm_fleet.ts
@@ -210,7 +210,7 @@
       dataCentre,
       state: "live",
     }));
-    this.platform.publish("vms", JSON.stringify(list));
+    this.platform.publish("vms", JSON.stringify({ vms: list }));
   }
 
   #listVms(): commands.VmPlan[] {
