--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -9,13 +9,19 @@
 /** Largest answer that is kept for a caller's repeat. */
 const MAXIMUM_KEPT_BYTES = 64 * 1_024;
 
+/** An answer up to this size that comes in one piece is sent together with its head. */
+const MAXIMUM_JOINED_BYTES = 16 * 1_024;
+
 /** Streams one answer to the caller and, on request, keeps a copy. */
 export class CallerAnswer {
   readonly #response: http.ServerResponse;
   readonly #isClosing: () => boolean;
   #recorder: AnswerRecorder | undefined;
   #hasTrailers = false;
+  #resume: () => void = () => {};
   #wroteBody = false;
+  /** Bytes that the answer's head announces; undefined when it comes in chunks. */
+  #announcedBytes: number | undefined;
 
   /**
    * @param response Where the answer goes.
@@ -50,12 +56,14 @@
     const kept = headers.createAnswerHeaders(rawHeaders);
     this.#recorder?.begin(status, kept);
     this.#hasTrailers = kept.includes("trailer");
+    const lengthIndex = kept.indexOf("content-length");
+    this.#announcedBytes = lengthIndex === -1 ? undefined : Number(kept[lengthIndex + 1]);
     const response = this.#response;
     if (this.#isClosing() || !response.shouldKeepAlive) {
       kept.push("connection", "close");
     }
     response.writeHead(status, statusText, kept);
-    response.on("drain", resume);
+    this.#resume = resume;
     // A short answer goes out together with its head; a head whose body is late goes out alone.
     process.nextTick(() => {
       if (!this.#wroteBody) {
@@ -66,15 +74,28 @@
 
   /** Sends a part of the body; false when the caller takes no more for now. */
   write(chunk: Buffer): boolean {
+    const isFirst = !this.#wroteBody;
     this.#wroteBody = true;
     this.#recorder?.write(chunk);
-    return this.#response.write(chunk);
+    if (isFirst && chunk.length === this.#announcedBytes && chunk.length <= MAXIMUM_JOINED_BYTES) {
+      // Head and body leave in one write of a string, which costs half of a write of two buffers.
+      this.#response.end(chunk.toString("latin1"), "latin1");
+      return true;
+    }
+    const takesMore = this.#response.write(chunk);
+    if (!takesMore) {
+      this.#response.once("drain", this.#resume);
+    }
+    return takesMore;
   }
 
   /** Ends the answer, which is complete. */
   finish(rawTrailers: readonly (string | Buffer)[]): void {
     this.#wroteBody = true;
     this.#recorder?.finish();
+    if (this.#response.writableEnded) {
+      return;
+    }
     if (this.#hasTrailers && rawTrailers.length > 0) {
       const trailers = headers.createAnswerTrailers(rawTrailers);
       this.#response.addTrailers(trailers as unknown as http.OutgoingHttpHeaders);
--- a/packages/gateway/src/connections.ts
+++ b/packages/gateway/src/connections.ts
@@ -99,13 +99,13 @@
    * Takes a connection for one request, at once unless the limit is reached.
    *
    * @param idempotent Whether the request may run twice.
-   * @param signal Ends the wait, with no connection.
+   * @param request Its signal ends the wait, with no connection.
    */
   acquire(
     idempotent: boolean,
-    signal: AbortSignal,
+    request: { readonly signal: AbortSignal },
   ): TargetConnection | Promise<TargetConnection | undefined> {
-    return this.#tryTake(idempotent) ?? this.#wait(idempotent, signal);
+    return this.#tryTake(idempotent) ?? this.#wait(idempotent, request.signal);
   }
 
   /**
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -111,7 +111,9 @@
         accepted.deadlineMilliseconds,
         kernel.getMonotonicMilliseconds() + RETRY_QUEUE_MILLISECONDS,
       ),
-      signal: runningRequest.signal,
+      get signal() {
+        return runningRequest.signal;
+      },
       tryAcquire: () => this.#pool.tryAcquire(targetRequest),
     });
   }
@@ -122,7 +124,7 @@
   ): Promise<exchanges.AttemptResult | undefined> {
     const { accepted, running: runningRequest } = run.ready;
     const pool = this.#connections.get(lease.target);
-    const taken = pool.acquire(accepted.idempotent, runningRequest.signal);
+    const taken = pool.acquire(accepted.idempotent, runningRequest);
     const connection = taken instanceof Promise ? await taken : taken;
     // The wait may have outlasted the key or the caller; nothing may start after that.
     const isLate = accepted.deadlineMilliseconds <= kernel.getMonotonicMilliseconds();
@@ -274,7 +276,6 @@
   /** Whether an attempt has ended of which it is not certain that it did not run. */
   mayHaveRun = false;
   targetMilliseconds = 0;
-  #headers: string[] | undefined;
 
   constructor(ready: ReadyRequest, budget: retries.RetryBudget) {
     this.ready = ready;
@@ -283,9 +284,9 @@
 
   createHeaders(leftMilliseconds: number): string[] {
     const { accepted, request, body, trustForwardedHeaders } = this.ready;
-    this.#headers ??= headers.createForwardedHeaders(request, accepted, trustForwardedHeaders);
-    const left = String(Math.max(0, Math.floor(leftMilliseconds)));
-    const created = [...this.#headers, headers.DEADLINE_HEADER, left];
+    // The first attempt is nearly always the only one, so its list is not kept for others.
+    const created = headers.createForwardedHeaders(request, accepted, trustForwardedHeaders);
+    created.push(headers.DEADLINE_HEADER, String(Math.max(0, Math.floor(leftMilliseconds))));
     if (!body.isComplete && accepted.head.contentLength !== undefined) {
       created.push("content-length", String(accepted.head.contentLength));
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,8 @@
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
   readonly wantsContinue: boolean;
+  /** Undefined until the request is accepted. */
+  running: running.RunningRequest | undefined;
   /** Time that passed only since the caller's body was not there yet. */
   callerMilliseconds: number;
   targetMilliseconds: number;
@@ -94,7 +96,7 @@
     pool.onCapacity((service) => queue.notifyCapacity(service));
     const table = new connections.ConnectionTable(
       pool,
-      (event) => this.#meters.connections.inc({ event }),
+      (event) => this.#meters.countConnection(event),
     );
     this.#connections = table;
     this.#forwarder = new forwarding.Forwarder(pool, queue, table, this.#meters);
@@ -137,23 +139,33 @@
     wantsContinue: boolean,
   ): Promise<void> {
     const started = kernel.getMonotonicMilliseconds();
-    this.#running.openAnswer(request.socket, response);
-    // The caller's connection may break at any moment; its `close` event tells so too.
-    response.on("error", ignoreError);
+    const { socket } = request;
     const call: Call = {
       request,
       response,
       wantsContinue,
+      running: undefined,
       callerMilliseconds: 0,
       targetMilliseconds: 0,
     };
+    this.#running.openAnswer(socket, response);
+    response.on("close", () => {
+      if (!response.writableFinished) {
+        call.running?.end("caller_gone");
+      }
+      this.#running.closeAnswer(socket, response);
+    });
+    // The caller's connection may break at any moment; its `close` event tells so too.
+    response.on("error", ignoreError);
     const refusal = await this.#answer(call);
     if (refusal !== undefined && !response.destroyed) {
       this.#meters.refusals.inc({ reason: refusal.row.reason, run: refusal.run });
       refusals.sendRefusal(response, refusal, this.#endsConnection(call, refusal));
     }
-    // What the caller still sends must not keep its connection from the next request.
-    request.resume();
+    if (!request.complete) {
+      // What the caller still sends must not keep its connection from the next request.
+      request.resume();
+    }
     const elapsed = kernel.getMonotonicMilliseconds() - started;
     this.#meters.total.record(elapsed);
     this.#meters.added.record(elapsed - call.targetMilliseconds - call.callerMilliseconds);
@@ -180,11 +192,7 @@
     const runningRequest = new running.RunningRequest(
       accepted.deadlineMilliseconds - kernel.getMonotonicMilliseconds(),
     );
-    call.response.once("close", () => {
-      if (!call.response.writableFinished) {
-        runningRequest.end("caller_gone");
-      }
-    });
+    call.running = runningRequest;
     if (accepted.keyDigest !== undefined) {
       this.#running.add(runningRequest, accepted.keyDigest, call.request.socket);
     }
@@ -216,7 +224,8 @@
       return runningRequest.endReason === undefined ? failed : createEndRefusal(runningRequest);
     }
     // A token is taken after the body is there, so that slow bodies can't run all at once later.
-    const overRate = await this.#checkRate(accepted);
+    const decision = this.#checkRate(accepted);
+    const overRate = decision instanceof Promise ? await decision : decision;
     if (overRate !== undefined) {
       return overRate;
     }
@@ -239,20 +248,18 @@
       : this.#forwardClaimed(call, ready, store, idempotencyKey);
   }
 
-  async #checkRate(accepted: types.AcceptedRequest): Promise<refusals.Refusal | undefined> {
+  #checkRate(
+    accepted: types.AcceptedRequest,
+  ): refusals.Refusal | undefined | Promise<refusals.Refusal | undefined> {
     if (accepted.workspace === undefined) {
       return undefined;
     }
     const limiter = this.#services.get(limits.RATE_LIMITER);
-    const pending = limiter.admit(accepted.workspace, accepted.deadlineMilliseconds);
-    const decision = pending instanceof Promise ? await pending : pending;
-    if (decision.isOk()) {
-      return undefined;
-    }
-    const row = decision.error.kind === "over_rate"
-      ? refusals.Refusals.overRate
-      : refusals.Refusals.noShare;
-    return refusals.createNotRunRefusal(row, decision.error.retryAfterMilliseconds);
+    const decision = limiter.admit(accepted.workspace, accepted.deadlineMilliseconds);
+    // Most decisions are there at once; a promise for each would cost more than the decision.
+    return decision instanceof Promise
+      ? decision.then(createRateRefusal)
+      : createRateRefusal(decision);
   }
 
   async #forward(
@@ -301,6 +308,16 @@
   }
 }
 
+function createRateRefusal(decision: limits.RateDecision): refusals.Refusal | undefined {
+  if (decision.isOk()) {
+    return undefined;
+  }
+  const row = decision.error.kind === "over_rate"
+    ? refusals.Refusals.overRate
+    : refusals.Refusals.noShare;
+  return refusals.createNotRunRefusal(row, decision.error.retryAfterMilliseconds);
+}
+
 async function bufferBody(
   call: Call,
   body: bodies.RequestBody,
--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -113,7 +113,8 @@
     const name = rawHeaders[index]?.toString("latin1").toLowerCase() ?? "";
     names.push(name);
     if (name === "connection") {
-      connection = `${connection ?? ""},${rawHeaders[index + 1]?.toString("latin1") ?? ""}`;
+      const value = rawHeaders[index + 1]?.toString("latin1") ?? "";
+      connection = connection === undefined ? value : `${connection},${value}`;
     }
   }
   const perConnection = listConnectionHeaders(connection);
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -2,7 +2,8 @@
  * The counters and latency distributions of the gateway.
  */
 
-import * as kernel from "@hemlockwalk/kernel";
+import type * as kernel from "@hemlockwalk/kernel";
+import type * as connections from "./connections.ts";
 
 /** Everything that the gateway counts. */
 export class GatewayMeters {
@@ -10,7 +11,8 @@
   readonly retries;
   readonly notRetried;
   readonly cutAnswers;
-  readonly connections;
+  readonly #connections;
+  readonly #connectionEvents = new Map<connections.ConnectionEvent, { inc(): void }>();
   readonly withdrawnRequests;
   readonly claims;
   readonly tlsReloads;
@@ -38,7 +40,7 @@
       "Answers that began and were ended by a reset of the caller's connection, by cause.",
       ["reason"],
     );
-    this.connections = metrics.createCounter(
+    this.#connections = metrics.createCounter(
       "hemlockwalk_target_connections_total",
       "What happened to connections to targets, by event.",
       ["event"],
@@ -66,4 +68,15 @@
       "Time from a request's arrival to the end of its answer, less the time that targets took.",
     );
   }
+
+  /** Counts an event of a connection to a target. */
+  countConnection(event: connections.ConnectionEvent): void {
+    // Kept by event, since most requests come here and the search by labels is slow.
+    let counter = this.#connectionEvents.get(event);
+    if (counter === undefined) {
+      counter = this.#connections.labels({ event });
+      this.#connectionEvents.set(event, counter);
+    }
+    counter.inc();
+  }
 }
--- a/packages/gateway/src/running_requests.ts
+++ b/packages/gateway/src/running_requests.ts
@@ -18,8 +18,8 @@
 
 /** A request between its acceptance and the end of its answer. */
 export class RunningRequest {
-  readonly #abort = new AbortController();
   readonly #deadlineTimer: NodeJS.Timeout;
+  #abort: AbortController | undefined;
   #endReason: types.EndReason | undefined;
   #listener: (() => void) | undefined;
 
@@ -32,8 +32,14 @@
     return this.#endReason;
   }
 
-  /** Aborts when the request is ended early. */
+  /** Aborts when the request is ended early. Created when first asked for: most requests never wait. */
   get signal(): AbortSignal {
+    if (this.#abort === undefined) {
+      this.#abort = new AbortController();
+      if (this.#endReason !== undefined) {
+        this.#abort.abort();
+      }
+    }
     return this.#abort.signal;
   }
 
@@ -48,7 +54,7 @@
       return;
     }
     this.#endReason = reason;
-    this.#abort.abort();
+    this.#abort?.abort();
     this.#listener?.();
   }
 
@@ -111,19 +117,21 @@
     return this.#count;
   }
 
-  /** Notes that a request came on a connection, until its answer has ended. */
+  /** Notes that a request came on a connection, until `closeAnswer`. */
   openAnswer(socket: net.Socket, response: http.ServerResponse): void {
-    const connection = this.#getConnection(socket);
-    connection.answers.add(response);
+    this.#getConnection(socket).answers.add(response);
     this.#count++;
-    response.once("close", () => {
-      connection.answers.delete(response);
-      connection.closeIfIdle();
-      this.#count--;
-      if (this.#count === 0) {
-        this.#idleWaiters.splice(0).forEach((resolve) => resolve());
-      }
-    });
+  }
+
+  /** Notes that an answer has ended, complete or not. */
+  closeAnswer(socket: net.Socket, response: http.ServerResponse): void {
+    const connection = this.#getConnection(socket);
+    connection.answers.delete(response);
+    connection.closeIfIdle();
+    this.#count--;
+    if (this.#count === 0) {
+      this.#idleWaiters.splice(0).forEach((resolve) => resolve());
+    }
   }
 
   /**
--- a/packages/model/src/ids.ts
+++ b/packages/model/src/ids.ts
@@ -36,7 +36,11 @@
 
 /** The digest under which a caller's key is published. */
 export function createKeyDigest(key: string): types.KeyDigest {
-  return crypto.createHash("sha256").update(key).digest("hex") as types.KeyDigest;
+  // Each request pays for this; the one-shot form costs a third, but early versions 20 lack it.
+  const digest = typeof crypto.hash === "function"
+    ? crypto.hash("sha256", key, "hex")
+    : crypto.createHash("sha256").update(key).digest("hex");
+  return digest as types.KeyDigest;
 }
 
 /** The digest of a release note's exact text. */
