--- a/packages/gateway/bench/overhead.ts
+++ b/packages/gateway/bench/overhead.ts
@@ -22,6 +22,9 @@
 const DEFAULT_SECONDS = 2;
 const WARM_UP_SECONDS = 2;
 const ROUNDS = 5;
+
+/** Between the requests of two paths, so that they do not meet at the caller. */
+const PATH_OFFSET_MILLISECONDS = 2.2;
 const BODY = "x".repeat(1_024);
 
 interface Role {
@@ -127,22 +130,19 @@
 async function measureLatency(
   pool: undici.Pool,
   seconds: number,
-): Promise<kernel.LatencyDistribution> {
-  const distribution = new kernel.LatencyDistribution();
-  const started = performance.now();
+  offsetMilliseconds: number,
+  distribution: kernel.LatencyDistribution,
+): Promise<void> {
+  const started = performance.now() + offsetMilliseconds;
   const running: Promise<void>[] = [];
   for (let index = 0; index < seconds * FIXED_RATE; index++) {
-    const intended = started + index * 1_000 / FIXED_RATE;
-    const wait = intended - performance.now();
-    if (wait > 0) {
-      await new Promise((resolve) => setTimeout(resolve, wait));
-    }
-    // Timers fire up to a millisecond late on every path alike; that is not the path's latency.
-    const begun = Math.max(intended, performance.now());
+    const wait = started + index * 1_000 / FIXED_RATE - performance.now();
+    await new Promise((resolve) => setTimeout(resolve, Math.max(0, wait)));
+    // The callers' own timers are early or late on every path alike.
+    const begun = performance.now();
     running.push(sendOne(pool).then(() => distribution.record(performance.now() - begun)));
   }
   await Promise.all(running);
-  return distribution;
 }
 
 /** Requests for each second of processor time that the process used. */
@@ -182,7 +182,9 @@
   );
   const getPool = (name: string) => kernel.getDefined(pools[name], "Each path has a pool.");
   const throughput: Record<string, number[]> = { bare: [], gateway: [] };
-  const latencies: Record<string, [number, number][]> = { direct: [], bare: [], gateway: [] };
+  const latencies = Object.fromEntries(
+    Object.keys(paths).map((name) => [name, new kernel.LatencyDistribution()]),
+  );
   for (const name of Object.keys(throughput)) {
     await measureThroughput(
       getPool(name),
@@ -191,10 +193,12 @@
     );
   }
   for (let round = 0; round < ROUNDS; round++) {
-    for (const [name, list] of Object.entries(latencies)) {
-      const found = await measureLatency(getPool(name), seconds);
-      list.push([found.getQuantileMilliseconds(0.5), found.getQuantileMilliseconds(0.99)]);
-    }
+    // All paths at the same time, in turn, so that whatever else the machine does meets all alike.
+    await Promise.all(
+      Object.entries(latencies).map(([name, distribution], index) =>
+        measureLatency(getPool(name), seconds, index * PATH_OFFSET_MILLISECONDS, distribution)
+      ),
+    );
     for (const [name, list] of Object.entries(throughput)) {
       const { child } = paths[name as "bare" | "gateway"];
       const perSecond = await measureThroughput(getPool(name), child, seconds);
@@ -210,21 +214,20 @@
 }
 
 function report(
-  latencies: Readonly<Record<string, readonly [number, number][]>>,
+  latencies: Readonly<Record<string, kernel.LatencyDistribution>>,
   throughput: Readonly<Record<string, readonly number[]>>,
 ): void {
-  const quantile = (name: string, index: 0 | 1) =>
-    getMedian((latencies[name] ?? []).map((pair) => pair[index]));
-  for (const name of Object.keys(latencies)) {
-    print(
-      `${name}: p50 ${quantile(name, 0).toFixed(3)} ms, p99 ${quantile(name, 1).toFixed(3)} ms`,
-    );
+  const quantile = (name: string, share: number) =>
+    latencies[name]?.getQuantileMilliseconds(share) ?? Number.NaN;
+  for (const [name, { count }] of Object.entries(latencies)) {
+    const p50 = quantile(name, 0.5);
+    const p99 = quantile(name, 0.99);
+    print(`${name}: p50 ${p50.toFixed(3)} ms, p99 ${p99.toFixed(3)} ms, ${count} requests`);
   }
   for (const name of ["bare", "gateway"]) {
-    print(
-      `${name} adds: p50 ${(quantile(name, 0) - quantile("direct", 0)).toFixed(3)} ms, ` +
-        `p99 ${(quantile(name, 1) - quantile("direct", 1)).toFixed(3)} ms`,
-    );
+    const p50 = quantile(name, 0.5) - quantile("direct", 0.5);
+    const p99 = quantile(name, 0.99) - quantile("direct", 0.99);
+    print(`${name} adds: p50 ${p50.toFixed(3)} ms, p99 ${p99.toFixed(3)} ms`);
   }
   const ratio = getMedian(throughput["gateway"] ?? []) / getMedian(throughput["bare"] ?? []);
   print(`throughput for a core, gateway to bare forwarder: ${ratio.toFixed(2)}`);
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -2,26 +2,20 @@
  * Runs an admitted request: attempt after attempt, until one is answered or none may follow.
  */
 
-import type * as http from "node:http";
 import * as kernel from "@hemlockwalk/kernel";
-import * as limits from "@hemlockwalk/limits";
+import type * as limits from "@hemlockwalk/limits";
 import type * as model from "@hemlockwalk/model";
-import * as targets from "@hemlockwalk/targets";
+import type * as targets from "@hemlockwalk/targets";
 import type * as neverthrow from "neverthrow";
 import type * as undici from "undici";
-import type * as answers from "./answers.ts";
-import * as bodies from "./bodies.ts";
+import * as callResults from "./call_results.ts";
 import * as connections from "./connections.ts";
 import * as exchanges from "./exchange.ts";
 import * as headers from "./headers.ts";
 import type * as meters from "./meters.ts";
 import * as refusals from "./refusals.ts";
+import * as runs from "./request_run.ts";
 import * as retries from "./retries.ts";
-import type * as running from "./running_requests.ts";
-import type * as types from "./types.ts";
-
-/** Longest wait of a retry for a slot: the request is answered soon once nothing helps. */
-const RETRY_QUEUE_MILLISECONDS = 500;
 
 /** Share of the time left within which an answer must begin where another attempt could follow. */
 const ATTEMPT_SHARE = 0.5;
@@ -29,31 +23,8 @@
 /** Time for an answer to begin on a connection that may have gone silent. */
 const UNPROVEN_ATTEMPT_MILLISECONDS = 2_000;
 
-/** A target is not blamed for missing a deadline that the caller set shorter than this. */
-const FAIR_TARGET_MILLISECONDS = 500;
-
 const RETRY_AFTER_MILLISECONDS = 1_000;
 
-/** A request that is ready to run. */
-export interface ReadyRequest {
-  readonly accepted: types.AcceptedRequest;
-  readonly request: http.IncomingMessage;
-  readonly body: bodies.RequestBody;
-  readonly running: running.RunningRequest;
-  readonly answer: answers.CallerAnswer;
-  readonly trustForwardedHeaders: boolean;
-}
-
-/** What became of a request. */
-export interface ForwardResult {
-  /** What the caller is told; undefined when an answer of the target began. */
-  readonly refusal: refusals.Refusal | undefined;
-  /** Whether the target's answer went to the caller in full. */
-  readonly answered: boolean;
-  /** Time that targets took, over all attempts. */
-  readonly targetMilliseconds: number;
-}
-
 /** Sends requests to targets. */
 export class Forwarder {
   readonly #pool: targets.TargetPool;
@@ -75,15 +46,15 @@
   }
 
   /** Runs a request until it is answered or given up. Never rejects. */
-  async forward(ready: ReadyRequest): Promise<ForwardResult> {
+  async forward(ready: runs.ReadyRequest): Promise<runs.ForwardResult> {
     const { accepted } = ready;
     const budget = this.#budgets.get(accepted.service.id);
     budget.addRequest();
-    const run = new RequestRun(ready, budget);
+    const run = new runs.RequestRun(ready, budget);
     for (;;) {
       const lease = await this.#enterQueue(run);
       if (lease.isErr()) {
-        return run.finish(createQueueRefusal(lease.error, run));
+        return run.finish(callResults.createQueueRefusal(lease.error, run));
       }
       const result = await this.#attempt(run, lease.value);
       const next = this.#judge(run, result);
@@ -94,32 +65,19 @@
   }
 
   #enterQueue(
-    run: RequestRun,
+    run: runs.RequestRun,
   ): Promise<neverthrow.Result<targets.TargetLease, limits.QueueRefusal>> {
-    const { accepted, running: runningRequest } = run.ready;
     const targetRequest: targets.TargetRequest = {
-      service: accepted.service.id,
-      route: accepted.route.id,
-      idempotent: accepted.idempotent,
+      service: run.ready.accepted.service.id,
+      route: run.ready.accepted.route.id,
+      idempotent: run.ready.accepted.idempotent,
       exclude: run.tried,
     };
-    return this.#queue.enter({
-      service: accepted.service.id,
-      workspace: accepted.workspace?.id,
-      weight: (accepted.workspace?.weight ?? 1) * accepted.route.weight,
-      deadlineMilliseconds: run.attempts === 0 ? accepted.deadlineMilliseconds : Math.min(
-        accepted.deadlineMilliseconds,
-        kernel.getMonotonicMilliseconds() + RETRY_QUEUE_MILLISECONDS,
-      ),
-      get signal() {
-        return runningRequest.signal;
-      },
-      tryAcquire: () => this.#pool.tryAcquire(targetRequest),
-    });
+    return this.#queue.enter(new runs.QueueEntry(run, () => this.#pool.tryAcquire(targetRequest)));
   }
 
   async #attempt(
-    run: RequestRun,
+    run: runs.RequestRun,
     lease: targets.TargetLease,
   ): Promise<exchanges.AttemptResult | undefined> {
     const { accepted, running: runningRequest } = run.ready;
@@ -141,7 +99,7 @@
       connection.client,
       this.#createAttemptRequest(run, lease.target, connection),
     );
-    const callResult = getCallResult(run.ready, result, connection.reused);
+    const callResult = callResults.getCallResult(run.ready, result, connection.reused);
     lease.release(run.createOutcome(callResult, result.headMilliseconds));
     pool.release(connection, result.connectionUsable);
     run.targetMilliseconds += result.targetMilliseconds;
@@ -149,7 +107,7 @@
   }
 
   #createAttemptRequest(
-    run: RequestRun,
+    run: runs.RequestRun,
     target: model.Target,
     connection: connections.TargetConnection,
   ): exchanges.AttemptRequest {
@@ -173,7 +131,7 @@
   }
 
   #decide(
-    run: RequestRun,
+    run: runs.RequestRun,
     status: number,
     rawHeaders: readonly Buffer[],
   ): exchanges.HeadDecision {
@@ -201,11 +159,11 @@
   }
 
   #judge(
-    run: RequestRun,
+    run: runs.RequestRun,
     result: exchanges.AttemptResult | undefined,
-  ): ForwardResult | "retry" {
+  ): runs.ForwardResult | "retry" {
     if (result === undefined) {
-      return run.finish(createEndRefusal(run));
+      return run.finish(callResults.createEndRefusal(run));
     }
     const provablyNotRun = !result.sent || result.end === "not_run_signal";
     run.mayHaveRun ||= !provablyNotRun;
@@ -216,9 +174,9 @@
         this.#meters.retries.inc({ reason: result.end });
         return "retry";
       case "ended":
-        return this.#finishFailed(run, result, createEndRefusal(run));
+        return this.#finishFailed(run, result, callResults.createEndRefusal(run));
       case "body_failed":
-        return this.#finishFailed(run, result, createBodyRefusal(run, result.error));
+        return this.#finishFailed(run, result, callResults.createBodyRefusal(run, result.error));
       case "truncated":
         return this.#finishFailed(run, result, run.createRefusal(refusals.Refusals.targetReset));
       case "unframed":
@@ -239,11 +197,11 @@
   }
 
   #retryOrFinish(
-    run: RequestRun,
+    run: runs.RequestRun,
     reason: retries.RetryReason,
     provablyNotRun: boolean,
     row: refusals.RefusalRow,
-  ): ForwardResult | "retry" {
+  ): runs.ForwardResult | "retry" {
     const obstacle = retries.takeRetry(run.createSituation(provablyNotRun), run.budget);
     if (obstacle === undefined) {
       this.#meters.retries.inc({ reason });
@@ -254,10 +212,10 @@
   }
 
   #finishFailed(
-    run: RequestRun,
+    run: runs.RequestRun,
     result: exchanges.AttemptResult,
     refusal: refusals.Refusal,
-  ): ForwardResult {
+  ): runs.ForwardResult {
     if (!result.answerBegan) {
       return run.finish(refusal);
     }
@@ -267,70 +225,8 @@
   }
 }
 
-/** What is known of a request over its attempts. */
-class RequestRun {
-  readonly ready: ReadyRequest;
-  readonly budget: retries.RetryBudget;
-  readonly tried = new Set<model.TargetId>();
-  attempts = 0;
-  /** Whether an attempt has ended of which it is not certain that it did not run. */
-  mayHaveRun = false;
-  targetMilliseconds = 0;
-
-  constructor(ready: ReadyRequest, budget: retries.RetryBudget) {
-    this.ready = ready;
-    this.budget = budget;
-  }
-
-  createHeaders(leftMilliseconds: number): string[] {
-    const { accepted, request, body, trustForwardedHeaders } = this.ready;
-    // The first attempt is nearly always the only one, so its list is not kept for others.
-    const created = headers.createForwardedHeaders(request, accepted, trustForwardedHeaders);
-    created.push(headers.DEADLINE_HEADER, String(Math.max(0, Math.floor(leftMilliseconds))));
-    if (!body.isComplete && accepted.head.contentLength !== undefined) {
-      created.push("content-length", String(accepted.head.contentLength));
-    }
-    return created;
-  }
-
-  createSituation(provablyNotRun: boolean): retries.RetrySituation {
-    const { accepted, body } = this.ready;
-    return {
-      idempotent: accepted.idempotent,
-      provablyNotRun,
-      bodyReplayable: body.isReplayable,
-      attempts: this.attempts,
-      deadlineMilliseconds: accepted.deadlineMilliseconds,
-      hasOtherTarget: this.#hasOtherTarget(),
-    };
-  }
-
-  createOutcome(result: targets.CallResult, latencyMilliseconds: number): targets.CallOutcome {
-    return { result, latencyMilliseconds, route: this.ready.accepted.route.id };
-  }
-
-  createRefusal(row: refusals.RefusalRow, retryAfterMilliseconds?: number): refusals.Refusal {
-    return { row, run: this.mayHaveRun ? "unknown" : "no", retryAfterMilliseconds };
-  }
-
-  finish(refusal: refusals.Refusal | undefined): ForwardResult {
-    return { refusal, answered: false, targetMilliseconds: this.targetMilliseconds };
-  }
-
-  finishAnswered(): ForwardResult {
-    return { refusal: undefined, answered: true, targetMilliseconds: this.targetMilliseconds };
-  }
-
-  #hasOtherTarget(): boolean {
-    const { snapshot, service } = this.ready.accepted;
-    return snapshot.listTargets(service.id).some((target) =>
-      !target.leaving && !this.tried.has(target.id)
-    );
-  }
-}
-
 function getHeadTimeout(
-  run: RequestRun,
+  run: runs.RequestRun,
   connection: connections.TargetConnection,
   leftMilliseconds: number,
 ): number | undefined {
@@ -344,61 +240,3 @@
     !connection.isProven(kernel.getMonotonicMilliseconds());
   return isDoubtful ? Math.min(share, UNPROVEN_ATTEMPT_MILLISECONDS) : share;
 }
-
-/** What a call says of its target. */
-function getCallResult(
-  ready: ReadyRequest,
-  result: exchanges.AttemptResult,
-  reused: boolean,
-): targets.CallResult {
-  switch (result.end) {
-    case "answered":
-      return (result.status ?? 0) >= 500 ? "server_error" : "success";
-    case "not_run_signal":
-      return "shed";
-    case "reset":
-      // An old connection that is found closed says nothing about the target behind it.
-      return reused ? "cancelled" : "reset";
-    case "attempt_timeout":
-      return "timeout";
-    case "unframed":
-      return "server_error";
-    case "ended":
-      return isTargetToBlame(ready, result) ? "timeout" : "cancelled";
-    case "body_failed":
-    case "invalid":
-      return "cancelled";
-    default:
-      return result.end;
-  }
-}
-
-function isTargetToBlame(ready: ReadyRequest, result: exchanges.AttemptResult): boolean {
-  return ready.running.endReason === "deadline" && result.status === undefined &&
-    result.targetMilliseconds >= FAIR_TARGET_MILLISECONDS;
-}
-
-function createQueueRefusal(refusal: limits.QueueRefusal, run: RequestRun): refusals.Refusal {
-  if (refusal.kind === "cancelled") {
-    return createEndRefusal(run);
-  }
-  const row = refusal.kind === "queue_full"
-    ? refusals.Refusals.queueFull
-    : refusals.Refusals.queueTimeout;
-  return run.createRefusal(row, refusal.retryAfterMilliseconds);
-}
-
-/** What the caller is told when its request was ended from outside. */
-function createEndRefusal(run: RequestRun): refusals.Refusal {
-  const row = run.ready.running.endReason === "key_withdrawn"
-    ? refusals.Refusals.keyWithdrawn
-    : refusals.Refusals.deadlineExceeded;
-  return run.createRefusal(row);
-}
-
-function createBodyRefusal(run: RequestRun, error: Error | undefined): refusals.Refusal {
-  const row = error instanceof bodies.BodyError
-    ? error.refusal
-    : refusals.Refusals.malformedRequest;
-  return run.createRefusal(row);
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import * as listeners from "./listener.ts";
 import * as meters from "./meters.ts";
 import * as refusals from "./refusals.ts";
+import type * as runs from "./request_run.ts";
 import * as running from "./running_requests.ts";
 import type * as types from "./types.ts";
 
@@ -157,7 +158,7 @@
     });
     // The caller's connection may break at any moment; its `close` event tells so too.
     response.on("error", ignoreError);
-    const refusal = await this.#answer(call);
+    const refusal = await this.#answer(call).catch((error: unknown) => this.#fail(call, error));
     if (refusal !== undefined && !response.destroyed) {
       this.#meters.refusals.inc({ reason: refusal.row.reason, run: refusal.run });
       refusals.sendRefusal(response, refusal, this.#endsConnection(call, refusal));
@@ -171,6 +172,18 @@
     this.#meters.added.record(elapsed - call.targetMilliseconds - call.callerMilliseconds);
   }
 
+  /** A fault of this program ends one request, not the VM. */
+  #fail(call: Call, error: unknown): refusals.Refusal | undefined {
+    this.#logger.error("A request failed inside the gateway.", {
+      detail: error instanceof Error ? error.stack : String(error),
+    });
+    if (!call.response.headersSent) {
+      return refusals.createUnknownRefusal(refusals.Refusals.internalError);
+    }
+    call.response.destroy();
+    return undefined;
+  }
+
   #endsConnection(call: Call, refusal: refusals.Refusal): boolean {
     if (this.#closing || refusal.row === refusals.Refusals.keyWithdrawn) {
       return true;
@@ -235,7 +248,7 @@
     const answer = new answers.CallerAnswer(call.response, () => this.#closing);
     const idempotencyKey = idempotency.findIdempotencyKey(call.request, accepted);
     const store = this.#services.find(claims.CLAIM_STORE);
-    const ready: forwarding.ReadyRequest = {
+    const ready: runs.ReadyRequest = {
       accepted,
       request: call.request,
       body,
@@ -264,8 +277,8 @@
 
   async #forward(
     call: Call,
-    ready: forwarding.ReadyRequest,
-  ): Promise<forwarding.ForwardResult> {
+    ready: runs.ReadyRequest,
+  ): Promise<runs.ForwardResult> {
     const forwarder = kernel.getDefined(this.#forwarder, "The gateway serves after its start.");
     const result = await forwarder.forward(ready);
     call.targetMilliseconds = result.targetMilliseconds;
@@ -274,7 +287,7 @@
 
   async #forwardClaimed(
     call: Call,
-    ready: forwarding.ReadyRequest,
+    ready: runs.ReadyRequest,
     store: claims.ClaimStore,
     idempotencyKey: string,
   ): Promise<refusals.Refusal | undefined> {
@@ -302,9 +315,14 @@
       return createEndRefusal(ready.running);
     }
     ready.answer.record();
-    const result = await this.#forward(call, ready);
-    idempotency.settleClaim(claim, result, ready.answer);
-    return result.refusal;
+    try {
+      const result = await this.#forward(call, ready);
+      idempotency.settleClaim(claim, result, ready.answer);
+      return result.refusal;
+    } catch (error) {
+      claim.fail();
+      throw error;
+    }
   }
 }
 
--- a/packages/gateway/src/idempotency.ts
+++ b/packages/gateway/src/idempotency.ts
@@ -9,9 +9,9 @@
 import * as neverthrow from "neverthrow";
 import type * as answers from "./answers.ts";
 import type * as bodies from "./bodies.ts";
-import type * as forwarding from "./forwarding.ts";
 import type * as meters from "./meters.ts";
 import * as refusals from "./refusals.ts";
+import type * as runs from "./request_run.ts";
 import type * as types from "./types.ts";
 
 const IDEMPOTENCY_KEY_HEADER = "idempotency-key";
@@ -101,7 +101,7 @@
 /** Tells the fleet what became of a claimed request. */
 export function settleClaim(
   claim: claims.Claim,
-  result: forwarding.ForwardResult,
+  result: runs.ForwardResult,
   answer: answers.CallerAnswer,
 ): void {
   if (result.answered) {
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -68,6 +68,7 @@
     "The target's answer has neither a length nor chunks, so a cut one could not be told.",
   ),
   deadlineExceeded: createRow("deadline_exceeded", 504, "The answer did not come in time."),
+  internalError: createRow("internal_error", 500, "The VM failed to handle the request."),
   idempotencyKeyInvalid: createRow(
     "idempotency_key_invalid",
     400,
--- /dev/null
+++ b/packages/gateway/src/request_run.ts
@@ -0,0 +1,129 @@
+/**
+ * What is known of a request over its attempts.
+ */
+
+import type * as http from "node:http";
+import * as kernel from "@hemlockwalk/kernel";
+import type * as limits from "@hemlockwalk/limits";
+import type * as model from "@hemlockwalk/model";
+import type * as targets from "@hemlockwalk/targets";
+import type * as answers from "./answers.ts";
+import type * as bodies from "./bodies.ts";
+import * as headers from "./headers.ts";
+import type * as refusals from "./refusals.ts";
+import type * as retries from "./retries.ts";
+import type * as running from "./running_requests.ts";
+import type * as types from "./types.ts";
+
+/** Longest wait of a retry for a slot: the request is answered soon once nothing helps. */
+const RETRY_QUEUE_MILLISECONDS = 500;
+
+/** A request that is ready to run. */
+export interface ReadyRequest {
+  readonly accepted: types.AcceptedRequest;
+  readonly request: http.IncomingMessage;
+  readonly body: bodies.RequestBody;
+  readonly running: running.RunningRequest;
+  readonly answer: answers.CallerAnswer;
+  readonly trustForwardedHeaders: boolean;
+}
+
+/** What became of a request. */
+export interface ForwardResult {
+  /** What the caller is told; undefined when an answer of the target began. */
+  readonly refusal: refusals.Refusal | undefined;
+  /** Whether the target's answer went to the caller in full. */
+  readonly answered: boolean;
+  /** Time that targets took, over all attempts. */
+  readonly targetMilliseconds: number;
+}
+
+/** What is known of a request over its attempts. */
+export class RequestRun {
+  readonly ready: ReadyRequest;
+  readonly budget: retries.RetryBudget;
+  readonly tried = new Set<model.TargetId>();
+  attempts = 0;
+  /** Whether an attempt has ended of which it is not certain that it did not run. */
+  mayHaveRun = false;
+  targetMilliseconds = 0;
+
+  constructor(ready: ReadyRequest, budget: retries.RetryBudget) {
+    this.ready = ready;
+    this.budget = budget;
+  }
+
+  createHeaders(leftMilliseconds: number): string[] {
+    const { accepted, request, body, trustForwardedHeaders } = this.ready;
+    // The first attempt is nearly always the only one, so its list is not kept for others.
+    const created = headers.createForwardedHeaders(request, accepted, trustForwardedHeaders);
+    created.push(headers.DEADLINE_HEADER, String(Math.max(0, Math.floor(leftMilliseconds))));
+    if (!body.isComplete && accepted.head.contentLength !== undefined) {
+      created.push("content-length", String(accepted.head.contentLength));
+    }
+    return created;
+  }
+
+  createSituation(provablyNotRun: boolean): retries.RetrySituation {
+    const { accepted, body } = this.ready;
+    return {
+      idempotent: accepted.idempotent,
+      provablyNotRun,
+      bodyReplayable: body.isReplayable,
+      attempts: this.attempts,
+      deadlineMilliseconds: accepted.deadlineMilliseconds,
+      hasOtherTarget: this.#hasOtherTarget(),
+    };
+  }
+
+  createOutcome(result: targets.CallResult, latencyMilliseconds: number): targets.CallOutcome {
+    return { result, latencyMilliseconds, route: this.ready.accepted.route.id };
+  }
+
+  createRefusal(row: refusals.RefusalRow, retryAfterMilliseconds?: number): refusals.Refusal {
+    return { row, run: this.mayHaveRun ? "unknown" : "no", retryAfterMilliseconds };
+  }
+
+  finish(refusal: refusals.Refusal | undefined): ForwardResult {
+    return { refusal, answered: false, targetMilliseconds: this.targetMilliseconds };
+  }
+
+  finishAnswered(): ForwardResult {
+    return { refusal: undefined, answered: true, targetMilliseconds: this.targetMilliseconds };
+  }
+
+  #hasOtherTarget(): boolean {
+    const { snapshot, service } = this.ready.accepted;
+    return snapshot.listTargets(service.id).some((target) =>
+      !target.leaving && !this.tried.has(target.id)
+    );
+  }
+}
+
+/** A request at the queue of its service. */
+export class QueueEntry implements limits.QueueRequest<targets.TargetLease> {
+  readonly service: model.ServiceId;
+  readonly workspace: model.WorkspaceId | undefined;
+  readonly weight: number;
+  readonly deadlineMilliseconds: number;
+  readonly tryAcquire: () => targets.TargetLease | undefined;
+  readonly #running: running.RunningRequest;
+
+  constructor(run: RequestRun, tryAcquire: () => targets.TargetLease | undefined) {
+    const { accepted } = run.ready;
+    this.service = accepted.service.id;
+    this.workspace = accepted.workspace?.id;
+    this.weight = (accepted.workspace?.weight ?? 1) * accepted.route.weight;
+    this.deadlineMilliseconds = run.attempts === 0 ? accepted.deadlineMilliseconds : Math.min(
+      accepted.deadlineMilliseconds,
+      kernel.getMonotonicMilliseconds() + RETRY_QUEUE_MILLISECONDS,
+    );
+    this.tryAcquire = tryAcquire;
+    this.#running = run.ready.running;
+  }
+
+  /** Asked for only by a queue in which the request has to wait. */
+  get signal(): AbortSignal {
+    return this.#running.signal;
+  }
+}
--- a/packages/gateway/src/tls_files.ts
+++ b/packages/gateway/src/tls_files.ts
@@ -9,7 +9,7 @@
 import * as neverthrow from "neverthrow";
 import type * as meters from "./meters.ts";
 
-const POLL_MILLISECONDS = 2_000;
+const POLL_MILLISECONDS = 1_000;
 
 /** Names of the two files. */
 export interface TlsFileNames {
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -325,6 +325,6 @@
 /** Waits until a condition holds; the runner's own limit ends a wait in vain. */
 export async function waitFor(condition: () => boolean | Promise<boolean>): Promise<void> {
   while (!await condition()) {
-    await new Promise((resolve) => setImmediate(resolve));
+    await new Promise((resolve) => setTimeout(resolve, 1));
   }
 }
