--- a/packages/model/src/ids.ts
+++ b/packages/model/src/ids.ts
@@ -9,9 +9,19 @@
   return value as types.VmId;
 }
 
-/** A new random incarnation, for the start of a process. */
+/** Digits of the starting time in an incarnation, in base 36. */
+const INCARNATION_TIME_DIGITS = 9;
+
+const INCARNATION_RANDOM_BYTES = 8;
+
+/**
+ * A new incarnation, for the start of a process. Of two incarnations of a VM, the one that compares
+ * greater as text started later on the wall clock.
+ */
 export function createIncarnation(): types.Incarnation {
-  return crypto.randomUUID() as types.Incarnation;
+  const time = Date.now().toString(36).padStart(INCARNATION_TIME_DIGITS, "0");
+  const random = crypto.randomBytes(INCARNATION_RANDOM_BYTES).toString("hex");
+  return `${time}-${random}` as types.Incarnation;
 }
 
 export function createDataCentreId(value: string): types.DataCentreId {
@@ -43,9 +53,24 @@
   return digest as types.KeyDigest;
 }
 
-/** The digest of a release note's exact text. */
+/**
+ * The text of a release note without white space behind it.
+ *
+ * A value that was cut short within that white space would otherwise be another note with the same
+ * meaning. Cut anywhere else, the text is no longer JSON.
+ */
+export function trimNoteText(text: string): string {
+  return text.trimEnd();
+}
+
+/** The digest of a release note's text, without the white space behind it. */
 export function createNoteDigest(text: string): types.NoteDigest {
-  return crypto.createHash("sha256").update(text).digest("hex") as types.NoteDigest;
+  return createTextDigest(trimNoteText(text)) as types.NoteDigest;
+}
+
+/** SHA-256 of a text, as 64 lower-case hexadecimal digits. */
+export function createTextDigest(text: string): string {
+  return crypto.createHash("sha256").update(text).digest("hex");
 }
 
 export function createNoteNumber(value: number): types.NoteNumber {
