--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import * as listeners from "./listener.ts";
 import * as meters from "./meters.ts";
 import * as refusals from "./refusals.ts";
+import type * as runs from "./request_run.ts";
 import * as running from "./running_requests.ts";
 import type * as types from "./types.ts";
 
@@ -29,6 +30,8 @@
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
   readonly wantsContinue: boolean;
+  /** Undefined until the request is accepted. */
+  running: running.RunningRequest | undefined;
   /** Time that passed only since the caller's body was not there yet. */
   callerMilliseconds: number;
   targetMilliseconds: number;
@@ -94,7 +97,7 @@
     pool.onCapacity((service) => queue.notifyCapacity(service));
     const table = new connections.ConnectionTable(
       pool,
-      (event) => this.#meters.connections.inc({ event }),
+      (event) => this.#meters.countConnection(event),
     );
     this.#connections = table;
     this.#forwarder = new forwarding.Forwarder(pool, queue, table, this.#meters);
@@ -137,28 +140,50 @@
     wantsContinue: boolean,
   ): Promise<void> {
     const started = kernel.getMonotonicMilliseconds();
-    this.#running.openAnswer(request.socket, response);
-    // The caller's connection may break at any moment; its `close` event tells so too.
-    response.on("error", ignoreError);
+    const { socket } = request;
     const call: Call = {
       request,
       response,
       wantsContinue,
+      running: undefined,
       callerMilliseconds: 0,
       targetMilliseconds: 0,
     };
-    const refusal = await this.#answer(call);
+    this.#running.openAnswer(socket, response);
+    response.on("close", () => {
+      if (!response.writableFinished) {
+        call.running?.end("caller_gone");
+      }
+      this.#running.closeAnswer(socket, response);
+    });
+    // The caller's connection may break at any moment; its `close` event tells so too.
+    response.on("error", ignoreError);
+    const refusal = await this.#answer(call).catch((error: unknown) => this.#fail(call, error));
     if (refusal !== undefined && !response.destroyed) {
       this.#meters.refusals.inc({ reason: refusal.row.reason, run: refusal.run });
       refusals.sendRefusal(response, refusal, this.#endsConnection(call, refusal));
     }
-    // What the caller still sends must not keep its connection from the next request.
-    request.resume();
+    if (!request.complete) {
+      // What the caller still sends must not keep its connection from the next request.
+      request.resume();
+    }
     const elapsed = kernel.getMonotonicMilliseconds() - started;
     this.#meters.total.record(elapsed);
     this.#meters.added.record(elapsed - call.targetMilliseconds - call.callerMilliseconds);
   }
 
+  /** A fault of this program ends one request, not the VM. */
+  #fail(call: Call, error: unknown): refusals.Refusal | undefined {
+    this.#logger.error("A request failed inside the gateway.", {
+      detail: error instanceof Error ? error.stack : String(error),
+    });
+    if (!call.response.headersSent) {
+      return refusals.createUnknownRefusal(refusals.Refusals.internalError);
+    }
+    call.response.destroy();
+    return undefined;
+  }
+
   #endsConnection(call: Call, refusal: refusals.Refusal): boolean {
     if (this.#closing || refusal.row === refusals.Refusals.keyWithdrawn) {
       return true;
@@ -180,11 +205,7 @@
     const runningRequest = new running.RunningRequest(
       accepted.deadlineMilliseconds - kernel.getMonotonicMilliseconds(),
     );
-    call.response.once("close", () => {
-      if (!call.response.writableFinished) {
-        runningRequest.end("caller_gone");
-      }
-    });
+    call.running = runningRequest;
     if (accepted.keyDigest !== undefined) {
       this.#running.add(runningRequest, accepted.keyDigest, call.request.socket);
     }
@@ -216,7 +237,8 @@
       return runningRequest.endReason === undefined ? failed : createEndRefusal(runningRequest);
     }
     // A token is taken after the body is there, so that slow bodies can't run all at once later.
-    const overRate = await this.#checkRate(accepted);
+    const decision = this.#checkRate(accepted);
+    const overRate = decision instanceof Promise ? await decision : decision;
     if (overRate !== undefined) {
       return overRate;
     }
@@ -226,7 +248,7 @@
     const answer = new answers.CallerAnswer(call.response, () => this.#closing);
     const idempotencyKey = idempotency.findIdempotencyKey(call.request, accepted);
     const store = this.#services.find(claims.CLAIM_STORE);
-    const ready: forwarding.ReadyRequest = {
+    const ready: runs.ReadyRequest = {
       accepted,
       request: call.request,
       body,
@@ -239,26 +261,24 @@
       : this.#forwardClaimed(call, ready, store, idempotencyKey);
   }
 
-  async #checkRate(accepted: types.AcceptedRequest): Promise<refusals.Refusal | undefined> {
+  #checkRate(
+    accepted: types.AcceptedRequest,
+  ): refusals.Refusal | undefined | Promise<refusals.Refusal | undefined> {
     if (accepted.workspace === undefined) {
       return undefined;
     }
     const limiter = this.#services.get(limits.RATE_LIMITER);
-    const pending = limiter.admit(accepted.workspace, accepted.deadlineMilliseconds);
-    const decision = pending instanceof Promise ? await pending : pending;
-    if (decision.isOk()) {
-      return undefined;
-    }
-    const row = decision.error.kind === "over_rate"
-      ? refusals.Refusals.overRate
-      : refusals.Refusals.noShare;
-    return refusals.createNotRunRefusal(row, decision.error.retryAfterMilliseconds);
+    const decision = limiter.admit(accepted.workspace, accepted.deadlineMilliseconds);
+    // Most decisions are there at once; a promise for each would cost more than the decision.
+    return decision instanceof Promise
+      ? decision.then(createRateRefusal)
+      : createRateRefusal(decision);
   }
 
   async #forward(
     call: Call,
-    ready: forwarding.ReadyRequest,
-  ): Promise<forwarding.ForwardResult> {
+    ready: runs.ReadyRequest,
+  ): Promise<runs.ForwardResult> {
     const forwarder = kernel.getDefined(this.#forwarder, "The gateway serves after its start.");
     const result = await forwarder.forward(ready);
     call.targetMilliseconds = result.targetMilliseconds;
@@ -267,7 +287,7 @@
 
   async #forwardClaimed(
     call: Call,
-    ready: forwarding.ReadyRequest,
+    ready: runs.ReadyRequest,
     store: claims.ClaimStore,
     idempotencyKey: string,
   ): Promise<refusals.Refusal | undefined> {
@@ -295,10 +315,25 @@
       return createEndRefusal(ready.running);
     }
     ready.answer.record();
-    const result = await this.#forward(call, ready);
-    idempotency.settleClaim(claim, result, ready.answer);
-    return result.refusal;
+    try {
+      const result = await this.#forward(call, ready);
+      idempotency.settleClaim(claim, result, ready.answer);
+      return result.refusal;
+    } catch (error) {
+      claim.fail();
+      throw error;
+    }
+  }
+}
+
+function createRateRefusal(decision: limits.RateDecision): refusals.Refusal | undefined {
+  if (decision.isOk()) {
+    return undefined;
   }
+  const row = decision.error.kind === "over_rate"
+    ? refusals.Refusals.overRate
+    : refusals.Refusals.noShare;
+  return refusals.createNotRunRefusal(row, decision.error.retryAfterMilliseconds);
 }
 
 async function bufferBody(
