--- a/packages/limits/src/coordinator.ts
+++ b/packages/limits/src/coordinator.ts
@@ -197,7 +197,9 @@
     const known = this.#shards.get(shards.getShard(id));
     const workspace = this.#configuration.getSnapshot()?.findWorkspace(id);
     known?.authority.advance(nowMilliseconds);
-    const lifetimeMilliseconds = known === undefined ? 0 : this.#getLifetime(known, nowMilliseconds);
+    const lifetimeMilliseconds = known === undefined
+      ? 0
+      : this.#getLifetime(known, nowMilliseconds);
     if (
       known === undefined || workspace === undefined || known.authority.share === 0 ||
       lifetimeMilliseconds < SHORTEST_GRANT_MILLISECONDS
@@ -320,11 +322,12 @@
       return;
     }
     this.#metrics.handovers.inc({ result: "adopted" });
-    known.authority.adoptDrops(handover.drops);
+    // The listed ones must exist before the others' bounds are known, which are higher.
     for (const { workspace, level } of levels) {
       kernel.assert(workspace !== undefined, "All workspaces were found.");
       this.#getBucket(known, workspace, nowMilliseconds).adopt(level, nowMilliseconds);
     }
+    known.authority.adoptDrops(handover.drops);
   }
 
   #getVmLimit(): number {
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -66,7 +66,6 @@
 });
 export type Ask = zod.infer<typeof ask>;
 
-
 const grant = zod.object({
   workspace,
   /** Names the grant at the coordinator that gave it. */
--- a/packages/limits/src/voter.ts
+++ b/packages/limits/src/voter.ts
@@ -181,4 +181,3 @@
     return true;
   }
 }
-
--- a/packages/limits/test/safety_margins_test.ts
+++ b/packages/limits/test/safety_margins_test.ts
@@ -5,6 +5,8 @@
 
 import assert from "node:assert/strict";
 import * as test from "node:test";
+import type * as fleet from "@hemlockwalk/fleet";
+import * as fleetTesting from "@hemlockwalk/fleet/testing";
 import * as kernel from "@hemlockwalk/kernel";
 import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import type * as model from "@hemlockwalk/model";
@@ -15,7 +17,7 @@
 const READY_MILLISECONDS = 4_500;
 
 /** Just before the last votes for a coordinator end that was cut off. */
-const PAUSE_AFTER_CUT_MILLISECONDS = 1_400;
+const PAUSE_AFTER_CUT_MILLISECONDS = 1_600;
 
 /** A situation, played with the given margins. */
 class Scenario {
@@ -41,13 +43,11 @@
     });
   }
 
-  /** The VM that coordinates the workspace, by the view of one that knows the given VMs. */
-  getCoordinator(): harness.TestVm {
-    const viewer = kernel.getDefined(
-      this.fleet.vms.find((vm) => vm.state === "alive"),
-      "A VM is alive.",
-    );
-    const owners = new shards.ShardOwners(viewer.membership);
+  /** The VM that coordinates the workspace where the given members are known. */
+  getCoordinator(members: readonly fleet.Member[] = this.fleet.listMembers()): harness.TestVm {
+    const self = this.fleet.vms[0]!.identity;
+    const membership = new fleetTesting.FixedMembership(self, members);
+    const owners = new shards.ShardOwners(membership);
     const owner = owners.getOwner(shards.getShard(this.workspace.id));
     return kernel.getDefined(
       this.fleet.vms.find((vm) => vm.identity.vm === owner),
@@ -136,19 +136,18 @@
   await clock.advance(READY_MILLISECONDS);
   const { fleet } = scenario;
   const earlier = scenario.getCoordinator();
-  const holder = scenario.getOthers(earlier)[0]!;
+  const members = fleet.listMembers().filter((member) => member.vm !== earlier.identity.vm);
+  const later = scenario.getCoordinator(members);
+  const holder = scenario.getOthers(earlier, later)[0]!;
   const rest = scenario.getOthers(earlier, holder);
   scenario.isolate(earlier, rest);
-  const members = fleet.listMembers().filter((member) => member.vm !== earlier.identity.vm);
   for (const vm of rest) {
     vm.membership.set(members);
   }
   await scenario.load([holder], PAUSE_AFTER_CUT_MILLISECONDS, 2);
   fleet.pause(holder);
   await clock.advance(900);
-  const owners = new shards.ShardOwners(rest[0]!.membership);
-  const owner = owners.getOwner(shards.getShard(scenario.workspace.id));
-  scenario.send(fleet.vms.find((vm) => vm.identity.vm === owner)!, 150);
+  scenario.send(later, 150);
   scenario.send(holder, 150);
   fleet.resume(holder);
   await clock.advance(500);
