--- a/packages/limits/src/coordinator.ts
+++ b/packages/limits/src/coordinator.ts
@@ -322,11 +322,12 @@
       return;
     }
     this.#metrics.handovers.inc({ result: "adopted" });
-    known.authority.adoptDrops(handover.drops);
+    // The listed ones must exist before the others' bounds are known, which are higher.
     for (const { workspace, level } of levels) {
       kernel.assert(workspace !== undefined, "All workspaces were found.");
       this.#getBucket(known, workspace, nowMilliseconds).adopt(level, nowMilliseconds);
     }
+    known.authority.adoptDrops(handover.drops);
   }
 
   #getVmLimit(): number {
