Target pool with pooled evidence, verdicts and ejection above the floor

Cause: the pool took targets in turn and saw no fault at all. One VM sees a target too seldom to judge it alone, so VMs send digests of their calls to a coordinator of each service, which judges a target against the better half of the others and answers with dated verdicts.

Ruled out: probes as evidence (they mislead); consecutive-failure counts (blind to a 30% share); counting the floor over targets that stay only (leaving and ejected ones would add up below it).

The class RoundRobinPool is now a strategy of the one pool, as is the least loaded target, both kept as baselines. Its detection can be switched off.

--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -33,7 +33,7 @@
   services.register<limits.FairQueue>(limits.FAIR_QUEUE, new limits.ArrivalOrderQueue());
   services.register<targets.TargetPool>(
     targets.TARGET_POOL,
-    new targets.RoundRobinPool(configurationService),
+    targets.createTargetPool(services, settings, new kernel.PartLogger(logger, "targets")),
   );
   services.register(gateway.GATEWAY, new gateway.Gateway(services, settings.listener.address));
   services.register(
--- /dev/null
+++ b/packages/targets/src/random.ts
@@ -0,0 +1,27 @@
+/**
+ * Random numbers from a seed, so that a run can be repeated.
+ */
+
+import * as prand from "pure-rand/generator/xoroshiro128plus";
+
+/** Values of a generator's output. */
+const RANGE = 2 ** 32;
+
+/** A source of random numbers. */
+export class RandomSource {
+  readonly #generator;
+
+  constructor(seed: number) {
+    this.#generator = prand.xoroshiro128plus(seed);
+  }
+
+  /** A number of at least 0 and below 1. */
+  next(): number {
+    return (this.#generator.next() >>> 0) / RANGE;
+  }
+
+  /** One of the entries; undefined when there are none. */
+  pick<Entry>(entries: readonly Entry[]): Entry | undefined {
+    return entries[Math.floor(this.next() * entries.length)];
+  }
+}
--- /dev/null
+++ b/packages/targets/test/fixtures.ts
@@ -0,0 +1,131 @@
+/**
+ * Small fakes around the pool: a configuration that the test sets, and a pause source.
+ */
+
+import * as configuration from "@hemlockwalk/configuration";
+import * as fleet from "@hemlockwalk/fleet";
+import * as kernel from "@hemlockwalk/kernel";
+import * as model from "@hemlockwalk/model";
+import type * as types from "../src/types.ts";
+
+export const SERVICE = model.createServiceId("permits");
+export const ROUTE = model.createRouteId("browse");
+export const OTHER_ROUTE = model.createRouteId("book");
+
+/** What a test declares. */
+export interface Declaration {
+  readonly targets: number;
+  readonly dataCentres: number;
+  readonly floor?: number;
+  readonly slots?: number;
+  readonly connections?: number;
+  readonly vmLimit?: number;
+  readonly leaving?: ReadonlySet<number>;
+}
+
+/** The data centre with the given position. */
+export function getDataCentre(index: number): model.DataCentreId {
+  return model.createDataCentreId(`north-${index + 1}`);
+}
+
+/** The target with the given position. Targets are spread over the data centres in turn. */
+export function getTargetId(index: number): model.TargetId {
+  return model.createTargetId(`permits-${String(index + 1).padStart(3, "0")}`);
+}
+
+/** A configuration with one service. */
+export function createSnapshot(declaration: Declaration, number = 1): configuration.Snapshot {
+  const tables = configuration.createEmptyTables();
+  tables.services.set(SERVICE, {
+    id: SERVICE,
+    floor: declaration.floor ?? 0.7,
+    slots: declaration.slots ?? 6,
+    connections: declaration.connections ?? 330,
+  });
+  for (let index = 0; index < declaration.targets; index++) {
+    const id = getTargetId(index);
+    tables.targets.set(id, {
+      id,
+      service: SERVICE,
+      address: `127.0.0.1:${10_000 + index}`,
+      dataCentre: getDataCentre(index % declaration.dataCentres),
+      leaving: declaration.leaving?.has(index) ?? false,
+    });
+  }
+  return new configuration.TableSnapshot(
+    model.createNoteNumber(number),
+    model.createNoteDigest(String(number)),
+    {
+      vmLimit: declaration.vmLimit ?? 44,
+      keyPlacement: { header: "hemlockwalk-key" },
+      regions: {},
+    },
+    tables,
+  );
+}
+
+/** A configuration that the test sets. */
+export class FakeConfiguration implements configuration.ConfigurationService {
+  readonly #listeners: configuration.SnapshotListener[] = [];
+  #snapshot: configuration.Snapshot | undefined;
+
+  constructor(snapshot?: configuration.Snapshot) {
+    this.#snapshot = snapshot;
+  }
+
+  getSnapshot(): configuration.Snapshot | undefined {
+    return this.#snapshot;
+  }
+
+  isReady(): boolean {
+    return true;
+  }
+
+  onChange(listener: configuration.SnapshotListener): void {
+    this.#listeners.push(listener);
+  }
+
+  set(current: configuration.Snapshot): void {
+    const previous = this.#snapshot;
+    this.#snapshot = current;
+    for (const listener of this.#listeners) {
+      listener({ previous, current, withdrawnKeys: [] });
+    }
+  }
+}
+
+/** Pauses that the test reports. */
+export class FakePauses implements types.PauseSource {
+  lastResumeMilliseconds = Number.NEGATIVE_INFINITY;
+  readonly #listeners: ((milliseconds: number) => void)[] = [];
+
+  onResume(listener: (milliseconds: number) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  resume(milliseconds: number): void {
+    this.lastResumeMilliseconds = kernel.getMonotonicMilliseconds();
+    for (const listener of this.#listeners) {
+      listener(milliseconds);
+    }
+  }
+}
+
+/** The identities of a fleet whose VMs are spread over the data centres in turn. */
+export function createIdentities(count: number, dataCentres: number): fleet.VmIdentity[] {
+  return Array.from({ length: count }, (_, index) => ({
+    vm: model.createVmId(`vm-${String(index + 1).padStart(3, "0")}`),
+    incarnation: `life-${index}` as model.Incarnation,
+    dataCentre: getDataCentre(index % dataCentres),
+  }));
+}
+
+/** The view of a fleet in which all VMs are live. */
+export function createMembers(identities: readonly fleet.VmIdentity[]): fleet.Member[] {
+  return identities.map((identity) => ({ ...identity, address: "127.0.0.1:1", state: "live" }));
+}
+
+/** A logger that writes nothing. */
+export function createLogger(): kernel.PartLogger {
+  return new kernel.PartLogger(kernel.createSilentLogger(), "targets");
+}
