--- a/packages/targets/src/service_evidence.ts
+++ b/packages/targets/src/service_evidence.ts
@@ -50,9 +50,7 @@
 /** When most calls of all targets fail, no target is sicker than the others. */
 const GENERAL_FAILURE_SHARE = 0.5;
 const GENERAL_FAILURE_LEAST_CALLS = 8;
-
-/** Position of the window in the list of windows. */
-const GENERAL_FAILURE_WINDOW = 3;
+const GENERAL_FAILURE_WINDOW_MILLISECONDS = 8_000;
 
 /** How sure and how widely supported a finding must be. */
 export interface EvidenceOptions {
@@ -95,11 +93,17 @@
   readonly #targets = new Map<types.ShortId, windows.EvidenceWindow>();
   readonly #references = new Map<string, latencies.RecentLatencies>();
   readonly #suspicious = new Set<types.ShortId>();
+  #news = false;
 
   constructor(options: EvidenceOptions) {
     this.#options = options;
   }
 
+  /** Whether calls went badly since the targets were last judged. */
+  get hasNews(): boolean {
+    return this.#news;
+  }
+
   /** Adds calls and tells how they count. */
   add(reported: ReportedCalls, nowMilliseconds: number): types.EvidenceKind {
     const kind = this.#classify(reported, nowMilliseconds);
@@ -111,6 +115,7 @@
     window.add({ ...reported, kind }, nowMilliseconds);
     if (windows.isFault(kind)) {
       this.#suspicious.add(reported.target);
+      this.#news = true;
     }
     return kind;
   }
@@ -172,8 +177,10 @@
   ): boolean {
     const sum = windows.createCounts();
     for (const [target, window] of this.#targets) {
-      const totals = inUse(target) ? window.getTotals(nowMilliseconds) : [];
-      windows.addCounts(sum, totals[GENERAL_FAILURE_WINDOW] ?? windows.createCounts());
+      if (inUse(target)) {
+        const since = nowMilliseconds - GENERAL_FAILURE_WINDOW_MILLISECONDS;
+        windows.addCounts(sum, window.countSince(since));
+      }
     }
     return sum.calls >= GENERAL_FAILURE_LEAST_CALLS &&
       sum.failed >= sum.calls * GENERAL_FAILURE_SHARE;
@@ -188,6 +195,7 @@
     inUse: (target: types.ShortId) => boolean,
     nowMilliseconds: number,
   ): Finding[] {
+    this.#news = false;
     if (this.#suspicious.size === 0) {
       return [];
     }
@@ -239,7 +247,7 @@
     for (const kind of FAULT_KINDS) {
       for (let index = 0; index < windows.WINDOWS_MILLISECONDS.length; index++) {
         const counts = own[index];
-        if (counts === undefined || counts[kind] === 0) {
+        if (counts === undefined || !this.#canSuffice(kind, counts[kind])) {
           continue;
         }
         const peers = listPeerCounts(target, totals, index);
@@ -260,6 +268,11 @@
     return undefined;
   }
 
+  /** Whether so many bad calls could be a finding at all, if there were no good ones. */
+  #canSuffice(kind: types.FaultKind, bad: number): boolean {
+    return statistics.isAboveShare(bad, bad, LEAST_SHARES[kind], this.#options.nats);
+  }
+
   /**
    * Whether most other targets are well since the first bad call. Otherwise the cause is shared, and
    * may be the observer itself.
--- a/packages/targets/src/service_judge.ts
+++ b/packages/targets/src/service_judge.ts
@@ -24,6 +24,9 @@
 /** A trial to which no request came ends in the target's return, or it would stay out for ever. */
 const TRIAL_STARVED_MILLISECONDS = 60_000;
 
+/** Without new bad calls, targets are judged again only after this time. */
+const QUIET_MILLISECONDS = 500;
+
 /** A refusal for the same target is told again only after this time. */
 const REFUSAL_REPEAT_MILLISECONDS = 5_000;
 
@@ -79,6 +82,7 @@
   #ejections: Ejection[] = [];
   #declared = new Map<types.ShortId, JudgedTarget>();
   #allowance = 0;
+  #judgedAt = Number.NEGATIVE_INFINITY;
   #version = 0;
 
   constructor(options: JudgeOptions, events: JudgeEvents) {
@@ -175,6 +179,10 @@
   /** Ejects what is sick now and starts the trials that are due. */
   evaluate(nowMilliseconds: number): void {
     this.#startTrials(nowMilliseconds);
+    if (!this.evidence.hasNews && nowMilliseconds - this.#judgedAt < QUIET_MILLISECONDS) {
+      return;
+    }
+    this.#judgedAt = nowMilliseconds;
     const inUse = (target: types.ShortId) => this.#isInUse(target);
     if (this.evidence.isGenerallyFailing(inUse, nowMilliseconds)) {
       this.returnAll("general_failure");
--- /dev/null
+++ b/packages/targets/test/choice_test.ts
@@ -0,0 +1,159 @@
+/**
+ * Choice of targets: strategies, slots, leaving and cold targets, shed answers, connection limits.
+ */
+
+import assert from "node:assert/strict";
+import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
+import * as model from "@hemlockwalk/model";
+import * as subsets from "../src/target_subset.ts";
+import * as targets from "../src/mod.ts";
+import * as fixtures from "./fixtures.ts";
+
+const [SELF] = fixtures.createIdentities(1, 1);
+
+interface Fixture {
+  readonly pool: targets.AdaptivePool;
+  readonly configuration: fixtures.FakeConfiguration;
+  readonly clock: kernelTesting.TestClock;
+}
+
+function createPool(context: test.TestContext, declaration: fixtures.Declaration): Fixture {
+  const clock = new kernelTesting.TestClock();
+  context.after(() => clock.restore());
+  const configuration = new fixtures.FakeConfiguration(fixtures.createSnapshot(declaration));
+  const pool = new targets.AdaptivePool({
+    self: kernel.getDefined(SELF, "There is an identity."),
+    configuration,
+    metrics: new kernel.Metrics(),
+    logger: fixtures.createLogger(),
+  }, { seed: 6_003 });
+  return { pool, configuration, clock };
+}
+
+function acquire(
+  pool: targets.AdaptivePool,
+  exclude: ReadonlySet<model.TargetId> = new Set(),
+): targets.TargetLease | undefined {
+  return pool.tryAcquire({
+    service: fixtures.SERVICE,
+    route: fixtures.ROUTE,
+    idempotent: true,
+    exclude,
+  });
+}
+
+function countChoices(
+  pool: targets.AdaptivePool,
+  count: number,
+  result: (target: model.TargetId) => targets.CallResult,
+): Map<model.TargetId, number> {
+  const counts = new Map<model.TargetId, number>();
+  for (let call = 0; call < count; call++) {
+    const lease = kernel.getDefined(acquire(pool), "There are free slots.");
+    const { id } = lease.target;
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+    lease.release({ result: result(id), latencyMilliseconds: 20, route: fixtures.ROUTE });
+  }
+  return counts;
+}
+
+test.describe("choice", () => {
+  test.it("never runs more than the slots, and released leases leak none", (context) => {
+    const { pool } = createPool(context, { targets: 4, dataCentres: 1, slots: 3, vmLimit: 2 });
+    const capacity: model.ServiceId[] = [];
+    pool.onCapacity((service) => capacity.push(service));
+    for (let round = 0; round < 5; round++) {
+      const leases: targets.TargetLease[] = [];
+      for (let lease = acquire(pool); lease !== undefined; lease = acquire(pool)) {
+        leases.push(lease);
+      }
+      assert.equal(leases.length, 12);
+      capacity.length = 0;
+      for (const lease of leases) {
+        const outcome = {
+          result: "cancelled",
+          latencyMilliseconds: 1,
+          route: fixtures.ROUTE,
+        } as const;
+        lease.release(outcome);
+        lease.release(outcome);
+      }
+      assert.equal(capacity.length, 12);
+    }
+  });
+
+  test.it("prefers the near data centre and spills over when it is busy", (context) => {
+    const { pool } = createPool(context, { targets: 8, dataCentres: 4, slots: 3, vmLimit: 2 });
+    const leases = Array.from({ length: 24 }, () => acquire(pool));
+    const dataCentres = leases.map((lease) => lease?.target.dataCentre);
+    const near = fixtures.getDataCentre(0);
+    assert.ok(dataCentres.slice(0, 3).every((dataCentre) => dataCentre === near));
+    assert.equal(dataCentres.filter((dataCentre) => dataCentre === near).length, 6);
+    assert.equal(new Set(dataCentres).size, 4);
+  });
+
+  test.it("gives a leaving target nothing from the moment of the note on", (context) => {
+    const { pool, configuration } = createPool(context, { targets: 4, dataCentres: 1 });
+    countChoices(pool, 50, () => "success");
+    const leaving = new Set([1]);
+    configuration.set(fixtures.createSnapshot({ targets: 4, dataCentres: 1, leaving }, 2));
+    const counts = countChoices(pool, 200, () => "success");
+    assert.equal(counts.get(fixtures.getTargetId(1)), undefined);
+    assert.equal(counts.size, 3);
+  });
+
+  test.it("leaves out the targets that a request was sent to before", (context) => {
+    const { pool } = createPool(context, { targets: 3, dataCentres: 1 });
+    const exclude = new Set([fixtures.getTargetId(0), fixtures.getTargetId(2)]);
+    for (let call = 0; call < 5; call++) {
+      assert.equal(acquire(pool, exclude)?.target.id, fixtures.getTargetId(1));
+    }
+    exclude.add(fixtures.getTargetId(1));
+    assert.equal(acquire(pool, exclude), undefined);
+  });
+
+  test.it("gives a new target little at first and its share later", async (context) => {
+    const { pool, configuration, clock } = createPool(context, { targets: 4, dataCentres: 1 });
+    await clock.advance(20_000, 1_000);
+    configuration.set(fixtures.createSnapshot({ targets: 5, dataCentres: 1 }, 2));
+    const cold = countChoices(pool, 1_000, () => "success").get(fixtures.getTargetId(4)) ?? 0;
+    await clock.advance(20_000, 1_000);
+    const warm = countChoices(pool, 1_000, () => "success").get(fixtures.getTargetId(4)) ?? 0;
+    assert.ok(cold > 0 && cold < 60, `${cold} of 1000 while cold`);
+    assert.ok(warm > 140 && warm < 260, `${warm} of 1000 later`);
+  });
+
+  test.it("backs off from a target that sheds without taking it for sick", async (context) => {
+    const { pool, clock } = createPool(context, { targets: 5, dataCentres: 1, floor: 0.2 });
+    const shedding = fixtures.getTargetId(2);
+    let shed = 0;
+    let total = 0;
+    for (let round = 0; round < 100; round++) {
+      const counts = countChoices(pool, 10, (id) => id === shedding ? "shed" : "success");
+      shed += counts.get(shedding) ?? 0;
+      total += 10;
+      await clock.advance(50, 50);
+      pool.tick();
+    }
+    assert.ok(shed > 0 && shed < total / 10, `${shed} of ${total} went to the shedding target`);
+    assert.equal(pool.listInUse(fixtures.SERVICE, fixtures.ROUTE).length, 5);
+  });
+
+  test.it("keeps each target's connections below its limit in a fleet of the largest size", () => {
+    const snapshot = fixtures.createSnapshot({ targets: 50, dataCentres: 8 });
+    const declared = snapshot.listTargets(fixtures.SERVICE);
+    const holders = new Map<model.TargetId, number>();
+    for (let index = 0; index < 825; index++) {
+      const vm = model.createVmId(`vm-${index}`);
+      const subset = subsets.selectSubset(vm, declared, 330, 825);
+      assert.ok(subset.length >= 2);
+      for (const { id } of subset) {
+        holders.set(id, (holders.get(id) ?? 0) + subsets.getConnectionShare(330, 825));
+      }
+    }
+    assert.equal(holders.size, 50);
+    assert.ok(Math.max(...holders.values()) <= 330);
+  });
+});
