--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -20,15 +20,18 @@
   ): fleet.WebSocketPeerNetwork;
   createRateLimiter(services: kernel.Kernel, logger: kernel.PartLogger): limits.RateLimiter;
   createFairQueue(services: kernel.Kernel): limits.FairQueue;
-  createTargetPool(services: kernel.Kernel): targets.TargetPool;
+  createTargetPool(
+    services: kernel.Kernel,
+    settings: model.Settings,
+    logger: kernel.PartLogger,
+  ): targets.TargetPool;
 }
 
 const STANDARD_PARTS: VirtualMachineParts = {
   createPeerNetwork: (self, options) => new fleet.WebSocketPeerNetwork(self, options),
   createRateLimiter,
   createFairQueue: () => new limits.ArrivalOrderQueue(),
-  createTargetPool: (services) =>
-    new targets.RoundRobinPool(services.get(configuration.CONFIGURATION)),
+  createTargetPool: targets.createTargetPool,
 };
 
 /** Creates the kernel of a VM with all its services, ready to start. */
@@ -51,7 +54,10 @@
   registerMembership(services, settings, network, createLogger("membership"));
   services.register(limits.RATE_LIMITER, parts.createRateLimiter(services, createLogger("limits")));
   services.register(limits.FAIR_QUEUE, parts.createFairQueue(services));
-  services.register(targets.TARGET_POOL, parts.createTargetPool(services));
+  services.register(
+    targets.TARGET_POOL,
+    parts.createTargetPool(services, settings, createLogger("targets")),
+  );
   services.register(
     gateway.GATEWAY,
     new gateway.Gateway(services, settings.listener, createLogger("gateway")),
