--- a/packages/limits/src/coordinator.ts
+++ b/packages/limits/src/coordinator.ts
@@ -217,7 +217,7 @@
     this.#metrics.grantedTokens.inc(tokens);
     const grant = { workspace: id, grant: this.#lastGrant, tokens, lifetimeMilliseconds };
     return known.authority.hasMajority
-      ? { ...grant, retryAfterMilliseconds: bucket.getWaitMilliseconds(nowMilliseconds) }
+      ? { ...grant, retryAfterMilliseconds: Math.ceil(bucket.getWaitMilliseconds(nowMilliseconds)) }
       : grant;
   }
 
--- a/packages/limits/src/shards.ts
+++ b/packages/limits/src/shards.ts
@@ -10,7 +10,7 @@
 export const SHARD_COUNT = 128;
 
 /** The most VMs that coordinate shards, so that the number of links per VM stays bounded. */
-export const MAXIMUM_COORDINATORS = 48;
+export const MAXIMUM_COORDINATORS = 24;
 
 const COORDINATORS_KEY = "limits coordinators";
 
--- a/packages/limits/test/fleet_harness.ts
+++ b/packages/limits/test/fleet_harness.ts
@@ -123,7 +123,7 @@
   readonly membership: fleetTesting.FixedMembership;
   readonly configuration: SettableConfiguration;
   readonly metrics: kernel.Metrics;
-  readonly limiter: limits.EscrowLimiter;
+  readonly limiter: limits.RateLimiter;
   readonly process: TestProcess;
   state: "alive" | "paused" | "leaving" | "dead";
 }
@@ -135,6 +135,8 @@
   readonly workspaces: readonly model.Workspace[];
   readonly margins?: limits.SafetyMargins;
   readonly reservedShare?: number;
+  /** Another limiter than the escrow limiter. */
+  readonly createLimiter?: (parts: limits.EscrowLimiterParts) => limits.RateLimiter;
   /** Speed of a VM's clock against real time. */
   readonly getClockSpeed?: (index: number) => number;
 }
@@ -209,20 +211,21 @@
     const metrics = new kernel.Metrics();
     const speed = this.#options.getClockSpeed?.(index) ?? 1;
     const process: TestProcess = { isPaused: false, dueTimers: [] };
-    const limiter = new limits.EscrowLimiter({
+    const parts: limits.EscrowLimiterParts = {
       configuration: settable,
       network: this.#connect(identity, process),
       membership,
       metrics,
       logger: new kernel.PartLogger(kernel.createSilentLogger(), "limits"),
-    }, {
+    };
+    const limiter = this.#options.createLimiter?.(parts) ?? new limits.EscrowLimiter(parts, {
       ...(this.#options.margins === undefined ? {} : { margins: this.#options.margins }),
       ...(this.#options.reservedShare === undefined
         ? {}
         : { reservedShare: this.#options.reservedShare }),
       now: () => kernel.getMonotonicMilliseconds() * speed,
     });
-    this.#timers.run(process, () => limiter.start());
+    this.#timers.run(process, () => limiter.start?.());
     const vm: TestVm = {
       identity,
       membership,
@@ -238,7 +241,7 @@
 
   kill(vm: TestVm): void {
     vm.state = "dead";
-    vm.limiter.stop();
+    void vm.limiter.stop?.();
     this.hub.disconnect(vm.identity.vm);
   }
 
@@ -261,7 +264,7 @@
   /** Stops a VM in order. */
   async drain(vm: TestVm): Promise<void> {
     vm.state = "leaving";
-    await this.#timers.run(vm.process, () => vm.limiter.drain());
+    await this.#timers.run(vm.process, () => vm.limiter.drain?.());
     if (vm.state === "leaving") {
       this.kill(vm);
     }
