--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -102,7 +102,7 @@
   }
   const membership = new fleet.GossipMembership({
     network,
-    address: settings.peers.address,
+    address: settings.peers.advertisedAddress ?? settings.peers.address,
     seeds: settings.peers.seeds.map((seed) => ({ ...seed, state: "live" as const })),
     list: services.get(configuration.VM_LIST_SOURCE),
     pauses: services.get(kernel.PAUSE_DETECTOR),
--- a/packages/fleet/src/web_socket_peer_network.ts
+++ b/packages/fleet/src/web_socket_peer_network.ts
@@ -249,11 +249,19 @@
     }
   }
 
+  /** Links leave from the IP number that the settings give, so that firewalls can name it. */
+  #getLocalAddress(): { readonly localAddress?: string } {
+    const host = model.splitSocketAddress(this.#options.address)?.host;
+    const isAnyAddress = host === undefined || host === "0.0.0.0" || host === "::";
+    return isAnyAddress ? {} : { localAddress: host };
+  }
+
   async #connect(address: string): Promise<sockets.PeerSocket | undefined> {
     const webSocket = new ws.WebSocket(`ws://${address}`, {
       handshakeTimeout: CONNECT_TIMEOUT_MILLISECONDS,
       maxPayload: sockets.MAX_MESSAGE_BYTES,
       perMessageDeflate: false,
+      ...this.#getLocalAddress(),
     });
     const socket = new sockets.PeerSocket(webSocket, this.#options.counters);
     const isOpen = await new Promise<boolean>((resolve) => {
--- a/packages/measure/src/emulator/commands.ts
+++ b/packages/measure/src/emulator/commands.ts
@@ -10,7 +10,10 @@
   readonly dataCentre: string;
   readonly listener: string;
   readonly admin: string;
+  /** Where other VMs reach this one: a relay that can lose messages. */
   readonly peers: string;
+  /** Its own peer listener, behind the relay. */
+  readonly peerListener: string;
 }
 
 /** Which implementations the VMs use. */
@@ -66,6 +69,7 @@
   };
   readonly stopVm: { readonly request: { readonly vm: string }; readonly answer: undefined };
   readonly cutDataCentres: {
+    /** IP numbers of the data centres. */
     readonly request: { readonly from: string; readonly to: string; readonly cut: boolean };
     readonly answer: undefined;
   };
--- a/packages/measure/src/experiment/vm_fleet.ts
+++ b/packages/measure/src/experiment/vm_fleet.ts
@@ -5,6 +5,7 @@
 import * as standins from "@hemlockwalk/standins";
 import * as deployments from "../deployments.ts";
 import type * as commands from "../emulator/commands.ts";
+import * as peerRelay from "../emulator/peer_relay.ts";
 import * as workerHandle from "../emulator/worker_handle.ts";
 import * as ports from "../free_port.ts";
 import type * as types from "../types.ts";
@@ -13,6 +14,10 @@
 const SMALL_HOST_VMS = 2;
 
 const LARGE_HOSTS = 4;
+
+/** Listener, admin listener, peer relay and peer listener. */
+const PORTS_FOR_VM = 4;
+
 const READY_TIMEOUT_MILLISECONDS = 60_000;
 const READY_POLL_MILLISECONDS = 100;
 
@@ -162,8 +167,8 @@
   /** Loses, or passes again, what VMs of one data centre send to those of another. */
   async cutDataCentres(from: number, to: number, cut: boolean): Promise<void> {
     const request = {
-      from: this.#deployment.dataCentres[from] ?? "",
-      to: this.#deployment.dataCentres[to] ?? "",
+      from: peerRelay.getDataCentreAddress(from),
+      to: peerRelay.getDataCentreAddress(to),
       cut,
     };
     await Promise.all(
@@ -177,16 +182,19 @@
   }
 
   async #planVms(count: number): Promise<commands.VmPlan[]> {
-    const free = await ports.findFreePorts(count * 3);
+    const free = await ports.findFreePorts(count * PORTS_FOR_VM);
     return Array.from({ length: count }, (_, index) => {
       const number = this.#started++;
-      const [listener, admin, peers] = free.slice(index * 3, index * 3 + 3);
+      const [listener, admin, peers, peerListener] = free.slice(index * PORTS_FOR_VM);
+      const position = number % this.#deployment.dataCentres.length;
+      const host = peerRelay.getDataCentreAddress(position);
       return {
         vm: `vm-${number + 1}`,
         dataCentre: deployments.getDataCentre(this.#deployment, number),
         listener: `127.0.0.1:${listener}`,
         admin: `127.0.0.1:${admin}`,
-        peers: `127.0.0.1:${peers}`,
+        peers: `${host}:${peers}`,
+        peerListener: `${host}:${peerListener}`,
       };
     });
   }
--- a/packages/measure/src/free_port.ts
+++ b/packages/measure/src/free_port.ts
@@ -3,18 +3,33 @@
  */
 
 import * as net from "node:net";
+import process from "node:process";
+import * as random from "./random.ts";
 
-/** Finds ports that nothing listens on at the moment. */
+/** Below the range that operating systems use for outgoing connections, which would take them. */
+const LOWEST_PORT = 12_000;
+const HIGHEST_PORT = 30_000;
+
+const taken = new Set<number>();
+const stream = new random.RandomStream(process.pid);
+
+/** Finds ports that nothing listens on at the moment. No port is returned twice. */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers: net.Server[] = [];
-  for (let index = 0; index < count; index++) {
-    const server = net.createServer();
-    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-    servers.push(server);
-  }
-  const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
-  for (const server of servers) {
-    await new Promise<void>((resolve) => server.close(() => resolve()));
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = LOWEST_PORT + stream.nextIndex(HIGHEST_PORT - LOWEST_PORT);
+    if (!taken.has(port) && await isFree(port)) {
+      taken.add(port);
+      ports.push(port);
+    }
   }
   return ports;
 }
+
+function isFree(port: number): Promise<boolean> {
+  const server = net.createServer();
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+  });
+}
--- a/packages/model/src/settings.ts
+++ b/packages/model/src/settings.ts
@@ -58,6 +58,8 @@
   }),
   peers: zod.strictObject({
     address: schemas.socketAddress,
+    /** Where other VMs reach this one, if not at `address` itself. */
+    advertisedAddress: schemas.socketAddress.optional(),
     secretFile: zod.string().min(1),
     seeds: zod.array(peerSeed).default([]),
   }).optional(),
