Test that a difference above 1 MB becomes several notes

Cause: the splitting of large differences had no test. 7,000 workspaces with a key each and ten routes become several notes within the limit, which lead to the declared state, and back.

--- a/packages/operator/test/hemlockctl_test.ts
+++ b/packages/operator/test/hemlockctl_test.ts
@@ -16,6 +16,9 @@
 
 const BINARY = url.fileURLToPath(new URL("../src/main.js", import.meta.url));
 
+/** Large differences are printed one entity a line. */
+const HIGHEST_OUTPUT_BYTES = 64_000_000;
+
 interface Outcome {
   readonly code: number | null;
   readonly out: string;
@@ -39,7 +42,11 @@
 
   run(...parameters: string[]): Promise<Outcome> {
     return new Promise((resolve) => {
-      const options = { cwd: this.folder, env: { ...process.env, NO_COLOR: "1" } };
+      const options = {
+        cwd: this.folder,
+        env: { ...process.env, NO_COLOR: "1" },
+        maxBuffer: HIGHEST_OUTPUT_BYTES,
+      };
       const file = process.execPath;
       childProcess.execFile(file, [BINARY, ...parameters], options, (error, out, errors) => {
         const code = error === null ? 0 : Number(error.code ?? 1);
@@ -110,6 +117,41 @@
     assert.equal((await bench.run("diff", "chain", "declared")).out, "No differences.\n");
   });
 
+  run(
+    "splits a difference above the platform's limit into notes that lead to it",
+    async (bench) => {
+      const count = 7_000;
+      const workspaces = Array.from(
+        { length: count },
+        (_, index) => ({ id: `city-${index}`, rate: 1, burst: 1 }),
+      );
+      bench.write("declared/cities.json", {
+        workspaces,
+        keys: workspaces.map(({ id }) => ({ digest: model.createKeyDigest(id), workspace: id })),
+        routes: workspaces.slice(0, 10).map(({ id }) => ({
+          id,
+          pathPrefix: `/${id}`,
+          service: "inspection",
+          workspaces: [id],
+        })),
+      });
+      assert.equal((await bench.run("note", "new", "chain", "declared")).code, 0);
+      const notes = fs.readdirSync(path.join(bench.folder, "chain/notes"));
+      assert.ok(notes.length > 1, `${notes.length} notes`);
+      for (const note of notes) {
+        const bytes = Buffer.byteLength(bench.read(`chain/notes/${note}`));
+        assert.ok(bytes <= model.MAXIMUM_NOTE_BYTES, `${note} has ${bytes} bytes`);
+      }
+      assert.equal((await bench.run("diff", "chain", "declared")).out, "No differences.\n");
+      // And all of it back again.
+      await bench.run("compact", "chain");
+      assert.equal((await bench.run("verify", "chain")).code, 0);
+      fs.rmSync(path.join(bench.folder, "declared/cities.json"));
+      assert.equal((await bench.run("note", "new", "chain", "declared")).code, 0);
+      assert.equal((await bench.run("diff", "chain", "declared")).out, "No differences.\n");
+    },
+  );
+
   run("finds what is wrong with a chain", async (bench) => {
     await bench.run("note", "new", "chain", "declared");
     await bench.run("compact", "chain");
