claims: at most one run for each Idempotency-Key over the whole fleet

Cause: a caller's repeat through another VM ran again. What it does: keys are spread over 64 fixed slots; the five slots of a key follow from the key alone, and three of them grant. A slot has at most one holder, by leases that more than half of vmLimit VMs vote for; a holder grants nothing until that majority vouches that no other VM can have held the slot within the retention. A VM that started votes only after the longest lease. Nothing rests on the membership: a wrong view costs refusals. Ruled out: panels by each VM's view (two parts of a partition have disjoint panels, and an hour later both believe theirs is old); votes of the whole fleet for each claim (376 messages at 750).

--- /dev/null
+++ b/packages/claims/src/claim_messages.ts
@@ -0,0 +1,117 @@
+/**
+ * Messages by which VMs hold slots and claim keys.
+ */
+
+import * as fleet from "@hemlockwalk/fleet";
+import type * as model from "@hemlockwalk/model";
+import * as zod from "zod";
+import * as slots from "./slots.ts";
+
+/** Asks for votes on slots; the answer says for each how long no other VM can have held it. */
+export const VOTE_CHANNEL = fleet.createChannelName("claims.vote");
+/** Gives votes back. */
+export const RELEASE_SLOTS_CHANNEL = fleet.createChannelName("claims.release-slots");
+/** Claims a key at the slots that a VM holds. */
+export const CLAIM_CHANNEL = fleet.createChannelName("claims.claim");
+/** Says that a claim was not used. */
+export const RELEASE_CLAIM_CHANNEL = fleet.createChannelName("claims.release");
+/** Asks the VM that owns a claim what became of it. */
+export const OUTCOME_CHANNEL = fleet.createChannelName("claims.outcome");
+
+const MAX_TEXT = 128;
+const MAX_PERIOD = 3_600_000;
+
+const slot = zod.number().int().min(0).max(slots.SLOTS - 1);
+const slotList = zod.array(slot).max(slots.SLOTS);
+const text = zod.string().min(1).max(MAX_TEXT);
+
+const round = zod.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
+
+export const voteSchema = zod.object({
+  slots: slotList,
+  /** Slots of which the sender holds the lease already, so that others know whom to ask. */
+  held: slotList,
+  lease: zod.number().positive().max(MAX_PERIOD),
+  /** Counts the sender's requests for votes. */
+  round,
+});
+
+/** For each slot of the request: milliseconds without another holder, or null for no vote. */
+export const voteAnswerSchema = zod.object({
+  clean: zod.array(zod.number().min(0).nullable()).max(slots.SLOTS),
+});
+
+export const releaseSlotsSchema = zod.object({
+  slots: slotList,
+  round,
+  /** The sender never had the lease that the votes were for. */
+  neverHeld: zod.boolean(),
+});
+
+export const claimSchema = zod.object({
+  slots: zod.array(slot).min(1).max(slots.PANEL_SIZE),
+  key: text,
+  fingerprint: text,
+  claim: text,
+  /** The claim has been granted before and is still in use. */
+  isRefresh: zod.boolean(),
+});
+
+/** Who uses a key, as a slot remembers it. */
+export interface ClaimOwner {
+  readonly vm: model.VmId;
+  readonly incarnation: model.Incarnation;
+  readonly claim: string;
+  readonly fingerprint: string;
+}
+
+const ownerSchema = zod.object({
+  vm: text.transform((value) => value as model.VmId),
+  incarnation: text.transform((value) => value as model.Incarnation),
+  claim: text,
+  fingerprint: text,
+});
+
+const slotVerdictSchema = zod.discriminatedUnion("kind", [
+  zod.object({ kind: zod.literal("granted") }),
+  zod.object({ kind: zod.literal("taken"), owner: ownerSchema }),
+  /** The VM does not hold the slot, has held it for too short a time, or has no room. */
+  zod.object({
+    kind: zod.literal("abstained"),
+    waitMilliseconds: zod.number().min(0).max(MAX_PERIOD),
+  }),
+]);
+
+/** What one slot says to a claim. */
+export type SlotVerdict = zod.output<typeof slotVerdictSchema>;
+
+export const claimAnswerSchema = zod.object({
+  verdicts: zod.array(slotVerdictSchema).max(slots.PANEL_SIZE),
+});
+
+export const releaseClaimSchema = zod.object({
+  slots: zod.array(slot).max(slots.PANEL_SIZE),
+  key: text,
+  claim: text,
+});
+
+export const outcomeRequestSchema = zod.object({ claim: text });
+
+const storedAnswerSchema = zod.object({
+  status: zod.number().int(),
+  headers: zod.array(zod.string()),
+  body: zod.custom<Uint8Array>((value) => value instanceof Uint8Array),
+});
+
+export const outcomeSchema = zod.discriminatedUnion("kind", [
+  /** Its votes are still being collected. */
+  zod.object({ kind: zod.literal("pending") }),
+  zod.object({ kind: zod.literal("running") }),
+  zod.object({ kind: zod.literal("stored"), answer: storedAnswerSchema }),
+  zod.object({ kind: zod.literal("unknown") }),
+  /** It will never run. */
+  zod.object({ kind: zod.literal("abandoned") }),
+]);
+
+/** What became of a claim, as its owner says. */
+export type ClaimOutcome = zod.output<typeof outcomeSchema>;
--- /dev/null
+++ b/packages/claims/src/slot_holder.ts
@@ -0,0 +1,276 @@
+/**
+ * Holds slots on behalf of the fleet: wins and renews leases by the votes of more than half of all
+ * VMs that may exist, and answers claims for the slots that it holds.
+ */
+
+import type * as configuration from "@hemlockwalk/configuration";
+import * as fleet from "@hemlockwalk/fleet";
+import * as kernel from "@hemlockwalk/kernel";
+import type * as model from "@hemlockwalk/model";
+import type * as counters from "./claim_counters.ts";
+import * as messages from "./claim_messages.ts";
+import * as timings from "./claim_timing.ts";
+import * as slots from "./slots.ts";
+import * as tables from "./slot_table.ts";
+import type * as voters from "./slot_voter.ts";
+
+const VOTE_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Wait before the next look when this VM could not even try. */
+const IDLE_MILLISECONDS = 1_000;
+
+/** A slot that was just won is announced so much earlier than the next renewal. */
+const RENEWAL_SPEED_UP = 10;
+
+/** Share of the time between renewals that is random, so that candidates do not meet for ever. */
+const JITTER = 0.2;
+
+/** What a holder works with. */
+export interface SlotHolderOptions {
+  readonly network: fleet.PeerNetwork;
+  readonly membership: fleet.Membership;
+  readonly configuration: configuration.ConfigurationService;
+  readonly voter: voters.SlotVoter;
+  readonly timing: timings.ClaimTiming;
+  readonly counters: counters.ClaimCounters;
+}
+
+interface HeldSlot {
+  /** The lease ends at this time on this VM's clock. */
+  readonly until: number;
+  /** Milliseconds without another holder, as more than half of the fleet vouch. */
+  readonly clean: number;
+}
+
+/** The slots of one VM. */
+export class SlotHolder {
+  readonly #options: SlotHolderOptions;
+  readonly #self: fleet.VmIdentity;
+  readonly #table: tables.SlotTable;
+  readonly #held = new Map<number, HeldSlot>();
+  readonly #everHeld = new Set<number>();
+  readonly #stopping = new AbortController();
+  #round = 0;
+  #task: Promise<void> | undefined;
+
+  constructor(options: SlotHolderOptions) {
+    this.#options = options;
+    this.#self = options.network.self;
+    this.#table = new tables.SlotTable(options.timing);
+  }
+
+  /** Keys that this VM remembers for its slots. */
+  get entries(): number {
+    return this.#table.size;
+  }
+
+  start(): void {
+    this.#task = this.#run();
+  }
+
+  /** Gives all slots back, so that others can take them at once. */
+  async stop(): Promise<void> {
+    this.#stopping.abort();
+    // No claim is granted after this, so that the votes may be given back.
+    const held = [...this.#held.keys()];
+    this.#held.clear();
+    await this.#task;
+    this.#release(held, false);
+  }
+
+  /** Slots whose lease is valid now. */
+  listHeld(): number[] {
+    return [...this.#held.keys()].filter((slot) => this.#findLease(slot) !== undefined);
+  }
+
+  /**
+   * Decides on a claim for one slot.
+   *
+   * @param isRefresh The claim was granted before and is remembered even where none is granted.
+   */
+  decide(
+    slot: number,
+    key: string,
+    owner: messages.ClaimOwner,
+    isRefresh: boolean,
+  ): messages.SlotVerdict {
+    const verdict = this.#decide(slot, key, owner, isRefresh);
+    this.#options.counters.verdicts.inc({ verdict: verdict.kind });
+    return verdict;
+  }
+
+  /** Forgets a claim that was not used. */
+  releaseClaim(slot: number, key: string, claim: string): void {
+    this.#table.release(slot, key, claim);
+  }
+
+  #decide(
+    slot: number,
+    key: string,
+    owner: messages.ClaimOwner,
+    isRefresh: boolean,
+  ): messages.SlotVerdict {
+    const lease = this.#findLease(slot);
+    const present = this.#table.find(slot, key);
+    // What is remembered is true without a lease too, and spares the caller a wrong hope.
+    if (present !== undefined && present.claim !== owner.claim) {
+      return { kind: "taken", owner: present };
+    }
+    if (lease === undefined) {
+      return { kind: "abstained", waitMilliseconds: IDLE_MILLISECONDS };
+    }
+    // An earlier holder may have granted the key within the retention.
+    const guarded = timings.getGuardedPeriod(this.#options.timing);
+    const missing = guarded - lease.clean;
+    if (missing > 0 && !isRefresh) {
+      return { kind: "abstained", waitMilliseconds: missing };
+    }
+    if (!this.#table.put(slot, key, owner)) {
+      return { kind: "abstained", waitMilliseconds: guarded };
+    }
+    return { kind: "granted" };
+  }
+
+  #findLease(slot: number): HeldSlot | undefined {
+    const lease = this.#held.get(slot);
+    const isValid = lease !== undefined && kernel.getMonotonicMilliseconds() < lease.until;
+    return isValid ? lease : undefined;
+  }
+
+  async #run(): Promise<void> {
+    const { signal } = this.#stopping;
+    while (!signal.aborted) {
+      const snapshot = this.#options.configuration.getSnapshot();
+      if (snapshot === undefined) {
+        await kernel.sleep(IDLE_MILLISECONDS, signal);
+        continue;
+      }
+      const hasWon = await this.#renew(snapshot);
+      const period = timings.getLease(this.#options.timing, snapshot) / timings.RENEWALS_PER_LEASE;
+      const jittered = period * (1 - JITTER + Math.random() * JITTER);
+      // Others learn of a new holder by its next request for votes.
+      await kernel.sleep(hasWon ? jittered / RENEWAL_SPEED_UP : jittered, signal);
+    }
+  }
+
+  /** Asks all VMs for their votes once. Returns whether a slot was won. */
+  async #renew(snapshot: configuration.Snapshot): Promise<boolean> {
+    const wanted = this.#listWanted();
+    if (wanted.length === 0) {
+      return false;
+    }
+    const lease = timings.getLease(this.#options.timing, snapshot);
+    const sentAt = kernel.getMonotonicMilliseconds();
+    this.#round++;
+    const votes = await this.#collectVotes(wanted, lease);
+    if (this.#stopping.signal.aborted) {
+      this.#release(wanted, false);
+      return false;
+    }
+    const majority = timings.getFleetMajority(snapshot);
+    const until = sentAt + lease * (1 - timings.CLOCK_DRIFT);
+    const lost: number[] = [];
+    let hasWon = false;
+    for (const [index, slot] of wanted.entries()) {
+      const clean = votes.map((answer) =>
+        answer[index]
+      ).filter((value) => typeof value === "number")
+        .sort((left, right) => right - left)[majority - 1];
+      const wasHeld = this.#held.has(slot);
+      if (clean !== undefined) {
+        this.#held.set(slot, { until, clean });
+        this.#everHeld.add(slot);
+        hasWon ||= !wasHeld;
+      } else if (this.#findLease(slot) === undefined) {
+        this.#held.delete(slot);
+        lost.push(slot);
+        this.#countChange(wasHeld ? "lost" : "not_won");
+      }
+    }
+    this.#noteOwn();
+    this.#releaseLost(lost);
+    if (hasWon) {
+      this.#countChange("won");
+    }
+    return hasWon;
+  }
+
+  /** Slots to ask votes for: those held, and those that this VM is the first to take. */
+  #listWanted(): number[] {
+    const wanted: number[] = [];
+    const candidates = this.#listCandidates();
+    const isCandidate = candidates.includes(this.#self.vm);
+    for (let slot = 0; slot < slots.SLOTS; slot++) {
+      const isFree = !this.#options.voter.isPromisedToOther(slot, this.#self);
+      const isPreferred = isCandidate && isFree &&
+        fleet.findOwner(slots.getSlotName(slot), candidates) === this.#self.vm;
+      if (this.#held.has(slot) || isPreferred) {
+        wanted.push(slot);
+      }
+    }
+    return wanted;
+  }
+
+  #listCandidates(): model.VmId[] {
+    return this.#options.membership.listMembers()
+      .filter((member) => member.state === "live")
+      .map((member) => member.vm);
+  }
+
+  async #collectVotes(wanted: number[], lease: number): Promise<(number | null)[][]> {
+    const own = wanted.map((slot) =>
+      this.#options.voter.vote(slot, this.#self, lease, this.#round) ?? null
+    );
+    const request = { slots: wanted, held: this.listHeld(), lease, round: this.#round };
+    const others = this.#listOthers().map(async (vm) => {
+      const called = await this.#options.network.call(
+        vm,
+        messages.VOTE_CHANNEL,
+        request,
+        VOTE_TIMEOUT_MILLISECONDS,
+      );
+      const answer = called.isOk() ? messages.voteAnswerSchema.safeParse(called.value) : undefined;
+      return answer?.success === true ? answer.data.clean : [];
+    });
+    return [own, ...await Promise.all(others)];
+  }
+
+  #listOthers(): model.VmId[] {
+    return this.#options.membership.listMembers()
+      .map((member) => member.vm)
+      .filter((vm) => vm !== this.#self.vm);
+  }
+
+  #noteOwn(): void {
+    for (const slot of this.listHeld()) {
+      this.#options.voter.noteHolder(slot, this.#self);
+    }
+  }
+
+  #releaseLost(lost: readonly number[]): void {
+    // A VM that once held the slot may have granted claims by these very votes.
+    const neverHeld = lost.filter((slot) => !this.#everHeld.has(slot));
+    this.#release(neverHeld, true);
+    this.#release(lost.filter((slot) => this.#everHeld.has(slot)), false);
+  }
+
+  #release(released: readonly number[], neverHeld: boolean): void {
+    if (released.length === 0) {
+      return;
+    }
+    for (const slot of released) {
+      this.#options.voter.release(slot, this.#self, this.#round, neverHeld);
+    }
+    for (const vm of this.#listOthers()) {
+      this.#options.network.send(vm, messages.RELEASE_SLOTS_CHANNEL, {
+        slots: released,
+        round: this.#round,
+        neverHeld,
+      });
+    }
+  }
+
+  #countChange(change: "won" | "lost" | "not_won"): void {
+    this.#options.counters.slotChanges.inc({ change });
+  }
+}
--- /dev/null
+++ b/packages/claims/test/fleet_claim_store_test.ts
@@ -0,0 +1,298 @@
+/**
+ * At most one run for each key, whatever VMs believe, and the truth for every repeat.
+ */
+
+import assert from "node:assert/strict";
+import * as test from "node:test";
+import * as model from "@hemlockwalk/model";
+import * as fc from "fast-check";
+import * as slotVoters from "../src/slot_voter.ts";
+import * as fleets from "./claim_fleet.ts";
+import * as oracles from "./claim_oracle.ts";
+
+const VMS = 5;
+const KEYS = 3;
+
+async function withFleet(
+  action: (fleet: fleets.ClaimFleet) => Promise<void>,
+  timing = fleets.TIMING,
+): Promise<void> {
+  const fleet = new fleets.ClaimFleet(VMS, 1, timing);
+  try {
+    await action(fleet);
+  } finally {
+    await fleet.end();
+  }
+}
+
+type Step =
+  | { readonly kind: "claim"; readonly vm: number; readonly key: number; readonly other: boolean }
+  | { readonly kind: "settle"; readonly how: "complete" | "abandon" | "fail" }
+  | { readonly kind: "cut" | "mend"; readonly from: number; readonly to: number }
+  | { readonly kind: "delay"; readonly from: number; readonly to: number; readonly by: number }
+  | { readonly kind: "pause" | "resume" | "replace"; readonly vm: number }
+  | { readonly kind: "view" | "part"; readonly vm: number; readonly others: readonly number[] }
+  | { readonly kind: "wait"; readonly milliseconds: number };
+
+const vmIndex = fc.integer({ min: 0, max: VMS - 1 });
+const someVms = fc.uniqueArray(vmIndex, { maxLength: VMS });
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("claim" as const),
+      vm: vmIndex,
+      key: fc.integer({ min: 0, max: KEYS - 1 }),
+      other: fc.integer({ min: 0, max: 9 }).map((value) => value === 0),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("settle" as const),
+      how: fc.constantFrom("complete" as const, "abandon" as const, "fail" as const),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constantFrom("cut" as const, "mend" as const),
+      from: vmIndex,
+      to: vmIndex,
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("delay" as const),
+      from: vmIndex,
+      to: vmIndex,
+      by: fc.integer({ min: 1, max: 700 }),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constantFrom("pause" as const, "resume" as const, "replace" as const),
+      vm: vmIndex,
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constantFrom("view" as const, "part" as const),
+      vm: vmIndex,
+      others: someVms,
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("wait" as const),
+      milliseconds: fc.integer({ min: 20, max: 5_000 }),
+    }),
+  },
+);
+
+async function runStep(
+  fleet: fleets.ClaimFleet,
+  oracle: oracles.ClaimOracle,
+  pending: Promise<void>[],
+  next: Step,
+): Promise<void> {
+  switch (next.kind) {
+    case "claim":
+      pending.push(oracle.claim(next.vm, `key-${next.key}`, next.other ? "g" : "f"));
+      return;
+    case "settle":
+      oracle.settleOldest(next.how);
+      return;
+    case "cut":
+    case "mend":
+      fleet.setCut(next.from, next.to, next.kind === "cut");
+      return;
+    case "delay":
+      fleet.setDelay(next.from, next.to, next.by);
+      return;
+    case "pause":
+      fleet.pause(next.vm);
+      return;
+    case "resume":
+      fleet.resume(next.vm);
+      return;
+    case "replace":
+      await fleet.replace(next.vm);
+      return;
+    case "view":
+      fleet.setView(next.vm, next.others);
+      return;
+    case "part":
+      fleet.part(next.others);
+      for (let index = 0; index < VMS; index++) {
+        const isInside = next.others.includes(index);
+        const side = [0, 1, 2, 3, 4].filter((other) => next.others.includes(other) === isInside);
+        fleet.setView(index, side);
+      }
+      return;
+    case "wait":
+      await fleet.advance(next.milliseconds);
+  }
+}
+
+test.describe("claims over the fleet", () => {
+  test.it("never grants a key twice and tells every repeat the truth", async () => {
+    const total = new Map<string, number>();
+    await fc.assert(
+      fc.asyncProperty(fc.array(step, { minLength: 15, maxLength: 60 }), async (steps) => {
+        await withFleet(async (fleet) => {
+          const oracle = new oracles.ClaimOracle(fleet);
+          const pending: Promise<void>[] = [];
+          await fleet.wait(fleets.COLD_START_MILLISECONDS);
+          for (const next of steps) {
+            await runStep(fleet, oracle, pending, next);
+          }
+          fleet.heal();
+          await fleet.advance(fleets.CLAIM_MILLISECONDS * 2);
+          await Promise.all(pending);
+          for (const [kind, count] of oracle.decisions) {
+            total.set(kind, (total.get(kind) ?? 0) + count);
+          }
+        });
+      }),
+      { seed: 41, numRuns: 25 },
+    );
+    // The histories must reach every kind of decision, or they show little.
+    for (const kind of ["granted", "stored", "running", "unknown", "mismatch", "unavailable"]) {
+      assert.ok((total.get(kind) ?? 0) > 0, `No decision was '${kind}'.`);
+    }
+  });
+
+  test.it("answers a repeat through another VM by what became of the first", async () => {
+    await withFleet(async (fleet) => {
+      assert.equal((await fleet.claimNow(0, "k")).kind, "unavailable");
+      await fleet.wait(fleets.COLD_START_MILLISECONDS);
+      const first = await fleet.claimNow(0, "k");
+      assert.ok(first.kind === "granted");
+      assert.equal((await fleet.claimNow(1, "k")).kind, "running");
+      first.claim.complete({ status: 201, headers: ["a", "b"], body: Buffer.from("booked") });
+      const repeat = await fleet.claimNow(2, "k");
+      assert.ok(repeat.kind === "stored");
+      assert.equal(Buffer.from(repeat.answer.body).toString(), "booked");
+      assert.equal((await fleet.claimNow(2, "k", "other")).kind, "mismatch");
+      await fleet.replace(0);
+      assert.equal((await fleet.claimNow(3, "k")).kind, "unknown");
+
+      const unused = await fleet.claimNow(1, "unused");
+      assert.ok(unused.kind === "granted");
+      unused.claim.abandon();
+      assert.equal((await fleet.claimNow(2, "unused")).kind, "granted");
+    });
+  });
+
+  test.it("grants one of two claims that are made at the same moment", async () => {
+    await withFleet(async (fleet) => {
+      await fleet.wait(fleets.COLD_START_MILLISECONDS);
+      for (let key = 0; key < 20; key++) {
+        const claims = [0, 1, 2].map((index) => fleet.claim(index, `k${key}`));
+        await fleet.advance(fleets.CLAIM_MILLISECONDS);
+        const kinds = (await Promise.all(claims)).map((decision) => decision.kind);
+        assert.equal(kinds.filter((kind) => kind === "granted").length, 1, kinds.join(" "));
+      }
+    });
+  });
+
+  test.it("grants nothing again after all VMs were replaced within the retention", async () => {
+    // The retention is longer than the replacement of all VMs, each after the other's votes count.
+    const timing = { ...fleets.TIMING, retention: 40_000, memory: 60_000 };
+    await withFleet(async (fleet) => {
+      await fleet.wait(60_000);
+      const first = await fleet.claimNow(0, "k");
+      assert.ok(first.kind === "granted");
+      first.claim.fail();
+      for (let index = 0; index < VMS; index++) {
+        await fleet.replace(index);
+        await fleet.wait(6_000);
+      }
+      const repeat = await fleet.claimNow(0, "k");
+      assert.equal(repeat.kind, "unavailable");
+      await fleet.wait(60_000);
+      assert.equal((await fleet.claimNow(0, "new")).kind, "granted");
+    }, timing);
+  });
+
+  test.it("grants on at most one side of a partition, for as long as it lasts", async () => {
+    await withFleet(async (fleet) => {
+      await fleet.wait(fleets.COLD_START_MILLISECONDS);
+      const north = [0, 1];
+      const south = [2, 3, 4];
+      fleet.part(north);
+      for (const index of north) {
+        fleet.setView(index, north);
+      }
+      for (const index of south) {
+        fleet.setView(index, south);
+      }
+      await fleet.wait(fleets.COLD_START_MILLISECONDS * 2);
+      const small = await fleet.claimNow(0, "k");
+      assert.equal(small.kind, "unavailable");
+      assert.equal((await fleet.claimNow(2, "k")).kind, "granted");
+    });
+  });
+
+  test.it("lets a holder that is cut off stop, and its successor wait for the retention", async () => {
+    await withFleet(async (fleet) => {
+      const setCandidate = (indexes: readonly number[], candidate: number) => {
+        for (const index of indexes) {
+          fleet.setView(index, [0, 1, 2, 3, 4]);
+          const { membership } = fleet.getVm(index);
+          membership.set(
+            membership.listMembers().map((member) => ({
+              ...member,
+              state: member.vm === fleet.getName(candidate) ? "live" : "suspect",
+            })),
+          );
+        }
+      };
+      setCandidate([0, 1, 2, 3, 4], 0);
+      await fleet.wait(fleets.COLD_START_MILLISECONDS);
+      const first = await fleet.claimNow(1, "k");
+      assert.ok(first.kind === "granted");
+      first.claim.abandon();
+      const used = await fleet.claimNow(1, "used");
+      assert.ok(used.kind === "granted");
+      used.claim.fail();
+      assert.equal(fleet.getVm(0).store.heldSlots, 64);
+
+      // The first holder is cut off for good, and another takes its slots from the same voters.
+      fleet.part([0]);
+      setCandidate([1, 2, 3, 4], 1);
+      await fleet.wait(fleets.TIMING.minLease * 3);
+      assert.equal(fleet.getVm(1).store.heldSlots, 64);
+      assert.equal((await fleet.claimNow(2, "used")).kind, "unavailable");
+      assert.equal((await fleet.claimNow(0, "k")).kind, "unavailable");
+      await fleet.wait(fleets.TIMING.retention * 2);
+      assert.equal((await fleet.claimNow(2, "k")).kind, "granted");
+      assert.equal((await fleet.claimNow(0, "k")).kind, "unavailable");
+    });
+  });
+
+  test.it("does not vote just after its start, nor take back a later vote", async () => {
+    await withFleet(async (fleet) => {
+      const voter = new slotVoters.SlotVoter(fleets.TIMING);
+      const candidates = [0, 1].map((index) => fleet.getVm(index).identity);
+      const [first, second] = candidates;
+      assert.ok(first !== undefined && second !== undefined);
+      assert.equal(voter.vote(7, first, 2_000, 1), undefined);
+      await fleet.advance(fleets.TIMING.maxLease * 1.1);
+      assert.equal(voter.vote(7, first, 2_000, 2), 0);
+      assert.equal(voter.vote(7, second, 2_000, 1), undefined);
+      voter.release(7, first, 1, true);
+      assert.equal(voter.vote(7, second, 2_000, 2), undefined);
+      voter.release(7, first, 2, true);
+      assert.notEqual(voter.vote(7, second, 2_000, 3), undefined);
+      const renamed = { ...second, incarnation: model.createIncarnation() };
+      assert.equal(voter.vote(7, renamed, 2_000, 4), undefined);
+    });
+  });
+});
