--- a/packages/configuration/src/platform_client.ts
+++ b/packages/configuration/src/platform_client.ts
@@ -10,21 +10,22 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 2_000;
 
 /** How much longer than the requested wait the client lets a watch last. */
-const WATCH_MARGIN_MILLISECONDS = 5_000;
+const WATCH_MARGIN_MILLISECONDS = 1_000;
 
 const VERSION_HEADER = "value-version";
 
 /** Reads and watches the platform's values over HTTP, taking its addresses in turn. */
-export class PlatformClient {
+export class PlatformClient implements types.PlatformReader {
   readonly #addresses: readonly string[];
   readonly #agent = new undici.Agent({ connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS } });
-  #next = 0;
+  #next: number;
 
   constructor(addresses: readonly string[]) {
     this.#addresses = addresses;
+    // VMs begin with different addresses, so that not all ask the same replica.
+    this.#next = Math.floor(Math.random() * addresses.length);
   }
 
-  /** Reads a value. */
   get(
     key: string,
     timeoutMilliseconds: number,
@@ -33,11 +34,6 @@
     return this.#request(`/v1/values/${key}`, timeoutMilliseconds, signal);
   }
 
-  /**
-   * Waits until the value has a version above the given one.
-   *
-   * @returns The newer value; `absent` when there was none within the wait.
-   */
   watch(
     key: string,
     afterVersion: number,
@@ -57,17 +53,26 @@
     timeoutMilliseconds: number,
     signal: AbortSignal | undefined,
   ): Promise<neverthrow.Result<types.PlatformValue, errors.PlatformError>> {
-    const timeout = AbortSignal.timeout(timeoutMilliseconds);
-    const combined = signal === undefined ? timeout : AbortSignal.any([timeout, signal]);
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    const timer = setTimeout(abort, timeoutMilliseconds);
+    signal?.addEventListener("abort", abort, { once: true });
+    if (signal?.aborted) {
+      abort();
+    }
     try {
       const response = await undici.request(this.#takeAddress() + path, {
         dispatcher: this.#agent,
-        signal: combined,
+        signal: controller.signal,
       });
       const text = await response.body.text();
       return readAnswer(response.statusCode, response.headers[VERSION_HEADER], text);
     } catch (error) {
       return neverthrow.err({ kind: "unreachable", detail: String(error) });
+    } finally {
+      // The signal lives as long as the VM, so it must not keep what belongs to one call.
+      clearTimeout(timer);
+      signal?.removeEventListener("abort", abort);
     }
   }
 
--- a/packages/model/src/release_note.ts
+++ b/packages/model/src/release_note.ts
@@ -2,9 +2,9 @@
  * The format of release notes: what each adds, changes and withdraws.
  */
 
-import type * as neverthrow from "neverthrow";
+import * as neverthrow from "neverthrow";
 import * as zod from "zod";
-import type * as diagnostics from "./diagnostics.ts";
+import * as diagnostics from "./diagnostics.ts";
 import * as document from "./document.ts";
 import * as ids from "./ids.ts";
 import * as schemas from "./schemas.ts";
@@ -13,6 +13,15 @@
 /** The format that this version reads and writes. */
 export const NOTE_FORMAT = 1;
 
+/** Largest value that the platform holds. */
+export const MAXIMUM_VALUE_BYTES = 1_000_000;
+
+/** Largest release note. */
+export const MAXIMUM_NOTE_BYTES = MAXIMUM_VALUE_BYTES;
+
+/** Entities that are checked between two points where a parser may pause. */
+const ENTITIES_PER_STEP = 8;
+
 /** Methods that HTTP defines as idempotent. */
 export const STANDARD_IDEMPOTENT_METHODS = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"] as const;
 
@@ -47,6 +56,7 @@
   open: zod.boolean().default(false),
   workspaces: zod.array(workspaceId).optional(),
   timeoutMilliseconds: zod.number().int().min(1).max(600_000).default(DEFAULT_TIMEOUT_MILLISECONDS),
+  bodyLimitBytes: zod.number().int().min(0).max(1_073_741_824).optional(),
   idempotentMethods: zod.array(zod.string().regex(/^[A-Z]+$/)).default(DEFAULT_IDEMPOTENT_METHODS),
   weight,
 });
@@ -81,48 +91,183 @@
   regions: zod.record(schemas.identifier, schemas.identifier).default({}),
 });
 
-const declarations = zod.strictObject({
-  workspaces: zod.array(workspace).default([]),
-  keys: zod.array(key).default([]),
-  services: zod.array(service).default([]),
-  targets: zod.array(target).default([]),
-  routes: zod.array(route).default([]),
-});
+/** Schemas of the entities by their section of a release note. */
+export const entitySchemas = {
+  workspaces: workspace,
+  keys: key,
+  services: service,
+  targets: target,
+  routes: route,
+} as const;
 
-const withdrawals = zod.strictObject({
-  workspaces: zod.array(workspaceId).default([]),
-  keys: zod.array(keyDigest).default([]),
-  services: zod.array(serviceId).default([]),
-  targets: zod.array(targetId).default([]),
-  routes: zod.array(routeId).default([]),
-});
+/** Schema of the declaration of the whole fleet. */
+export const fleetSchema = fleet;
+
+const identifierSchemas = {
+  workspaces: workspaceId,
+  keys: keyDigest,
+  services: serviceId,
+  targets: targetId,
+  routes: routeId,
+} as const;
+
+/** A section of a release note. */
+export type SectionName = keyof typeof entitySchemas;
+
+/** The sections in the order in which they are applied: what is referred to comes first. */
+export const SECTION_NAMES: readonly SectionName[] = [
+  "workspaces",
+  "keys",
+  "services",
+  "targets",
+  "routes",
+];
+
+/** What a release note adds or changes. */
+export type Declarations = {
+  -readonly [Section in SectionName]: zod.output<(typeof entitySchemas)[Section]>[];
+};
+
+/** What a release note withdraws. */
+export type Withdrawals = {
+  -readonly [Section in SectionName]: zod.output<(typeof identifierSchemas)[Section]>[];
+};
 
-const noDeclarations = { workspaces: [], keys: [], services: [], targets: [], routes: [] };
+const uncheckedSection = zod.array(zod.unknown()).default([]);
 
-const releaseNoteSchema = zod.strictObject({
+const uncheckedSections = zod.strictObject({
+  workspaces: uncheckedSection,
+  keys: uncheckedSection,
+  services: uncheckedSection,
+  targets: uncheckedSection,
+  routes: uncheckedSection,
+}).default({ workspaces: [], keys: [], services: [], targets: [], routes: [] });
+
+/** The note around its entities, which are checked one by one. */
+const envelopeSchema = zod.strictObject({
   format: zod.literal(NOTE_FORMAT),
   number: zod.number().int().min(1).transform(ids.createNoteNumber),
   /** Digest of the predecessor's text; null for the first note. */
   previous: noteDigest.nullable(),
   title: zod.string().max(200).default(""),
   fleet: fleet.optional(),
-  added: declarations.default(noDeclarations),
-  changed: declarations.default(noDeclarations),
-  withdrawn: withdrawals.default(noDeclarations),
+  added: uncheckedSections,
+  changed: uncheckedSections,
+  withdrawn: uncheckedSections,
 });
 
 /** A checked release note. */
-export type ReleaseNote = zod.output<typeof releaseNoteSchema>;
+export interface ReleaseNote {
+  readonly format: typeof NOTE_FORMAT;
+  readonly number: types.NoteNumber;
+  readonly previous: types.NoteDigest | null;
+  readonly title: string;
+  readonly fleet?: types.FleetDeclaration | undefined;
+  readonly added: Declarations;
+  readonly changed: Declarations;
+  readonly withdrawn: Withdrawals;
+}
 
-/** What a release note adds or changes. */
-export type Declarations = ReleaseNote["added"];
+/** A checked release note, or everything that is wrong with its text. */
+export type NoteParseResult = neverthrow.Result<ReleaseNote, diagnostics.Diagnostic[]>;
 
-/** What a release note withdraws. */
-export type Withdrawals = ReleaseNote["withdrawn"];
+/**
+ * Checks the text of a release note by itself: JSON without comments, since a text that was cut short
+ * within a comment behind the note would be another note. Does not look at the state that it applies
+ * to.
+ */
+export function parseReleaseNote(text: string): NoteParseResult {
+  const steps = parseReleaseNoteInSteps(text);
+  for (;;) {
+    const step = steps.next();
+    if (step.done === true) {
+      return step.value;
+    }
+  }
+}
+
+/** Does the same as `parseReleaseNote` in short steps, between which other work may run. */
+export function* parseReleaseNoteInSteps(
+  untrimmedText: string,
+): Generator<void, NoteParseResult> {
+  const text = ids.trimNoteText(untrimmedText);
+  const bytes = Buffer.byteLength(text);
+  if (bytes > MAXIMUM_NOTE_BYTES) {
+    return neverthrow.err([
+      diagnostics.createDiagnostic(
+        diagnostics.Diagnostics.documentTooLarge,
+        [bytes, MAXIMUM_NOTE_BYTES],
+      ),
+    ]);
+  }
+  const value = document.parseStrictValue(text);
+  yield;
+  if (value.isErr()) {
+    return neverthrow.err(value.error);
+  }
+  const unknownFormat = findUnknownFormat(value.value);
+  if (unknownFormat !== undefined) {
+    return neverthrow.err(yield* document.locateDiagnosticsInSteps(text, [unknownFormat]));
+  }
+  const findings: diagnostics.Diagnostic[] = [];
+  const envelope = envelopeSchema.safeParse(value.value);
+  if (!envelope.success) {
+    findings.push(...document.createIssueDiagnostics(envelope.error.issues));
+  }
+  // Entities are checked in a note with a wrong envelope too, so that all findings come at once.
+  const added = yield* checkPart<Declarations>("added", value.value, entitySchemas, findings);
+  const changed = yield* checkPart<Declarations>("changed", value.value, entitySchemas, findings);
+  const withdrawn = yield* checkPart<Withdrawals>(
+    "withdrawn",
+    value.value,
+    identifierSchemas,
+    findings,
+  );
+  if (!envelope.success || findings.length > 0) {
+    return neverthrow.err(yield* document.locateDiagnosticsInSteps(text, findings));
+  }
+  return neverthrow.ok({ ...envelope.data, added, changed, withdrawn });
+}
+
+/** A note of another format is not read any further, since its fields may mean something else. */
+function findUnknownFormat(value: unknown): diagnostics.Diagnostic | undefined {
+  const format = (value as { readonly format?: unknown } | null)?.format;
+  if (typeof format !== "number" || format === NOTE_FORMAT) {
+    return undefined;
+  }
+  const row = diagnostics.Diagnostics.unknownFormat;
+  return diagnostics.createDiagnostic(row, [format, NOTE_FORMAT], ["format"]);
+}
 
-/** Checks the text of a release note by itself, without the state that it applies to. */
-export function parseReleaseNote(
-  text: string,
-): neverthrow.Result<ReleaseNote, diagnostics.Diagnostic[]> {
-  return document.parseDocument(text, releaseNoteSchema);
+function* checkPart<Sections extends Declarations | Withdrawals>(
+  part: "added" | "changed" | "withdrawn",
+  note: unknown,
+  schemasBySection: Readonly<Record<SectionName, zod.ZodType>>,
+  findings: diagnostics.Diagnostic[],
+): Generator<void, Sections> {
+  const checked: Record<SectionName, unknown[]> = {
+    workspaces: [],
+    keys: [],
+    services: [],
+    targets: [],
+    routes: [],
+  };
+  const sections = (note as Readonly<Record<string, unknown>> | null)?.[part];
+  // What is wrong with the part as a whole is a finding of the envelope.
+  const unchecked = uncheckedSections.safeParse(sections).data;
+  for (const section of SECTION_NAMES) {
+    for (const [index, value] of (unchecked?.[section] ?? []).entries()) {
+      const result = schemasBySection[section].safeParse(value);
+      if (result.success) {
+        checked[section].push(result.data);
+      } else {
+        const prefix = [part, section, index];
+        findings.push(...document.createIssueDiagnostics(result.error.issues, prefix));
+      }
+      if (index % ENTITIES_PER_STEP === 0) {
+        yield;
+      }
+    }
+  }
+  return checked as unknown as Sections;
 }
