--- a/packages/model/src/settings.ts
+++ b/packages/model/src/settings.ts
@@ -42,6 +42,16 @@
   trustForwardedHeaders: zod.boolean().default(false),
 });
 
+/** Time for which a key is guarded after its use, unless settings say otherwise. */
+const DEFAULT_CLAIM_RETENTION_MILLISECONDS = 60_000;
+
+const claims = zod.strictObject({
+  /** Time for which a caller's `Idempotency-Key` does not run again. The same on all VMs. */
+  retentionMilliseconds: zod.number().int().min(1_000).max(600_000).default(
+    DEFAULT_CLAIM_RETENTION_MILLISECONDS,
+  ),
+});
+
 const peerSeed = zod.strictObject({
   vm: schemas.identifier.transform(ids.createVmId),
   address: schemas.socketAddress,
@@ -61,6 +71,7 @@
     secretFile: zod.string().min(1),
     seeds: zod.array(peerSeed).default([]),
   }).optional(),
+  claims: claims.default({ retentionMilliseconds: DEFAULT_CLAIM_RETENTION_MILLISECONDS }),
   log: zod.strictObject({
     level: zod.enum(["debug", "info", "warn", "error"]).default("info"),
   }).default({ level: "info" }),
