daemon: claims over the fleet, early announcement of a leaving VM

Cause: the gateway found no claim store, and a stopping VM told the others only after its drain. The claim store is registered where the settings name peers; links of replaced incarnations end when the membership learns of the replacement.

--- a/packages/claims/src/claim_counters.ts
+++ b/packages/claims/src/claim_counters.ts
@@ -4,20 +4,14 @@
 
 import type * as kernel from "@hemlockwalk/kernel";
 
-/** What claims count. */
+/** What claims count besides the decisions, which the gateway counts. */
 export class ClaimCounters {
-  readonly decisions;
   readonly unavailable;
   readonly verdicts;
   readonly slotChanges;
   readonly latency;
 
   constructor(metrics: kernel.Metrics) {
-    this.decisions = metrics.createCounter(
-      "hemlockwalk_claims_total",
-      "Requests with an Idempotency-Key, by decision.",
-      ["decision"],
-    );
     this.unavailable = metrics.createCounter(
       "hemlockwalk_claims_unavailable_total",
       "Claims without a majority of the key's slots, by reason.",
--- a/packages/claims/src/claim_timing.ts
+++ b/packages/claims/src/claim_timing.ts
@@ -32,6 +32,11 @@
   return (timing.retention + DECISION_MILLISECONDS) * (1 + CLOCK_DRIFT);
 }
 
+/** The periods for a retention that settings name. */
+export function createTiming(retention: number): ClaimTiming {
+  return { ...DEFAULT_TIMING, retention, memory: Math.max(DEFAULT_TIMING.memory, 2 * retention) };
+}
+
 /** Leases grow with the fleet, since a holder renews them at every VM. */
 const LEASE_MILLISECONDS_PER_VM = 40;
 
--- a/packages/claims/src/fleet_claim_store.ts
+++ b/packages/claims/src/fleet_claim_store.ts
@@ -105,7 +105,6 @@
     const started = kernel.getMonotonicMilliseconds();
     const decision = await this.#claim(request);
     this.#counters.latency.record(kernel.getMonotonicMilliseconds() - started);
-    this.#counters.decisions.inc({ decision: decision.kind });
     return decision;
   }
 
--- a/packages/claims/src/mod.ts
+++ b/packages/claims/src/mod.ts
@@ -6,7 +6,7 @@
 import type * as types from "./types.ts";
 
 export * from "./claim_counters.ts";
-export { type ClaimTiming, DEFAULT_TIMING } from "./claim_timing.ts";
+export { type ClaimTiming, createTiming, DEFAULT_TIMING } from "./claim_timing.ts";
 export * from "./fleet_claim_store.ts";
 export type * from "./types.ts";
 
--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -2,6 +2,7 @@
  * Wires the services of one VM into a kernel.
  */
 
+import * as claims from "@hemlockwalk/claims";
 import * as configuration from "@hemlockwalk/configuration";
 import * as fleet from "@hemlockwalk/fleet";
 import * as gateway from "@hemlockwalk/gateway";
@@ -48,7 +49,8 @@
     new configuration.PlatformClient(settings.platform.addresses),
     createLogger("configuration"),
   );
-  registerMembership(services, settings, network, createLogger("membership"));
+  const membership = registerMembership(services, settings, network, createLogger("membership"));
+  registerClaims(services, settings);
   services.register(limits.RATE_LIMITER, parts.createRateLimiter(services, createLogger("limits")));
   services.register(limits.FAIR_QUEUE, parts.createFairQueue(services));
   services.register(targets.TARGET_POOL, parts.createTargetPool(services));
@@ -60,6 +62,10 @@
     administration.ADMINISTRATION,
     new administration.Administration(services, settings.admin.address),
   );
+  if (membership !== undefined) {
+    const announcement = new fleet.LeavingAnnouncement(membership);
+    services.register(fleet.LEAVING_ANNOUNCEMENT, announcement);
+  }
   return services;
 }
 
@@ -88,11 +94,11 @@
   settings: model.Settings,
   network: fleet.WebSocketPeerNetwork | undefined,
   logger: kernel.PartLogger,
-): void {
+): fleet.GossipMembership | undefined {
   if (network === undefined || settings.peers === undefined) {
     const sole = new fleet.SoleMembership(createIdentity(settings), settings.listener.address);
     services.register<fleet.Membership>(fleet.MEMBERSHIP, sole);
-    return;
+    return undefined;
   }
   const membership = new fleet.GossipMembership({
     network,
@@ -104,7 +110,27 @@
     logger,
   });
   network.useDirectory(membership);
+  membership.onChange(() => network.dropStaleLinks());
   services.register<fleet.Membership>(fleet.MEMBERSHIP, membership);
+  return membership;
+}
+
+/** Registers the store of claims; a VM without peers has none. */
+function registerClaims(services: kernel.Kernel, settings: model.Settings): void {
+  const network = services.find(fleet.PEER_NETWORK);
+  if (network === undefined) {
+    return;
+  }
+  services.register<claims.ClaimStore>(
+    claims.CLAIM_STORE,
+    new claims.FleetClaimStore({
+      network,
+      membership: services.get(fleet.MEMBERSHIP),
+      configuration: services.get(configuration.CONFIGURATION),
+      counters: new claims.ClaimCounters(services.get(kernel.METRICS)),
+      timing: claims.createTiming(settings.claims.retentionMilliseconds),
+    }),
+  );
 }
 
 function createRateLimiter(
--- a/packages/fleet/src/mod.ts
+++ b/packages/fleet/src/mod.ts
@@ -4,6 +4,7 @@
 
 export type * from "./errors.ts";
 export * from "./gossip_membership.ts";
+export * from "./leaving_announcement.ts";
 export * from "./membership.ts";
 export * from "./membership_counters.ts";
 export * from "./peer_counters.ts";
