Limits: reserved part only where a burst is large enough for it

A reserved part of a small burst leaves no whole token to any VM, so it only costs. The scenario of late grants now tries several moments, since one moment alone hung on the order of the VMs.

--- a/packages/limits/bench/refusals.ts
+++ b/packages/limits/bench/refusals.ts
@@ -1,6 +1,7 @@
 /**
  * Refusals within the rate, overshoot, waits and traffic of the limiters, side by side:
- * `refusals SCENARIO LIMITER VMS LOAD SECONDS SEED [RESERVED_SHARE] [WORKSPACES_PER_RATE] [RATES]`.
+ * `refusals SCENARIO LIMITER VMS LOAD SECONDS SEED [RESERVED_SHARE] [WORKSPACES_PER_RATE]
+ * [RATES] [MINIMUM_BURST]`.
  *
  * SCENARIO is even, skewed, moving, lost, replaced, stopped or partition; LIMITER is escrow, static
  * or gossip; LOAD is the share of the rate that arrives. Each arrival also goes to one independent
@@ -31,9 +32,10 @@
   loadText = "0.95",
   secondsText = "30",
   seedText = "1",
-  reservedText = String(limits.RESERVED_SHARE),
+  reservedText = String(limits.RESERVED_POLICY.share),
   countText = "2",
   ratesText = "1,2,5,10,100,1000",
+  minimumBurstText = String(limits.RESERVED_POLICY.minimumBurst),
 ] = process.argv.slice(2);
 const rates = ratesText.split(",").map(Number);
 const vmCount = Number(vmsText);
@@ -79,7 +81,7 @@
   vmCount,
   vmLimit: Math.ceil(vmCount * 1.1),
   workspaces: tallies.map((tally) => tally.workspace),
-  reservedShare: Number(reservedText),
+  reservedPolicy: { share: Number(reservedText), minimumBurst: Number(minimumBurstText) },
   ...chooseLimiter(),
 });
 
--- a/packages/limits/src/coordinator.ts
+++ b/packages/limits/src/coordinator.ts
@@ -11,6 +11,7 @@
 import * as messages from "./messages.ts";
 import type * as limiterMetrics from "./metrics.ts";
 import * as buckets from "./pooled_bucket.ts";
+import type * as policies from "./reserved_policy.ts";
 import * as safety from "./safety_margins.ts";
 import * as authorities from "./shard_authority.ts";
 import * as shards from "./shards.ts";
@@ -37,7 +38,7 @@
 export class Coordinator {
   readonly #configuration: configuration.ConfigurationService;
   readonly #margins: safety.SafetyMargins;
-  readonly #reservedShare: number;
+  readonly #recent: policies.RecentConfigurations;
   readonly #metrics: limiterMetrics.LimiterMetrics;
   readonly #shards = new Map<number, CoordinatedShard>();
   readonly #setAside = new Map<number, SetAside>();
@@ -47,12 +48,12 @@
 
   constructor(
     configurationService: configuration.ConfigurationService,
-    reservedShare: number,
+    recent: policies.RecentConfigurations,
     margins: safety.SafetyMargins,
     metrics: limiterMetrics.LimiterMetrics,
   ) {
     this.#configuration = configurationService;
-    this.#reservedShare = reservedShare;
+    this.#recent = recent;
     this.#margins = margins;
     this.#metrics = metrics;
   }
@@ -102,7 +103,6 @@
     }
     const authority = new authorities.ShardAuthority(
       this.#getVmLimit(),
-      this.#reservedShare,
       this.#margins,
       nowMilliseconds,
     );
@@ -175,7 +175,7 @@
       return undefined;
     }
     known.authority.advance(nowMilliseconds);
-    if (known.authority.share === 0) {
+    if (known.authority.isEmpty) {
       return undefined;
     }
     const taken = this.#getBucket(known, workspace, nowMilliseconds).tryTake(nowMilliseconds);
@@ -201,7 +201,7 @@
       ? 0
       : this.#getLifetime(known, nowMilliseconds);
     if (
-      known === undefined || workspace === undefined || known.authority.share === 0 ||
+      known === undefined || workspace === undefined || known.authority.isEmpty ||
       lifetimeMilliseconds < SHORTEST_GRANT_MILLISECONDS
     ) {
       this.#metrics.grants.inc({ result: "no_authority" });
@@ -260,14 +260,15 @@
     workspace: model.Workspace,
     nowMilliseconds: number,
   ): buckets.PooledBucket {
+    // Only the coordinator's own configuration counts for its buckets.
+    const current = this.#configuration.getSnapshot()?.findWorkspace(workspace.id) ?? workspace;
+    const reservedShare = this.#recent.getShare(current, nowMilliseconds);
     let bucket = known.buckets.get(workspace.id);
     if (bucket === undefined) {
-      bucket = new buckets.PooledBucket(workspace, known.authority, this.#margins);
+      bucket = new buckets.PooledBucket(current, reservedShare, known.authority, this.#margins);
       known.buckets.set(workspace.id, bucket);
     }
-    // Only the coordinator's own configuration counts for its buckets.
-    const current = this.#configuration.getSnapshot()?.findWorkspace(workspace.id);
-    bucket.configure(current ?? workspace, nowMilliseconds);
+    bucket.configure(current, reservedShare, nowMilliseconds);
     bucket.touchedMilliseconds = nowMilliseconds;
     return bucket;
   }
@@ -280,10 +281,7 @@
         workspace,
         level: bucket.getLevel(nowMilliseconds),
       }));
-      const drops = authority.drops.map((drop) => ({
-        share: drop.share,
-        shareSeconds: authority.shareSeconds - drop.shareSeconds,
-      }));
+      const drops = authority.listDropsBefore();
       const handover = { shard, levels, drops };
       this.#setAside.set(shard, { handover, sinceMilliseconds: nowMilliseconds });
     }
--- a/packages/limits/src/escrow_limiter.ts
+++ b/packages/limits/src/escrow_limiter.ts
@@ -14,6 +14,7 @@
 import * as holders from "./grant_holder.ts";
 import * as messages from "./messages.ts";
 import * as limiterMetrics from "./metrics.ts";
+import * as policies from "./reserved_policy.ts";
 import * as reserved from "./reserved_shares.ts";
 import * as safety from "./safety_margins.ts";
 import * as shards from "./shards.ts";
@@ -32,7 +33,7 @@
 /** What tests and measurements change. */
 export interface EscrowLimiterOptions {
   readonly margins?: safety.SafetyMargins;
-  readonly reservedShare?: number;
+  readonly reservedPolicy?: policies.ReservedPolicy;
   /** Monotonic milliseconds; a test gives each VM a clock of its own speed. */
   readonly now?: () => number;
 }
@@ -73,13 +74,12 @@
   readonly #holder: holders.GrantHolder;
   readonly #client: clients.GrantClient;
   readonly #reserved: reserved.ReservedShares;
+  readonly #recent: policies.RecentConfigurations;
   readonly #stopping = new AbortController();
   readonly #peers = new Map<model.VmId, PeerTask>();
   readonly #sequences = new Map<model.VmId, number>();
   #urgentRounds = 0;
   #draining = false;
-  #snapshot: configuration.Snapshot | undefined;
-  #snapshotSinceMilliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(parts: EscrowLimiterParts, options: EscrowLimiterOptions = {}) {
     this.#configuration = parts.configuration;
@@ -89,7 +89,8 @@
     this.#metrics = new limiterMetrics.LimiterMetrics(parts.metrics);
     this.#margins = options.margins ?? safety.SAFETY_MARGINS;
     this.#now = options.now ?? kernel.getMonotonicMilliseconds;
-    const reservedShare = options.reservedShare ?? safety.RESERVED_SHARE;
+    const policy = options.reservedPolicy ?? policies.RESERVED_POLICY;
+    this.#recent = new policies.RecentConfigurations(policy);
     this.#owners = new shards.ShardOwners(parts.membership);
     this.#voter = new voters.Voter(
       this.#margins,
@@ -99,11 +100,11 @@
     );
     this.#coordinator = new coordinators.Coordinator(
       parts.configuration,
-      reservedShare,
+      this.#recent,
       this.#margins,
       this.#metrics,
     );
-    this.#reserved = new reserved.ReservedShares(reservedShare, this.#margins);
+    this.#reserved = new reserved.ReservedShares(this.#recent, this.#margins);
     this.#holder = new holders.GrantHolder(
       this.#margins,
       (tokens) => this.#metrics.expiredTokens.inc(tokens),
@@ -377,7 +378,7 @@
       number: snapshot.number,
       digest: fleet.hashText(snapshot.digest),
       vmLimit: snapshot.fleet.vmLimit,
-      sinceMilliseconds: this.#snapshotSinceMilliseconds,
+      sinceMilliseconds: this.#recent.sinceMilliseconds,
     };
     const vmLimit = own.vmLimit;
     const refusal = this.#voter.check(from, request, own, now);
@@ -401,10 +402,7 @@
   }
 
   #noteSnapshot(snapshot: configuration.Snapshot | undefined): configuration.Snapshot | undefined {
-    if (snapshot !== this.#snapshot) {
-      this.#snapshot = snapshot;
-      this.#snapshotSinceMilliseconds = this.#now();
-    }
+    this.#recent.note(snapshot, this.#now());
     return snapshot;
   }
 
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -39,13 +39,20 @@
 });
 export type LeaseRequest = zod.infer<typeof leaseRequest>;
 
+/** A moment at which the spendable shares fell, by the shares summed up since. */
+const drop = zod.object({
+  pooled: amount,
+  lent: amount,
+  pooledSeconds: amount,
+  lentSeconds: amount,
+});
+
 /** Levels of one shard, from its earlier coordinator. The sender has deducted them. */
 export const handover = zod.object({
   shard,
   levels: zod.array(zod.object({ workspace, level: amount })).max(MAXIMUM_HANDOVER_LEVELS),
   /** Bounds on the levels of all workspaces that are not listed. */
-  drops: zod.array(zod.object({ share: amount, shareSeconds: amount }))
-    .max(MAXIMUM_CAPACITY_DROPS),
+  drops: zod.array(drop).max(MAXIMUM_CAPACITY_DROPS),
 });
 export type Handover = zod.infer<typeof handover>;
 
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./arrival_order_queue.ts";
 export type * from "./errors.ts";
 export * from "./escrow_limiter.ts";
+export * from "./reserved_policy.ts";
 export * from "./safety_margins.ts";
 export { getShard, SHARD_COUNT } from "./shards.ts";
 export * from "./static_share_limiter.ts";
--- a/packages/limits/src/pooled_bucket.ts
+++ b/packages/limits/src/pooled_bucket.ts
@@ -17,22 +17,24 @@
   readonly #outstanding = new Map<number, Outstanding>();
   #outstandingTokens = 0;
   #workspace: model.Workspace;
+  #reservedShare: number;
   #level = 0;
-  #shareSeconds = 0;
+  /** What the authority had summed up at the latest settlement; undefined before the first. */
+  #settled: authorities.SpendableShares | undefined;
   touchedMilliseconds = 0;
 
   constructor(
     workspace: model.Workspace,
+    reservedShare: number,
     authority: authorities.ShardAuthority,
     margins: safety.SafetyMargins,
   ) {
     this.#workspace = workspace;
+    this.#reservedShare = reservedShare;
     this.#authority = authority;
     if (!margins.emptyStart) {
       this.#level = workspace.burst;
-      this.#shareSeconds = authority.shareSeconds;
-    } else {
-      this.#shareSeconds = Number.NEGATIVE_INFINITY;
+      this.#settled = authority.shares;
     }
   }
 
@@ -52,13 +54,14 @@
     return this.#outstanding.size === 0 && this.#level >= this.#getCapacity() - 1e-9;
   }
 
-  /** Changes rate and burst; what is above the new burst is lost. */
-  configure(workspace: model.Workspace, nowMilliseconds: number): void {
-    if (workspace === this.#workspace) {
+  /** Changes rate, burst and reserved share; what is above the new burst is lost. */
+  configure(workspace: model.Workspace, reservedShare: number, nowMilliseconds: number): void {
+    if (workspace === this.#workspace && reservedShare === this.#reservedShare) {
       return;
     }
     this.settle(nowMilliseconds);
     this.#workspace = workspace;
+    this.#reservedShare = reservedShare;
     this.#clamp();
   }
 
@@ -99,8 +102,7 @@
   /** Adds the level that an earlier coordinator left. */
   adopt(level: number, nowMilliseconds: number): void {
     this.settle(nowMilliseconds);
-    const sinceGain = this.#authority.shareSeconds - this.#authority.gainedShareSeconds;
-    const accrued = sinceGain * this.#workspace.rate;
+    const accrued = this.#getAccrued(this.#authority.gained, this.#authority.shares);
     this.#level += Math.max(0, Math.min(level, this.#getCapacity() - accrued));
     this.#clamp();
   }
@@ -108,26 +110,26 @@
   /** Milliseconds until a whole token will be there. */
   getWaitMilliseconds(nowMilliseconds: number): number {
     const missing = 1 - this.getLevel(nowMilliseconds);
-    const rate = this.#workspace.rate * this.#authority.share;
+    const rate = this.#workspace.rate * this.#weighShare(this.#authority.shares);
     return missing <= 0 ? 0 : missing * 1_000 / Math.max(rate, 1e-3);
   }
 
   /** Brings the level up to the given time. */
   settle(nowMilliseconds: number): void {
     this.#authority.advance(nowMilliseconds);
-    const shareSeconds = this.#authority.shareSeconds;
-    const { rate, burst } = this.#workspace;
-    let level = this.#shareSeconds === Number.NEGATIVE_INFINITY
+    const shares = this.#authority.shares;
+    const settled = this.#settled;
+    let level = settled === undefined
       ? Number.POSITIVE_INFINITY
-      : this.#level + rate * (shareSeconds - this.#shareSeconds);
+      : this.#level + this.#getAccrued(settled, shares);
     for (const drop of this.#authority.drops) {
-      if (drop.shareSeconds >= this.#shareSeconds) {
-        const accrued = rate * (shareSeconds - drop.shareSeconds);
-        level = Math.min(level, drop.share * burst - this.#outstandingTokens + accrued);
+      if (settled === undefined || isSince(drop, settled)) {
+        const left = this.#weighShare(drop) * this.#workspace.burst - this.#outstandingTokens;
+        level = Math.min(level, left + this.#getAccrued(drop, shares));
       }
     }
     this.#level = level;
-    this.#shareSeconds = shareSeconds;
+    this.#settled = shares;
     // Grants that ended meanwhile still bound the level until now: they may have been spent late.
     this.#clamp();
     this.#expire(nowMilliseconds);
@@ -147,7 +149,22 @@
   }
 
   #getCapacity(): number {
-    return this.#authority.share * this.#workspace.burst;
+    return this.#weighShare(this.#authority.shares) * this.#workspace.burst;
+  }
+
+  /** Share (0 to 1) of this workspace's rate and burst. */
+  #weighShare(shares: authorities.SpendableShares): number {
+    return (1 - this.#reservedShare) * shares.pooled + this.#reservedShare * shares.lent;
+  }
+
+  #getAccrued(
+    from: authorities.SpendableShares,
+    until: authorities.SpendableShares,
+  ): number {
+    const pooled = until.pooledSeconds - from.pooledSeconds;
+    const lent = until.lentSeconds - from.lentSeconds;
+    return this.#workspace.rate *
+      ((1 - this.#reservedShare) * pooled + this.#reservedShare * lent);
   }
 
   #clamp(): void {
@@ -155,3 +172,10 @@
     this.#level = Math.max(0, Math.min(this.#level, room));
   }
 }
+
+function isSince(
+  drop: authorities.SpendableShares,
+  settled: authorities.SpendableShares,
+): boolean {
+  return drop.pooledSeconds >= settled.pooledSeconds && drop.lentSeconds >= settled.lentSeconds;
+}
--- a/packages/limits/src/reserved_shares.ts
+++ b/packages/limits/src/reserved_shares.ts
@@ -4,6 +4,7 @@
  */
 
 import type * as model from "@hemlockwalk/model";
+import type * as policies from "./reserved_policy.ts";
 import type * as safety from "./safety_margins.ts";
 
 interface Reserved {
@@ -16,11 +17,11 @@
 /** Buckets of this VM's own shares, created when they are first needed. */
 export class ReservedShares {
   readonly #margins: safety.SafetyMargins;
-  readonly #reservedShare: number;
+  readonly #recent: policies.RecentConfigurations;
   readonly #buckets = new Map<model.WorkspaceId, Reserved>();
 
-  constructor(reservedShare: number, margins: safety.SafetyMargins) {
-    this.#reservedShare = reservedShare;
+  constructor(recent: policies.RecentConfigurations, margins: safety.SafetyMargins) {
+    this.#recent = recent;
     this.#margins = margins;
   }
 
@@ -39,16 +40,22 @@
     ownSinceMilliseconds: number,
     nowMilliseconds: number,
   ): boolean {
-    const capacity = workspace.burst * this.#reservedShare / vmLimit;
+    const reservedShare = this.#recent.getShare(workspace, nowMilliseconds);
+    const capacity = workspace.burst * reservedShare / vmLimit;
     if (nowMilliseconds < ownSinceMilliseconds || capacity < 1) {
       return false;
     }
-    const bucket = this.#getBucket(workspace.id, ownSinceMilliseconds);
+    // Others may still go by an earlier declaration, by which less was reserved.
+    if (!this.#recent.isSettled(workspace, nowMilliseconds)) {
+      this.#buckets.set(workspace.id, { level: 0, updatedMilliseconds: nowMilliseconds });
+      return false;
+    }
+    const bucket = this.#getBucket(workspace.id, ownSinceMilliseconds, nowMilliseconds);
     const from = Math.max(bucket.updatedMilliseconds, ownSinceMilliseconds);
     if (bucket.updatedMilliseconds < ownSinceMilliseconds) {
       bucket.level = 0;
     }
-    const rate = workspace.rate * this.#reservedShare / vmLimit;
+    const rate = workspace.rate * reservedShare / vmLimit;
     const seconds = Math.max(0, nowMilliseconds - from) / 1_000 / (1 + this.#margins.clockDrift);
     bucket.level = Math.min(capacity, bucket.level + rate * seconds);
     bucket.updatedMilliseconds = nowMilliseconds;
@@ -69,10 +76,17 @@
     }
   }
 
-  #getBucket(workspace: model.WorkspaceId, ownSinceMilliseconds: number): Reserved {
+  #getBucket(
+    workspace: model.WorkspaceId,
+    ownSinceMilliseconds: number,
+    nowMilliseconds: number,
+  ): Reserved {
     let bucket = this.#buckets.get(workspace);
     if (bucket === undefined) {
-      bucket = { level: 0, updatedMilliseconds: ownSinceMilliseconds };
+      // The latest note may have declared the workspace anew, so nothing earlier counts.
+      const declared = Math.min(this.#recent.settledMilliseconds, nowMilliseconds);
+      const updatedMilliseconds = Math.max(ownSinceMilliseconds, declared);
+      bucket = { level: 0, updatedMilliseconds };
       this.#buckets.set(workspace, bucket);
     }
     return bucket;
--- a/packages/limits/src/safety_margins.ts
+++ b/packages/limits/src/safety_margins.ts
@@ -49,9 +49,6 @@
  */
 export const HANDOVER_MILLISECONDS = 400;
 
-/** Share of every rate and burst that VMs hold by right, under any partition. */
-export const RESERVED_SHARE = 0;
-
 interface LeaseTier {
   readonly vmLimit: number;
   readonly leaseMilliseconds: number;
@@ -77,3 +74,9 @@
 export function getReceiverMilliseconds(milliseconds: number, margins: SafetyMargins): number {
   return milliseconds * (1 - margins.clockDrift) / (1 + margins.clockDrift);
 }
+
+/** After this time no VM that follows its configuration acts on an earlier one. */
+export function getSettleMilliseconds(vmLimit: number): number {
+  return CONFIGURATION_GRACE_MILLISECONDS + getLeaseMilliseconds(vmLimit) +
+    GRANT_LIFETIME_MILLISECONDS;
+}
--- a/packages/limits/src/shard_authority.ts
+++ b/packages/limits/src/shard_authority.ts
@@ -9,12 +9,16 @@
 import type * as model from "@hemlockwalk/model";
 import * as safety from "./safety_margins.ts";
 
-/** A moment at which the spendable share fell: levels above it were lost then. */
-export interface CapacityDrop {
-  /** Share (0 to 1) of the burst that was left. */
-  readonly share: number;
-  /** Share-seconds summed up until then. */
-  readonly shareSeconds: number;
+/** What the votes allow of the two parts, and for how long they have done so. */
+export interface SpendableShares {
+  /** 1 with the votes of a majority, else 0: the part that is pooled. */
+  readonly pooled: number;
+  /** Share (0 to 1) of the reserved part that is lent. */
+  readonly lent: number;
+  /** Seconds for which the pooled part was held. */
+  readonly pooledSeconds: number;
+  /** Sum of the lent share times seconds. */
+  readonly lentSeconds: number;
 }
 
 interface Vote {
@@ -24,46 +28,52 @@
 
 const MAXIMUM_DROPS = 16;
 
+const EMPTY: SpendableShares = { pooled: 0, lent: 0, pooledSeconds: 0, lentSeconds: 0 };
+
 /** The votes for one shard and what they allow. */
 export class ShardAuthority {
   readonly #margins: safety.SafetyMargins;
-  readonly #reservedShare: number;
   readonly #votes = new Map<model.VmId, Vote>();
   #vmLimit: number;
-  #share = 0;
-  #shareSeconds = 0;
+  #pooled = 0;
+  #lent = 0;
+  #pooledSeconds = 0;
+  #lentSeconds = 0;
   #updatedMilliseconds: number;
   #nextExpiryMilliseconds = Number.POSITIVE_INFINITY;
   #endMilliseconds = Number.NEGATIVE_INFINITY;
-  #gainedShareSeconds = 0;
+  #gained: SpendableShares = EMPTY;
   #gains = 0;
-  #drops: readonly CapacityDrop[] = [{ share: 0, shareSeconds: 0 }];
+  #drops: readonly SpendableShares[] = [EMPTY];
 
   constructor(
     vmLimit: number,
-    reservedShare: number,
     margins: safety.SafetyMargins,
     nowMilliseconds: number,
   ) {
     this.#vmLimit = vmLimit;
-    this.#reservedShare = reservedShare;
     this.#margins = margins;
     this.#updatedMilliseconds = nowMilliseconds;
   }
 
-  /** Share (0 to 1) of rate and burst that may be spent now. */
-  get share(): number {
-    return this.#share;
+  /** What may be spent now. */
+  get shares(): SpendableShares {
+    return {
+      pooled: this.#pooled,
+      lent: this.#lent,
+      pooledSeconds: this.#pooledSeconds,
+      lentSeconds: this.#lentSeconds,
+    };
   }
 
-  /** Sum of share times seconds so far. */
-  get shareSeconds(): number {
-    return this.#shareSeconds;
+  /** Whether no vote is held. */
+  get isEmpty(): boolean {
+    return this.#votes.size === 0;
   }
 
-  /** Share-seconds when the pooled part was last gained. */
-  get gainedShareSeconds(): number {
-    return this.#gainedShareSeconds;
+  /** The shares when the pooled part was last gained. */
+  get gained(): SpendableShares {
+    return this.#gained;
   }
 
   /** How often the pooled part was gained. */
@@ -71,15 +81,11 @@
     return this.#gains;
   }
 
-  /** When the share fell, oldest first. Never empty. */
-  get drops(): readonly CapacityDrop[] {
+  /** Moments at which a share fell, oldest first: levels above it were lost. Never empty. */
+  get drops(): readonly SpendableShares[] {
     return this.#drops;
   }
 
-  get voteCount(): number {
-    return this.#votes.size;
-  }
-
   /** Whether the pooled part is included. */
   get hasMajority(): boolean {
     return this.#votes.size >= this.#getQuorum();
@@ -151,12 +157,25 @@
     return this.#endMilliseconds;
   }
 
+  /** The drops by how long ago they were, for the next coordinator. */
+  listDropsBefore(): SpendableShares[] {
+    return this.#drops.map((drop) => ({
+      ...drop,
+      pooledSeconds: this.#pooledSeconds - drop.pooledSeconds,
+      lentSeconds: this.#lentSeconds - drop.lentSeconds,
+    }));
+  }
+
   /** Takes over what an earlier coordinator knew of the workspaces that it did not list. */
-  adoptDrops(drops: readonly CapacityDrop[]): void {
-    const own = this.#drops.filter((drop) => drop.shareSeconds > this.#gainedShareSeconds);
-    const adopted = drops.map((drop) => ({
-      share: drop.share,
-      shareSeconds: this.#gainedShareSeconds - drop.shareSeconds,
+  adoptDrops(dropsBefore: readonly SpendableShares[]): void {
+    const gained = this.#gained;
+    const own = this.#drops.filter((drop) =>
+      drop.pooledSeconds > gained.pooledSeconds || drop.lentSeconds > gained.lentSeconds
+    );
+    const adopted = dropsBefore.map((drop) => ({
+      ...drop,
+      pooledSeconds: gained.pooledSeconds - drop.pooledSeconds,
+      lentSeconds: gained.lentSeconds - drop.lentSeconds,
     }));
     this.#drops = [...adopted, ...own];
   }
@@ -168,15 +187,15 @@
     }
     this.#updatedMilliseconds = untilMilliseconds;
     // A fast clock must not accrue more than real time allows.
-    this.#shareSeconds += this.#share * elapsed / 1_000 / (1 + this.#margins.clockDrift);
+    const seconds = elapsed / 1_000 / (1 + this.#margins.clockDrift);
+    this.#pooledSeconds += this.#pooled * seconds;
+    this.#lentSeconds += this.#lent * seconds;
   }
 
   #refresh(): void {
-    const earlier = this.#share;
-    const hadMajority = earlier > this.#reservedShare + 1e-9;
-    const limit = this.#getVmLimit();
-    const lent = Math.min(1, this.#votes.size / limit) * this.#reservedShare;
-    this.#share = lent + (this.hasMajority ? 1 - this.#reservedShare : 0);
+    const earlier = this.shares;
+    this.#lent = Math.min(1, this.#votes.size / this.#getVmLimit());
+    this.#pooled = this.hasMajority ? 1 : 0;
     this.#endMilliseconds = Number.NEGATIVE_INFINITY;
     this.#nextExpiryMilliseconds = Number.POSITIVE_INFINITY;
     for (const vote of this.#votes.values()) {
@@ -185,25 +204,29 @@
         vote.expiryMilliseconds,
       );
     }
-    if (this.hasMajority && !hadMajority) {
-      this.#gainedShareSeconds = this.#shareSeconds;
+    if (this.#pooled > earlier.pooled) {
+      this.#gained = this.shares;
       this.#gains++;
     }
-    if (this.#share < earlier) {
+    if (this.#pooled < earlier.pooled || this.#lent < earlier.lent) {
       this.#addDrop();
     }
   }
 
   #addDrop(): void {
-    const drops = [...this.#drops, { share: this.#share, shareSeconds: this.#shareSeconds }];
+    const drops = [...this.#drops, this.shares];
     const [first, second, ...rest] = drops;
     if (drops.length <= MAXIMUM_DROPS || first === undefined || second === undefined) {
       this.#drops = drops;
       return;
     }
     // Two drops become one that is at least as strict as both.
-    const share = Math.min(first.share, second.share);
-    this.#drops = [{ share, shareSeconds: second.shareSeconds }, ...rest];
+    const merged = {
+      ...second,
+      pooled: Math.min(first.pooled, second.pooled),
+      lent: Math.min(first.lent, second.lent),
+    };
+    this.#drops = [merged, ...rest];
   }
 
   #getQuorum(): number {
--- a/packages/limits/test/fleet_harness.ts
+++ b/packages/limits/test/fleet_harness.ts
@@ -134,7 +134,7 @@
   readonly vmLimit: number;
   readonly workspaces: readonly model.Workspace[];
   readonly margins?: limits.SafetyMargins;
-  readonly reservedShare?: number;
+  readonly reservedPolicy?: limits.ReservedPolicy;
   /** Another limiter than the escrow limiter. */
   readonly createLimiter?: (parts: limits.EscrowLimiterParts) => limits.RateLimiter;
   /** Speed of a VM's clock against real time. */
@@ -220,9 +220,9 @@
     };
     const limiter = this.#options.createLimiter?.(parts) ?? new limits.EscrowLimiter(parts, {
       ...(this.#options.margins === undefined ? {} : { margins: this.#options.margins }),
-      ...(this.#options.reservedShare === undefined
+      ...(this.#options.reservedPolicy === undefined
         ? {}
-        : { reservedShare: this.#options.reservedShare }),
+        : { reservedPolicy: this.#options.reservedPolicy }),
       now: () => kernel.getMonotonicMilliseconds() * speed,
     });
     this.#timers.run(process, () => void limiter.start?.());
--- a/packages/limits/test/histories.ts
+++ b/packages/limits/test/histories.ts
@@ -16,8 +16,8 @@
 const MAXIMUM_ALIVE = 6;
 const VM_LIMITS = [6, 8] as const;
 const STEP_MILLISECONDS = 25;
-const READY_MILLISECONDS = 3_600;
-const RESERVED_SHARE = 0.3;
+const READY_MILLISECONDS = 11_500;
+const RESERVED_POLICY: limits.ReservedPolicy = { share: 0.3, minimumBurst: 60 };
 const CLOCK_SPEEDS = [1, 1.0009, 0.9991] as const;
 
 /** Longest time from the last VM's change of configuration until nothing of the old one is spent. */
@@ -56,7 +56,7 @@
       vmLimit: VM_LIMITS[0],
       workspaces: createWorkspaces(1, 1),
       margins,
-      reservedShare: RESERVED_SHARE,
+      reservedPolicy: RESERVED_POLICY,
       getClockSpeed: (index) => CLOCK_SPEEDS[index % CLOCK_SPEEDS.length] ?? 1,
     });
     this.#notes.push(this.fleet.snapshot);
--- a/packages/limits/test/safety_margins_test.ts
+++ b/packages/limits/test/safety_margins_test.ts
@@ -16,8 +16,8 @@
 
 const READY_MILLISECONDS = 4_500;
 
-/** Just before the last votes for a coordinator end that was cut off. */
-const PAUSE_AFTER_CUT_MILLISECONDS = 1_600;
+/** Around the time at which the last votes for a coordinator end that was cut off. */
+const PAUSES_AFTER_CUT_MILLISECONDS = [1_200, 1_300, 1_400, 1_500, 1_600, 1_700, 1_800, 1_900];
 
 /** A situation, played with the given margins. */
 class Scenario {
@@ -132,6 +132,21 @@
 
 /** A coordinator grants up to the end of its votes, to a VM that spends late. */
 const playLateGrants: Play = async (clock, margins) => {
+  for (const pause of PAUSES_AFTER_CUT_MILLISECONDS) {
+    const scenario = await playLateGrant(clock, margins, pause);
+    if (scenario.fleet.violations > 0 || pause === PAUSES_AFTER_CUT_MILLISECONDS.at(-1)) {
+      return scenario;
+    }
+    scenario.fleet.stop();
+  }
+  throw new Error("There is a last pause.");
+};
+
+async function playLateGrant(
+  clock: kernelTesting.TestClock,
+  margins: limits.SafetyMargins,
+  pauseMilliseconds: number,
+): Promise<Scenario> {
   const scenario = new Scenario(clock, margins, 400, 100);
   await clock.advance(READY_MILLISECONDS);
   const { fleet } = scenario;
@@ -144,7 +159,7 @@
   for (const vm of rest) {
     vm.membership.set(members);
   }
-  await scenario.load([holder], PAUSE_AFTER_CUT_MILLISECONDS, 2);
+  await scenario.load([holder], pauseMilliseconds, 2);
   fleet.pause(holder);
   await clock.advance(900);
   scenario.send(later, 150);
@@ -152,7 +167,7 @@
   fleet.resume(holder);
   await clock.advance(500);
   return scenario;
-};
+}
 
 /** Two parts of the fleet each believe that the other is gone. */
 const playSplit: Play = async (clock, margins) => {
@@ -197,7 +212,9 @@
 
 /** A note lowers the rate, and the coordinator never hears of it. */
 const playCoordinatorBehind: Play = async (clock, margins) => {
-  const scenario = new Scenario(clock, margins, 100, 20, { reservedShare: 0 });
+  const scenario = new Scenario(clock, margins, 100, 20, {
+    reservedPolicy: { share: 0, minimumBurst: 0 },
+  });
   await clock.advance(READY_MILLISECONDS);
   const { fleet } = scenario;
   const coordinator = scenario.getCoordinator();
