--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -25,7 +25,7 @@
 
 const STANDARD_PARTS: VirtualMachineParts = {
   createPeerNetwork: (self, options) => new fleet.WebSocketPeerNetwork(self, options),
-  createRateLimiter,
+  createRateLimiter: (services, logger) => limits.createRateLimiter(services, logger),
   createFairQueue: (services) => new limits.WeightedFairQueue(services.get(kernel.METRICS)),
   createTargetPool: (services) =>
     new targets.RoundRobinPool(services.get(configuration.CONFIGURATION)),
@@ -107,24 +107,6 @@
   services.register<fleet.Membership>(fleet.MEMBERSHIP, membership);
 }
 
-function createRateLimiter(
-  services: kernel.Kernel,
-  logger: kernel.PartLogger,
-): limits.RateLimiter {
-  const network = services.find(fleet.PEER_NETWORK);
-  const configurationService = services.get(configuration.CONFIGURATION);
-  if (network === undefined) {
-    return new limits.StaticShareLimiter(configurationService);
-  }
-  return new limits.EscrowLimiter({
-    configuration: configurationService,
-    network,
-    membership: services.get(fleet.MEMBERSHIP),
-    metrics: services.get(kernel.METRICS),
-    logger,
-  });
-}
-
 function createIdentity(settings: model.Settings): fleet.VmIdentity {
   return {
     vm: settings.vm,
--- a/packages/limits/src/mod.ts
+++ b/packages/limits/src/mod.ts
@@ -3,6 +3,7 @@
  */
 
 export * from "./arrival_order_queue.ts";
+export * from "./create_rate_limiter.ts";
 export type * from "./errors.ts";
 export * from "./escrow_limiter.ts";
 export * from "./reserved_policy.ts";
