Slots dealt out to the VMs, and calls without an answer as evidence

Cause: 40 VMs that each count 3 or 6 slots for themselves oversubscribe a target under load. Each VM now has own slots, dealt out alike by all VMs with the same view, and borrows others only while the reported load is low. Ruled out: slot leases from the coordinator, whose holders would be the only witnesses of a target, and which cost a round trip where there are fewer slots than VMs.

A hanging target was counted twice for each call (as slow, then as broken), which diluted the evidence.

--- a/packages/targets/bench/scenarios.ts
+++ b/packages/targets/bench/scenarios.ts
@@ -106,6 +106,11 @@
     { firstDataCentreOnly: true },
   ),
   createHealthy("calm", () => {}),
+  createHealthy("calm with 3% errors", (simulation) => {
+    for (const id of simulation.targets.keys()) {
+      setRule(simulation, id, () => ({ kind: "errors", share: 0.03 }));
+    }
+  }),
   createHealthy("overload", (simulation) => {
     const { slots, rate } = simulation.size;
     // A slot runs about 38 requests a second, so this is half as much again as the targets can do.
--- a/packages/targets/src/adaptive_pool.ts
+++ b/packages/targets/src/adaptive_pool.ts
@@ -68,6 +68,11 @@
       "Targets of all services that this VM does not use, leaving ones not counted.",
       () => this.#countOut(),
     );
+    context.metrics.createGauge(
+      "hemlockwalk_target_requests_running",
+      "Requests of this VM that run on targets.",
+      () => this.runningRequests,
+    );
     context.pauses?.onResume(() => this.#voidEvidence());
     context.configuration.onChange((change) => this.#update(change.current));
     const snapshot = context.configuration.getSnapshot();
@@ -102,6 +107,15 @@
     this.#listeners.push(listener);
   }
 
+  /** Requests of this VM that run on targets. */
+  get runningRequests(): number {
+    let running = 0;
+    for (const pool of this.#pools.values()) {
+      running += pool.running;
+    }
+    return running;
+  }
+
   /** The targets that this VM uses now for requests of a route. */
   listInUse(service: model.ServiceId, route: model.RouteId): readonly model.Target[] {
     const now = kernel.getMonotonicMilliseconds();
--- a/packages/targets/src/evidence_exchange.ts
+++ b/packages/targets/src/evidence_exchange.ts
@@ -16,8 +16,11 @@
 import type * as pools from "./pool_options.ts";
 import type * as types from "./types.ts";
 
-/** Evidence, in nats, for an ejection by the coordinator: one wrong look in 65 million. */
-const COORDINATOR_NATS = 18;
+/**
+ * Evidence, in nats, for an ejection by the coordinator: one wrong look in 160,000 at twice the share
+ * that the other targets show, and far fewer at that share itself.
+ */
+const COORDINATOR_NATS = 12;
 
 /** VMs that must each have seen a bad call. */
 const LEAST_SOURCES = 3;
@@ -43,6 +46,7 @@
   readonly #coordinators = new Map<model.ServiceId, coordinators.Coordinator>();
   readonly #ranked = new Map<model.ServiceId, readonly model.VmId[]>();
   readonly #near = new Map<types.ShortId, model.DataCentreId>();
+  #view: readonly fleet.Member[] = [];
   #members = 1;
   #dataCentres = 1;
 
@@ -61,6 +65,11 @@
     return this.#members;
   }
 
+  /** This VM's view of the fleet. It is replaced, not changed. */
+  listMembers(): readonly fleet.Member[] {
+    return this.#view;
+  }
+
   /** Takes over a new configuration. */
   update(snapshot: configuration.Snapshot): void {
     this.#near.clear();
@@ -133,6 +142,7 @@
   #noteMembers(): void {
     const members = this.#context.membership.listMembers();
     this.#ranked.clear();
+    this.#view = [...members];
     this.#members = Math.max(1, members.length);
     this.#dataCentres = new Set(members.map((member) => member.dataCentre)).size;
   }
--- a/packages/targets/src/messages.ts
+++ b/packages/targets/src/messages.ts
@@ -24,9 +24,9 @@
 /** Loads travel in hundredths of a request. */
 const LOAD_UNITS = 100;
 
-const TRIAL_FLAG = 8;
-const BUCKET_FACTOR = 16;
-const RESULTS = ["answered", "broken", "failed", "shed", "overdue"] as const;
+const TRIAL_FLAG = 4;
+const BUCKET_FACTOR = 8;
+const RESULTS = ["answered", "broken", "failed", "shed"] as const;
 const STATES = ["out", "trial"] as const;
 
 const time = zod.number().min(0);
--- a/packages/targets/src/service_evidence.ts
+++ b/packages/targets/src/service_evidence.ts
@@ -19,6 +19,9 @@
 /** Calls needed before a median is believed. */
 const LEAST_MEDIAN_CALLS = 20;
 
+/** Calls needed before a median is believed to tell how long is very long. */
+const LEAST_ROUGH_MEDIAN_CALLS = 4;
+
 /** Shares of bad calls that are expected of a healthy target at the least. */
 const LEAST_SHARES = { broken: 0.002, failed: 0.005, slow: 0.01 } as const;
 
@@ -79,8 +82,8 @@
   readonly dataCentre: model.DataCentreId;
   readonly target: types.ShortId;
   readonly route: types.ShortId;
-  readonly result: "answered" | "broken" | "failed" | "shed" | "overdue";
-  /** Bucket of the latency of an answered call, or of the age of an overdue one. */
+  readonly result: "answered" | "broken" | "failed" | "shed";
+  /** Bucket of the latency of an answered call. */
   readonly bucket: number;
   readonly count: number;
   /** Whether the target stands in the data centre of the VM. */
@@ -152,7 +155,7 @@
   getSlowestMilliseconds(): number | undefined {
     let slowest: number | undefined;
     for (const reference of this.#references.values()) {
-      const median = reference.getMedian(LEAST_MEDIAN_CALLS);
+      const median = reference.getMedian(LEAST_ROUGH_MEDIAN_CALLS);
       if (median !== undefined) {
         const slow = median * SLOW_FACTOR + SLOW_SLACK_MILLISECONDS;
         slowest = Math.max(slowest ?? 0, slow);
@@ -164,10 +167,7 @@
   /** Whether calls were slow, by what is known of the route. */
   isSlow(reported: ReportedCalls): boolean {
     const slow = this.getSlowMilliseconds(reported.route, reported.near);
-    if (slow === undefined) {
-      return reported.result === "overdue";
-    }
-    return latencies.getBucketMilliseconds(reported.bucket) > slow;
+    return slow !== undefined && latencies.getBucketMilliseconds(reported.bucket) > slow;
   }
 
   /** Whether most calls to the targets in use fail, so that none is worth ejecting. */
@@ -220,19 +220,17 @@
   }
 
   #classify(reported: ReportedCalls, nowMilliseconds: number): types.EvidenceKind {
-    if (reported.result !== "answered" && reported.result !== "overdue") {
+    if (reported.result !== "answered") {
       return reported.result;
     }
     const slow = this.isSlow(reported);
-    if (reported.result === "answered") {
-      const name = `${reported.route} ${reported.near}`;
-      let reference = this.#references.get(name);
-      if (reference === undefined) {
-        reference = new latencies.RecentLatencies(nowMilliseconds);
-        this.#references.set(name, reference);
-      }
-      reference.add(reported.bucket, reported.count, nowMilliseconds);
+    const name = `${reported.route} ${reported.near}`;
+    let reference = this.#references.get(name);
+    if (reference === undefined) {
+      reference = new latencies.RecentLatencies(nowMilliseconds);
+      this.#references.set(name, reference);
     }
+    reference.add(reported.bucket, reported.count, nowMilliseconds);
     return slow ? "slow" : "good";
   }
 
--- a/packages/targets/src/service_pool.ts
+++ b/packages/targets/src/service_pool.ts
@@ -17,6 +17,7 @@
 import type * as pools from "./pool_options.ts";
 import * as reporters from "./evidence_reporter.ts";
 import type * as selfSuspicion from "./self_suspicion.ts";
+import * as slotShares from "./slot_shares.ts";
 import * as states from "./target_state.ts";
 import * as subsets from "./target_subset.ts";
 import type * as types from "./types.ts";
@@ -27,15 +28,15 @@
 /** Other targets that must have been called since a target's first bad call, where there are any. */
 const LOCAL_LEAST_PEERS = 2;
 
-/** A running request counts as slow above this multiple of the latency that is slow once answered. */
-const OVERDUE_FACTOR = 1.5;
-
-/** A running request counts as broken above this multiple of the age at which it counts as slow. */
+/** A running request counts as broken above this multiple of the latency that is slow once answered. */
 const STUCK_FACTOR = 3;
 const LEAST_STUCK_MILLISECONDS = 300;
 
 /** Used while no latency of the service is known. */
-const UNKNOWN_OVERDUE_MILLISECONDS = 1_000;
+const UNKNOWN_STUCK_MILLISECONDS = 1_000;
+
+/** A slot of another VM may be borrowed while the target's reported load is below this share. */
+const BORROW_UTILISATION = 0.75;
 
 /** Shortest time between two trial requests of this VM to one target. */
 const TRIAL_GAP_MILLISECONDS = 250;
@@ -62,8 +63,8 @@
   readonly route: types.ShortId;
   readonly startedAt: number;
   readonly trial: boolean;
-  /** What was reported of it while it ran. */
-  reported: "nothing" | "overdue" | "stuck";
+  /** Whether it was reported as broken while it ran. */
+  stuck: boolean;
 }
 
 /** One service on one VM. */
@@ -76,8 +77,11 @@
   readonly #triedAt = new Map<types.ShortId, number>();
   readonly #routes = new Map<model.RouteId, types.ShortId>();
   #service: model.Service;
+  #allTargets: readonly model.Target[] = [];
   #declared: readonly exclusions.DeclaredTarget[] = [];
   #callLimit = 1;
+  #ownSlots: ReadonlyMap<model.TargetId, number> = new Map();
+  #dealtFor: readonly fleet.Member[] | undefined;
   #outBefore: ReadonlySet<types.ShortId> = new Set();
 
   constructor(context: ServicePoolContext, service: model.Service, nowMilliseconds: number) {
@@ -115,9 +119,10 @@
       service.slots,
       subsets.getConnectionShare(service.connections, vmLimit),
     );
+    this.#allTargets = snapshot.listTargets(service.id);
     const targets = subsets.selectSubset(
       this.#context.self.vm,
-      snapshot.listTargets(service.id),
+      this.#allTargets,
       service.connections,
       vmLimit,
     );
@@ -136,6 +141,7 @@
         this.#states.set(shortId, new states.TargetState(!first, nowMilliseconds));
       }
     }
+    this.#dealtFor = undefined;
     this.#judge.declare(
       this.#declared.map(({ target, shortId }) => ({ target: shortId, leaving: target.leaving })),
       floors.getAllowance(targets, service.floor),
@@ -154,10 +160,11 @@
       this.#context.metrics.trialRequests.inc();
       return this.#begin(trial, route, true, nowMilliseconds);
     }
+    this.#dealSlots();
     const byTarget = new Map<types.Candidate, exclusions.DeclaredTarget>();
     for (const declared of selection.inUse) {
       const candidate = this.#createCandidate(declared, nowMilliseconds);
-      if (!request.exclude.has(declared.target.id) && candidate.running < this.#callLimit) {
+      if (!request.exclude.has(declared.target.id) && this.#hasSlot(candidate)) {
         byTarget.set(candidate, declared);
       }
     }
@@ -170,6 +177,11 @@
     return this.#begin(declared, route, false, nowMilliseconds);
   }
 
+  /** Requests of this VM that run on targets of the service. */
+  get running(): number {
+    return this.#running.size;
+  }
+
   /** Sorts the targets by what may be sent to them for a route. */
   select(route: types.ShortId, nowMilliseconds: number): exclusions.TargetSelection {
     const held = this.#context.exchange?.getCurrent(this.#service.id, nowMilliseconds);
@@ -198,7 +210,7 @@
     if (!this.#context.detection) {
       return;
     }
-    this.#reportOverdue(nowMilliseconds);
+    this.#reportStuck(nowMilliseconds);
     if (this.#context.suspicion.isSuspect(nowMilliseconds)) {
       this.#judge.returnAll("self_suspect");
     }
@@ -225,6 +237,39 @@
     this.#reporter.addProbeSuccess(target);
   }
 
+  /** Deals the slots again when the fleet or the targets have changed. */
+  #dealSlots(): void {
+    const { exchange, self } = this.#context;
+    const members = exchange?.listMembers() ?? NO_MEMBERS;
+    if (members === this.#dealtFor) {
+      return;
+    }
+    this.#dealtFor = members;
+    const staying = members.filter((member) => member.state !== "leaving");
+    this.#ownSlots = slotShares.dealSlots(
+      self.vm,
+      staying.length > 0 ? staying : [self],
+      this.#allTargets,
+      this.#service.slots,
+    );
+  }
+
+  /**
+   * Whether a request may start on a target: in a slot of this VM, or in one of another VM while the
+   * target is little loaded. A VM without any slot may always run one request.
+   */
+  #hasSlot(candidate: types.Candidate): boolean {
+    if (candidate.running >= this.#callLimit) {
+      return false;
+    }
+    if (candidate.running < (this.#ownSlots.get(candidate.target.id) ?? 0)) {
+      return true;
+    }
+    const load = candidate.running + candidate.peerLoad + 1;
+    return load <= Math.max(1, candidate.slots * BORROW_UTILISATION) ||
+      (this.#ownSlots.size === 0 && this.#running.size === 0);
+  }
+
   #chooseTrial(
     selection: exclusions.TargetSelection,
     exclude: ReadonlySet<model.TargetId>,
@@ -266,7 +311,7 @@
       route,
       startedAt: nowMilliseconds,
       trial,
-      reported: "nothing",
+      stuck: false,
     };
     state.begin(nowMilliseconds);
     this.#running.add(call);
@@ -290,7 +335,7 @@
     }
     if (call.startedAt < (pauses?.lastResumeMilliseconds ?? Number.NEGATIVE_INFINITY)) {
       metrics.countVoid("pause", 1);
-    } else if (detection && call.reported === "nothing" && outcome.result !== "cancelled") {
+    } else if (detection && !call.stuck && outcome.result !== "cancelled") {
       const result = classifyOutcome(outcome.result);
       this.#note(call, result, outcome.latencyMilliseconds, nowMilliseconds);
     }
@@ -310,9 +355,7 @@
       target: shortId,
       route: call.route,
       result,
-      bucket: result === "answered" || result === "overdue"
-        ? latencies.getBucket(latencyMilliseconds)
-        : 0,
+      bucket: result === "answered" ? latencies.getBucket(latencyMilliseconds) : 0,
       trial: call.trial,
     };
     const reported = {
@@ -339,31 +382,29 @@
     }
   }
 
-  #reportOverdue(nowMilliseconds: number): void {
+  /** A call without an answer for long says as much as one that ended badly, and says it sooner. */
+  #reportStuck(nowMilliseconds: number): void {
     const resumedAt = this.#context.pauses?.lastResumeMilliseconds ?? Number.NEGATIVE_INFINITY;
     for (const call of this.#running) {
-      if (call.startedAt < resumedAt || call.reported === "stuck") {
+      if (call.stuck || call.startedAt < resumedAt) {
         continue;
       }
       const age = nowMilliseconds - call.startedAt;
-      const overdueAge = this.#getOverdueMilliseconds(call);
-      if (call.reported === "nothing" && age > overdueAge) {
-        call.reported = "overdue";
-        this.#note(call, "overdue", age, nowMilliseconds);
-      }
-      if (age > Math.max(overdueAge * STUCK_FACTOR, LEAST_STUCK_MILLISECONDS)) {
-        call.reported = "stuck";
+      if (age > this.#getStuckMilliseconds(call)) {
+        call.stuck = true;
         this.#note(call, "broken", age, nowMilliseconds);
       }
     }
   }
 
-  #getOverdueMilliseconds(call: RunningCall): number {
+  #getStuckMilliseconds(call: RunningCall): number {
     const { evidence } = this.#judge;
     const near = call.declared.target.dataCentre === this.#context.self.dataCentre;
     const slow = evidence.getSlowMilliseconds(call.route, near) ??
       evidence.getSlowestMilliseconds();
-    return slow === undefined ? UNKNOWN_OVERDUE_MILLISECONDS : slow * OVERDUE_FACTOR;
+    return slow === undefined
+      ? UNKNOWN_STUCK_MILLISECONDS
+      : Math.max(slow * STUCK_FACTOR, LEAST_STUCK_MILLISECONDS);
   }
 
   /** Targets that came back into use get little at first. */
@@ -425,6 +466,8 @@
   }
 }
 
+const NO_MEMBERS: readonly fleet.Member[] = [];
+
 /** Matches no route, so that only verdicts on whole targets apply. */
 const NO_ROUTE = 0 as types.ShortId;
 
--- a/packages/targets/src/statistics.ts
+++ b/packages/targets/src/statistics.ts
@@ -3,8 +3,8 @@
  *
  * The tail of a binomial distribution is bounded by Chernoff's inequality: of `calls` calls that fail
  * with probability `share` each, `events` or more fail with a probability of at most
- * `exp(-calls * divergence)`. A threshold in nats is therefore a budget for wrong findings: 18 nats
- * stand for one in 65 million looks.
+ * `exp(-calls * divergence)`. A threshold in nats is therefore a budget for wrong findings: 12 nats
+ * stand for one in 160,000 looks.
  */
 
 /** Highest and lowest probability that a test is made against. */
--- a/packages/targets/test/choice_test.ts
+++ b/packages/targets/test/choice_test.ts
@@ -7,9 +7,11 @@
 import * as kernel from "@hemlockwalk/kernel";
 import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
+import * as slotShares from "../src/slot_shares.ts";
 import * as subsets from "../src/target_subset.ts";
 import * as targets from "../src/mod.ts";
 import * as fixtures from "./fixtures.ts";
+import * as testFleet from "./test_fleet.ts";
 
 const [SELF] = fixtures.createIdentities(1, 1);
 
@@ -94,6 +96,46 @@
     assert.equal(new Set(dataCentres).size, 4);
   });
 
+  test.it("deals each slot to one VM, and about as many to each", () => {
+    const identities = fixtures.createIdentities(40, 4);
+    const snapshot = fixtures.createSnapshot({ targets: 14, dataCentres: 4 });
+    const declared = snapshot.listTargets(fixtures.SERVICE);
+    const dealt = new Map<model.TargetId, number>();
+    for (const { vm } of identities) {
+      const own = slotShares.dealSlots(vm, identities, declared, 6);
+      const total = [...own.values()].reduce((sum, slots) => sum + slots, 0);
+      assert.ok(total === 1 || total === 2 || total === 3);
+      for (const [id, slots] of own) {
+        dealt.set(id, (dealt.get(id) ?? 0) + slots);
+      }
+    }
+    assert.equal(dealt.size, 14);
+    assert.ok([...dealt.values()].every((slots) => slots === 6));
+  });
+
+  test.it("runs no more than a busy target's slots over all VMs", async (context) => {
+    const declaration = { targets: 6, dataCentres: 2, slots: 3, vmLimit: 10 };
+    const fleet = new testFleet.TestFleet(10, declaration, 6_011);
+    context.after(() => fleet.stop());
+    // Calls never end, so that all slots fill up while the loads are reported again and again.
+    fleet.rule = () => undefined;
+    const counts = new Map<model.TargetId, number>();
+    for (let round = 0; round < 60; round++) {
+      for (let vm = 0; vm < 10; vm++) {
+        const call = fleet.request(vm, false);
+        if (call !== undefined) {
+          counts.set(call.target.id, (counts.get(call.target.id) ?? 0) + 1);
+        }
+      }
+      await fleet.run(1_000, 0);
+    }
+    const running = [...counts.values()];
+    const total = running.reduce((sum, count) => sum + count, 0);
+    assert.ok(total >= 18, `${total} run in 18 slots`);
+    // The first requests may borrow before any load is reported: one for each VM, once.
+    assert.ok(total <= 18 + 10, `${total} run in 18 slots`);
+  });
+
   test.it("gives a leaving target nothing from the moment of the note on", (context) => {
     const { pool, configuration } = createPool(context, { targets: 4, dataCentres: 1 });
     countChoices(pool, 50, () => "success");
