Compare targets with all others that are not clearly sick

Cause: the better half of the others is chosen by their failures, which makes the expected share too low where calls are few.

--- a/packages/targets/bench/scenarios.ts
+++ b/packages/targets/bench/scenarios.ts
@@ -13,6 +13,8 @@
   readonly name: string;
   /** Longest time to detection that is aimed for; absent where nothing is to be detected. */
   readonly goalMilliseconds?: number;
+  /** How long the situation lasts, where it differs from the usual. */
+  readonly lengthMilliseconds?: number;
   /** Route for which the sick target should be out. */
   readonly route?: model.RouteId;
   /** Whether only the VMs of the first data centre should avoid the target. */
@@ -60,9 +62,11 @@
 function createHealthy(
   name: string,
   begin: (simulation: simulations.Simulation) => void,
+  lengthMilliseconds?: number,
 ): Scenario {
   return {
     name,
+    ...(lengthMilliseconds === undefined ? {} : { lengthMilliseconds }),
     begin: (simulation) => {
       begin(simulation);
       return [];
@@ -74,6 +78,8 @@
   return kernel.getDefined(simulation.vms[index], "The fleet has as many VMs.");
 }
 
+/** Calls are many under overload, so it is shorter. */
+const OVERLOAD_MILLISECONDS = 8_000;
 const HARD_GOAL_MILLISECONDS = 2_000;
 const GRAY_GOAL_MILLISECONDS = 5_000;
 
@@ -115,7 +121,7 @@
     const { slots, rate } = simulation.size;
     // A slot runs about 38 requests a second, so this is half as much again as the targets can do.
     simulation.loadFactor = slots * 38 * 1.5 / rate;
-  }),
+  }, OVERLOAD_MILLISECONDS),
   createHealthy("one-way partition", (simulation) => {
     const first = fixtures.getDataCentre(0);
     const second = fixtures.getDataCentre(1);
--- a/packages/targets/src/evidence_window.ts
+++ b/packages/targets/src/evidence_window.ts
@@ -6,7 +6,18 @@
 import type * as types from "./types.ts";
 
 /** Lengths of the windows over which a target is judged: short for busy targets, long for quiet ones. */
-export const WINDOWS_MILLISECONDS = [1_000, 2_000, 4_000, 8_000, 16_000, 32_000, 64_000] as const;
+export const WINDOWS_MILLISECONDS = [
+  1_000,
+  2_000,
+  3_000,
+  4_000,
+  6_000,
+  8_000,
+  12_000,
+  16_000,
+  32_000,
+  64_000,
+] as const;
 
 const SLICE_MILLISECONDS = 250;
 const LONGEST_WINDOW_MILLISECONDS = 64_000;
--- a/packages/targets/src/service_evidence.ts
+++ b/packages/targets/src/service_evidence.ts
@@ -1,7 +1,7 @@
 /**
  * Finds sick targets of one service from the calls of one VM or of many.
  *
- * A target is judged against the better half of the service's other targets, over several windows.
+ * A target is judged against the service's other targets that are not clearly sick, over several windows.
  * Overload and faults that all targets share therefore raise the expected share and find nobody.
  */
 
@@ -40,6 +40,9 @@
 const SHARED_CAUSE_SHARE = 0.5;
 const BAD_PEER_SHARE = 0.25;
 
+/** Bad calls from which on a target with a large share of them is not compared with. */
+const SICK_PEER_CALLS = 3;
+
 /** Shares of the service's calls above which slowness is taken for overload. */
 const OVERLOAD_SHED_SHARE = 0.05;
 const OVERLOAD_SLOW_SHARE = 0.25;
@@ -363,31 +366,32 @@
     sum.slow > sum.calls * OVERLOAD_SLOW_SHARE;
 }
 
-/** The share of bad calls that a healthy target may show, from the better half of the others. */
+/** The share of bad calls that a healthy target may show, from the others that are not clearly sick. */
 function getExpectedShare(
   kind: types.FaultKind,
   peers: readonly windows.CallCounts[],
   longPeers: readonly windows.CallCounts[],
 ): number {
   const least = LEAST_SHARES[kind];
-  const now = sumBetterHalf(kind, peers);
-  const long = sumBetterHalf(kind, longPeers);
+  const now = sumHealthy(kind, peers);
+  const long = sumHealthy(kind, longPeers);
   const longShare = (long[kind] + 1) / (long.calls + 1 / least);
   // A single bad call in a short window says little about the share.
   const nowShare = now[kind] > 1 ? now[kind] / now.calls : 0;
   return Math.max(least, Math.max(longShare, nowShare) * PEER_SHARE_FACTOR);
 }
 
-function sumBetterHalf(
+function sumHealthy(
   kind: types.FaultKind,
   peers: readonly windows.CallCounts[],
 ): windows.CallCounts {
-  const sorted = [...peers].sort((left, right) =>
-    left[kind] / left.calls - right[kind] / right.calls
-  );
-  const better = windows.createCounts();
-  for (const counts of sorted.slice(0, Math.ceil(sorted.length / 2))) {
-    windows.addCounts(better, counts);
+  const sum = windows.createCounts();
+  for (const counts of peers) {
+    const sick = counts[kind] >= SICK_PEER_CALLS &&
+      counts[kind] >= counts.calls * BAD_PEER_SHARE;
+    if (!sick) {
+      windows.addCounts(sum, counts);
+    }
   }
-  return better;
+  return sum;
 }
