--- a/packages/targets/src/service_evidence.ts
+++ b/packages/targets/src/service_evidence.ts
@@ -1,7 +1,7 @@
 /**
  * Finds sick targets of one service from the calls of one VM or of many.
  *
- * A target is judged against the better half of the service's other targets, over several windows.
+ * A target is judged against the service's other targets that are not clearly sick, over several windows.
  * Overload and faults that all targets share therefore raise the expected share and find nobody.
  */
 
@@ -19,6 +19,9 @@
 /** Calls needed before a median is believed. */
 const LEAST_MEDIAN_CALLS = 20;
 
+/** Calls needed before a median is believed to tell how long is very long. */
+const LEAST_ROUGH_MEDIAN_CALLS = 4;
+
 /** Shares of bad calls that are expected of a healthy target at the least. */
 const LEAST_SHARES = { broken: 0.002, failed: 0.005, slow: 0.01 } as const;
 
@@ -37,6 +40,9 @@
 const SHARED_CAUSE_SHARE = 0.5;
 const BAD_PEER_SHARE = 0.25;
 
+/** Bad calls from which on a target with a large share of them is not compared with. */
+const SICK_PEER_CALLS = 3;
+
 /** Shares of the service's calls above which slowness is taken for overload. */
 const OVERLOAD_SHED_SHARE = 0.05;
 const OVERLOAD_SLOW_SHARE = 0.25;
@@ -79,8 +85,8 @@
   readonly dataCentre: model.DataCentreId;
   readonly target: types.ShortId;
   readonly route: types.ShortId;
-  readonly result: "answered" | "broken" | "failed" | "shed" | "overdue";
-  /** Bucket of the latency of an answered call, or of the age of an overdue one. */
+  readonly result: "answered" | "broken" | "failed" | "shed";
+  /** Bucket of the latency of an answered call. */
   readonly bucket: number;
   readonly count: number;
   /** Whether the target stands in the data centre of the VM. */
@@ -152,7 +158,7 @@
   getSlowestMilliseconds(): number | undefined {
     let slowest: number | undefined;
     for (const reference of this.#references.values()) {
-      const median = reference.getMedian(LEAST_MEDIAN_CALLS);
+      const median = reference.getMedian(LEAST_ROUGH_MEDIAN_CALLS);
       if (median !== undefined) {
         const slow = median * SLOW_FACTOR + SLOW_SLACK_MILLISECONDS;
         slowest = Math.max(slowest ?? 0, slow);
@@ -164,10 +170,7 @@
   /** Whether calls were slow, by what is known of the route. */
   isSlow(reported: ReportedCalls): boolean {
     const slow = this.getSlowMilliseconds(reported.route, reported.near);
-    if (slow === undefined) {
-      return reported.result === "overdue";
-    }
-    return latencies.getBucketMilliseconds(reported.bucket) > slow;
+    return slow !== undefined && latencies.getBucketMilliseconds(reported.bucket) > slow;
   }
 
   /** Whether most calls to the targets in use fail, so that none is worth ejecting. */
@@ -220,19 +223,17 @@
   }
 
   #classify(reported: ReportedCalls, nowMilliseconds: number): types.EvidenceKind {
-    if (reported.result !== "answered" && reported.result !== "overdue") {
+    if (reported.result !== "answered") {
       return reported.result;
     }
     const slow = this.isSlow(reported);
-    if (reported.result === "answered") {
-      const name = `${reported.route} ${reported.near}`;
-      let reference = this.#references.get(name);
-      if (reference === undefined) {
-        reference = new latencies.RecentLatencies(nowMilliseconds);
-        this.#references.set(name, reference);
-      }
-      reference.add(reported.bucket, reported.count, nowMilliseconds);
+    const name = `${reported.route} ${reported.near}`;
+    let reference = this.#references.get(name);
+    if (reference === undefined) {
+      reference = new latencies.RecentLatencies(nowMilliseconds);
+      this.#references.set(name, reference);
     }
+    reference.add(reported.bucket, reported.count, nowMilliseconds);
     return slow ? "slow" : "good";
   }
 
@@ -365,31 +366,32 @@
     sum.slow > sum.calls * OVERLOAD_SLOW_SHARE;
 }
 
-/** The share of bad calls that a healthy target may show, from the better half of the others. */
+/** The share of bad calls that a healthy target may show, from the others that are not clearly sick. */
 function getExpectedShare(
   kind: types.FaultKind,
   peers: readonly windows.CallCounts[],
   longPeers: readonly windows.CallCounts[],
 ): number {
   const least = LEAST_SHARES[kind];
-  const now = sumBetterHalf(kind, peers);
-  const long = sumBetterHalf(kind, longPeers);
+  const now = sumHealthy(kind, peers);
+  const long = sumHealthy(kind, longPeers);
   const longShare = (long[kind] + 1) / (long.calls + 1 / least);
   // A single bad call in a short window says little about the share.
   const nowShare = now[kind] > 1 ? now[kind] / now.calls : 0;
   return Math.max(least, Math.max(longShare, nowShare) * PEER_SHARE_FACTOR);
 }
 
-function sumBetterHalf(
+function sumHealthy(
   kind: types.FaultKind,
   peers: readonly windows.CallCounts[],
 ): windows.CallCounts {
-  const sorted = [...peers].sort((left, right) =>
-    left[kind] / left.calls - right[kind] / right.calls
-  );
-  const better = windows.createCounts();
-  for (const counts of sorted.slice(0, Math.ceil(sorted.length / 2))) {
-    windows.addCounts(better, counts);
+  const sum = windows.createCounts();
+  for (const counts of peers) {
+    const sick = counts[kind] >= SICK_PEER_CALLS &&
+      counts[kind] >= counts.calls * BAD_PEER_SHARE;
+    if (!sick) {
+      windows.addCounts(sum, counts);
+    }
   }
-  return better;
+  return sum;
 }
