Header names read once; budgets that start low; connections that ended are not kept

Cause: names were brought into form three times for each request; a VM that started in an outage had ten retries to spend; a connection that its target had closed could be taken for an open one; headers beyond a count of 2,000 were dropped by the server unseen.

--- a/packages/gateway/src/connections.ts
+++ b/packages/gateway/src/connections.ts
@@ -43,6 +43,7 @@
   provenMilliseconds = Number.NEGATIVE_INFINITY;
   /** Whether the connection was open before the request that uses it now. */
   reused = false;
+  #connected = true;
 
   constructor(origin: string) {
     this.client = new undici.Client(origin, {
@@ -55,6 +56,15 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    // The client would open another connection by itself; which one is fresh must stay known.
+    this.client.on("disconnect", () => {
+      this.#connected = false;
+    });
+  }
+
+  /** Whether the connection has not ended; true also before it is open. */
+  get connected(): boolean {
+    return this.#connected;
   }
 
   /** Whether the last sign of life is recent enough for a request that must not run twice. */
@@ -114,7 +124,7 @@
    * @param usable Whether the last answer ended completely, so that another request may follow.
    */
   release(connection: TargetConnection, usable: boolean): void {
-    if (usable && !this.#retired && !connection.client.destroyed) {
+    if (usable && !this.#retired && connection.connected) {
       connection.provenMilliseconds = kernel.getMonotonicMilliseconds();
       connection.reused = true;
       this.#idle.push(connection);
@@ -158,7 +168,6 @@
     this.#open++;
     this.#count("opened");
     connection.client.on("disconnect", () => {
-      // The client would open another one by itself; which connection is fresh must stay known.
       const index = this.#idle.indexOf(connection);
       if (index !== -1) {
         this.#idle.splice(index, 1);
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -52,6 +52,9 @@
     budget.addRequest();
     const run = new runs.RequestRun(ready, budget);
     for (;;) {
+      if (ready.running.endReason !== undefined) {
+        return run.finish(callResults.createEndRefusal(run));
+      }
       const lease = await this.#enterQueue(run);
       if (lease.isErr()) {
         return run.finish(callResults.createQueueRefusal(lease.error, run));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,9 @@
 import * as running from "./running_requests.ts";
 import type * as types from "./types.ts";
 
+/** A caller that goes on to send more than this after its answer is cut off. */
+const MAXIMUM_REST_BYTES = 10 * 1_024 * 1_024;
+
 /** An unread rest of a request up to this size is read and dropped, to keep the connection. */
 const MAXIMUM_DROPPED_BYTES = 64 * 1_024;
 
@@ -164,8 +167,7 @@
       refusals.sendRefusal(response, refusal, this.#endsConnection(call, refusal));
     }
     if (!request.complete) {
-      // What the caller still sends must not keep its connection from the next request.
-      request.resume();
+      dropRest(request);
     }
     const elapsed = kernel.getMonotonicMilliseconds() - started;
     this.#meters.total.record(elapsed);
@@ -359,6 +361,18 @@
   );
 }
 
+/** What the caller still sends must not keep its connection from the next request. */
+function dropRest(request: http.IncomingMessage): void {
+  let dropped = 0;
+  request.on("data", (chunk: Buffer) => {
+    dropped += chunk.length;
+    if (dropped > MAXIMUM_REST_BYTES) {
+      request.socket.destroy();
+    }
+  });
+  request.resume();
+}
+
 function ignoreError(): void {
   // See where the listener is added.
 }
--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -52,23 +52,23 @@
   const perConnection = listConnectionHeaders(request.headers.connection);
   const forwarded: string[] = [];
   const origins: string[] = [];
-  for (let index = 0; index < request.rawHeaders.length; index += 2) {
-    const rawName = request.rawHeaders[index] ?? "";
-    const name = keys.normalizeName(rawName);
+  const { names } = accepted.head;
+  for (let index = 0; index < names.length; index++) {
+    const name = names[index] ?? "";
     if (
       HOP_BY_HOP_HEADERS.has(name) || REPLACED_HEADERS.has(name) ||
       isPerConnection(perConnection, name) || keys.isRemovedHeader(name, placement)
     ) {
       continue;
     }
-    const value = request.rawHeaders[index + 1] ?? "";
+    const value = request.rawHeaders[index * 2 + 1] ?? "";
     if (ORIGIN_HEADERS.has(name) && (!trustForwardedHeaders || name === FORWARDED_FOR_HEADER)) {
       origins.push(...(name === FORWARDED_FOR_HEADER && trustForwardedHeaders ? [value] : []));
       continue;
     }
     const kept = cleanValue(name, value, accepted);
     if (kept !== undefined) {
-      forwarded.push(rawName, kept);
+      forwarded.push(request.rawHeaders[index * 2] ?? "", kept);
     }
   }
   origins.push(request.socket.remoteAddress ?? "unknown");
--- a/packages/gateway/src/keys.ts
+++ b/packages/gateway/src/keys.ts
@@ -29,9 +29,9 @@
   placement: model.KeyPlacement,
 ): KeyFinding {
   const keys = new Set<string>();
-  for (let index = 0; index < request.rawHeaders.length; index += 2) {
-    const name = normalizeName(request.rawHeaders[index] ?? "");
-    const value = request.rawHeaders[index + 1] ?? "";
+  for (let index = 0; index < head.names.length; index++) {
+    const name = head.names[index] ?? "";
+    const value = request.rawHeaders[index * 2 + 1] ?? "";
     if (name === placement.header) {
       addKey(keys, value.trim());
     } else if (CREDENTIAL_HEADERS.has(name)) {
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -69,6 +69,8 @@
       this.#server = server;
       this.#tlsWatcher = new tlsFiles.TlsFileWatcher(settings.tls, server, logger, gatewayMeters);
     }
+    // Headers beyond a count would be dropped unseen; the bound on their bytes is enough.
+    this.#server.maxHeadersCount = 0;
     this.#server.on("request", (request, response) => handler(request, response, false));
     this.#server.on("checkContinue", (request, response) => handler(request, response, true));
     this.#server.on("checkExpectation", (_request, response: http.ServerResponse) => {
--- a/packages/gateway/src/requests.ts
+++ b/packages/gateway/src/requests.ts
@@ -7,6 +7,7 @@
 
 import type * as http from "node:http";
 import * as neverthrow from "neverthrow";
+import * as keys from "./keys.ts";
 import * as refusals from "./refusals.ts";
 import type * as types from "./types.ts";
 
@@ -44,11 +45,13 @@
     return refuse(refusals.Refusals.ambiguousPath);
   }
   const host = getHost(request);
-  if (host === undefined || !isFramingClear(request)) {
+  const names = listNames(request);
+  if (host === undefined || !isFramingClear(request, names)) {
     return refuse(refusals.Refusals.malformedRequest);
   }
   return neverthrow.ok({
     method: request.method ?? "GET",
+    names,
     host,
     routingPath,
     path,
@@ -114,26 +117,38 @@
   return name.endsWith(".") ? name.slice(0, -1) : name;
 }
 
+/** The names of the headers in the form in which they are compared, in the order of the request. */
+function listNames(request: http.IncomingMessage): string[] {
+  const names: string[] = [];
+  for (let index = 0; index < request.rawHeaders.length; index += 2) {
+    names.push(keys.normalizeName(request.rawHeaders[index] ?? ""));
+  }
+  return names;
+}
+
 /** Whether all receivers agree on where the body ends. */
-function isFramingClear(request: http.IncomingMessage): boolean {
+function isFramingClear(request: http.IncomingMessage, names: readonly string[]): boolean {
   let hosts = 0;
   let lengths = 0;
   let encodings = 0;
-  for (let index = 0; index < request.rawHeaders.length; index += 2) {
-    const name = request.rawHeaders[index] ?? "";
-    // Lengths first: most headers are none of the three.
-    if (name.length === 4 && name.toLowerCase() === "host") {
-      hosts++;
-    } else if (name.length === 14 && name.toLowerCase() === "content-length") {
-      lengths++;
-      if (!CONTENT_LENGTH.test(request.rawHeaders[index + 1] ?? "")) {
-        return false;
-      }
-    } else if (name.length === 17 && name.toLowerCase() === "transfer-encoding") {
-      encodings++;
-      if ((request.rawHeaders[index + 1] ?? "").toLowerCase() !== "chunked") {
-        return false;
-      }
+  for (let index = 0; index < names.length; index++) {
+    const value = request.rawHeaders[index * 2 + 1] ?? "";
+    switch (names[index]) {
+      case "host":
+        hosts++;
+        break;
+      case "content-length":
+        lengths++;
+        if (!CONTENT_LENGTH.test(value)) {
+          return false;
+        }
+        break;
+      case "transfer-encoding":
+        encodings++;
+        if (value.toLowerCase() !== "chunked") {
+          return false;
+        }
+        break;
     }
   }
   const chunkedAllowed = encodings === 0 || request.httpVersion === "1.1";
--- a/packages/gateway/src/retries.ts
+++ b/packages/gateway/src/retries.ts
@@ -15,9 +15,12 @@
 /** Retries that each request adds to its service's budget. */
 const BUDGET_PER_REQUEST = 0.1;
 
-/** Most retries that a budget holds, and what it starts with. */
+/** Most retries that a budget holds. */
 const BUDGET_CAPACITY = 10;
 
+/** What a budget starts with: VMs that start during an outage must not add to it. */
+const BUDGET_START = 2;
+
 /** With less time than this another attempt is not begun. */
 const SHORTEST_ATTEMPT_MILLISECONDS = 5;
 
@@ -60,7 +63,7 @@
 
 /** Retries that a VM may still make for one service. */
 export class RetryBudget {
-  #level = BUDGET_CAPACITY;
+  #level = BUDGET_START;
 
   /** Notes a request, which earns a part of a retry. */
   addRequest(): void {
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -11,6 +11,8 @@
 /** What a request line and its framing headers say, after they have been checked. */
 export interface RequestHead {
   readonly method: string;
+  /** Normalized names of the headers, one for each pair of the raw headers. */
+  readonly names: readonly string[];
   /** Host name in lower case without its port; empty when the caller sent none. */
   readonly host: string;
   /** The path with percent-encoding undone, as a target sees it. Only for the choice of a route. */
