--- a/packages/daemon/src/administration.ts
+++ b/packages/daemon/src/administration.ts
@@ -19,7 +19,14 @@
     this.#services = services;
     this.#address = address;
     this.#server = http.createServer((request, response) => {
-      void this.#answer(request.url ?? "/", response);
+      void this.#answer(request, response).catch((error: Error) => {
+        // Operators see what is wrong; a failing page must not end the VM.
+        if (response.headersSent) {
+          response.destroy();
+          return;
+        }
+        sendJson(response, 500, { error: error.message });
+      });
     });
   }
 
@@ -44,8 +51,15 @@
     this.#server.closeAllConnections();
   }
 
-  async #answer(url: string, response: http.ServerResponse): Promise<void> {
-    switch (url) {
+  async #answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    if (request.method !== "GET" && request.method !== "HEAD") {
+      sendJson(response, 405, { error: "Only GET and HEAD are answered." });
+      return;
+    }
+    switch ((request.url ?? "/").split("?", 1)[0]) {
       case "/health":
         sendJson(response, 200, { healthy: true });
         return;
--- a/packages/gateway/test/drain_test.ts
+++ b/packages/gateway/test/drain_test.ts
@@ -39,6 +39,8 @@
     const kept = await harness.call(vm.port, { agent });
     assert.deepEqual([kept.body, kept.headers.connection], ["done", "close"]);
     await harness.waitFor(async () => await harness.call(vm.port).then(() => false, () => true));
+    // Longer than connections without a request are waited for.
+    await new Promise((resolve) => setTimeout(resolve, 2_200));
     assert.equal(stopped, false);
     open[0]?.end(" ended");
     assert.equal((await stream).body, "begun ended");
