--- a/packages/gateway/src/connections.ts
+++ b/packages/gateway/src/connections.ts
@@ -252,7 +252,8 @@
     known?.retire();
     const created = new TargetConnections(
       target.address,
-      () => this.#pool.getConnectionLimit(target.id),
+      // Whoever holds a slot on the target may have a connection, also while shares change.
+      () => Math.max(1, this.#pool.getConnectionLimit(target.id)),
       this.#count,
     );
     this.#targets.set(target.id, created);
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -134,7 +134,8 @@
 
   #refuseBroken(error: NodeJS.ErrnoException, socket: net.Socket): void {
     const row = findRow(error.code ?? "");
-    if (row === undefined || !socket.writable) {
+    // A connection that was opened ahead of need and never used is no request.
+    if (row === undefined || !socket.writable || socket.bytesRead === 0) {
       socket.destroy();
       return;
     }
--- a/packages/gateway/test/answers_test.ts
+++ b/packages/gateway/test/answers_test.ts
@@ -205,6 +205,43 @@
     assert.equal(await vm.getCount("hemlockwalk_cut_answers_total", { reason: "truncated" }), 1);
   });
 
+  test.it("that come twice or late reach no other caller", async (context) => {
+    const target = await harness.startRawTarget((socket) => {
+      socket.on("data", (chunk) => {
+        const index = /fines\/(\d+)/.exec(chunk.toString("latin1"))?.[1] ?? "";
+        const whole = `HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n<${index}>`;
+        switch (Number(index) % 3) {
+          case 0:
+            socket.write(whole + whole);
+            break;
+          case 1:
+            socket.write(whole);
+            setTimeout(() => socket.write(whole), 5);
+            break;
+          default:
+            setTimeout(() => socket.write(whole), 60);
+        }
+      });
+    });
+    const vm = await harness.startVm({
+      targets: [target.address],
+      route: { timeoutMilliseconds: 40, idempotentMethods: ["GET"] },
+    });
+    context.after(async () => {
+      await vm.services.stop();
+      await target.stop();
+    });
+    for (let index = 0; index < 9; index++) {
+      const answer = await harness.call(vm.port, { path: `/fines/${index}` });
+      if (index % 3 === 2) {
+        assert.equal(harness.getReason(answer), "deadline_exceeded");
+      } else {
+        assert.equal(answer.body, `<${index}>`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, 15));
+    }
+  });
+
   test.it("that end only with their connection are refused", async (context) => {
     const target = await harness.startRawTarget((socket) => {
       socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\n\r\nperhaps half"));
--- a/packages/gateway/test/withdrawal_test.ts
+++ b/packages/gateway/test/withdrawal_test.ts
@@ -16,7 +16,10 @@
   readonly open: http.ServerResponse[];
 }
 
-async function startFixture(context: test.TestContext): Promise<Fixture> {
+async function startFixture(
+  context: test.TestContext,
+  service: harness.Declaration["service"] = {},
+): Promise<Fixture> {
   const open: http.ServerResponse[] = [];
   const workspaces: (string | string[] | undefined)[] = [];
   const target = await harness.startTarget((request, response) => {
@@ -30,7 +33,7 @@
       response.end("done");
     }
   });
-  const declaration = { targets: [target.address] };
+  const declaration = { targets: [target.address], service };
   const vm = await harness.startVm(declaration);
   context.after(async () => {
     open.forEach((response) => response.end());
@@ -65,6 +68,22 @@
     assert.equal(harness.getReason(await harness.call(vm.port)), "key_unknown");
   });
 
+  test.it("ends requests that wait for a slot as not run", async (context) => {
+    const fixture = await startFixture(context, { slots: 1 });
+    const { vm, open } = fixture;
+    const other = harness.call(vm.port, { path: "/fines/wait", key: harness.OTHER_KEY });
+    await harness.waitFor(() => open.length === 1);
+    const waiting = harness.call(vm.port);
+    await harness.waitFor(async () => await vm.getCount("hemlockwalk_running_requests") === 2);
+    publishKeys(fixture, WITHOUT_KEY);
+    const refused = await waiting;
+    assert.equal(harness.getReason(refused), "key_withdrawn");
+    assert.equal(refused.headers["hemlockwalk-run"], "no");
+    open[0]?.end("done");
+    assert.equal((await other).body, "done");
+    assert.deepEqual(fixture.workspaces, ["ghent"]);
+  });
+
   test.it("closes idle connections that used the key", async (context) => {
     const fixture = await startFixture(context);
     const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
