--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -4,6 +4,7 @@
 
 import type * as kernel from "@hemlockwalk/kernel";
 import type * as connections from "./connections.ts";
+import * as retries from "./retries.ts";
 
 /** Everything that the gateway counts. */
 export class GatewayMeters {
@@ -35,6 +36,9 @@
       "Failed attempts after which the request was not sent again, by what stood against it.",
       ["reason"],
     );
+    // Reasons that have not occurred yet show as zero, so that an alarm can be set on them.
+    retries.RETRY_REASONS.forEach((reason) => this.retries.inc({ reason }, 0));
+    retries.NO_RETRY_REASONS.forEach((reason) => this.notRetried.inc({ reason }, 0));
     this.cutAnswers = metrics.createCounter(
       "hemlockwalk_cut_answers_total",
       "Answers that began and were ended by a reset of the caller's connection, by cause.",
--- a/packages/gateway/src/retries.ts
+++ b/packages/gateway/src/retries.ts
@@ -28,21 +28,29 @@
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
 
 /** Why a request is sent again. */
-export type RetryReason =
-  | "connect_failed"
-  | "not_run_signal"
-  | "reset"
-  | "attempt_timeout"
-  | "server_error";
+export const RETRY_REASONS = [
+  "connect_failed",
+  "not_run_signal",
+  "reset",
+  "attempt_timeout",
+  "server_error",
+] as const;
+
+/** One of the reasons why a request is sent again. */
+export type RetryReason = typeof RETRY_REASONS[number];
 
 /** Why a failed request is not sent again. */
-export type NoRetryReason =
-  | "may_have_run"
-  | "body_not_replayable"
-  | "attempts_spent"
-  | "no_other_target"
-  | "deadline_near"
-  | "budget_spent";
+export const NO_RETRY_REASONS = [
+  "may_have_run",
+  "body_not_replayable",
+  "attempts_spent",
+  "no_other_target",
+  "deadline_near",
+  "budget_spent",
+] as const;
+
+/** One of the reasons why a failed request is not sent again. */
+export type NoRetryReason = typeof NO_RETRY_REASONS[number];
 
 /** What the decision depends on. */
 export interface RetrySituation {
