A body that its caller did not finish is no refusal

Cause: an orderly end of a caller's connection within a body was counted as malformed_request, run no, although nothing could be said to the caller and the target had a part of the request. Shown: both framings, cut in the middle; the target never sees the end of the body.

--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -143,9 +143,10 @@
   }
 
   #refuseSocket(socket: net.Socket, row: refusals.RefusalRow): void {
-    this.#count(row);
-    const refusal = refusals.createNotRunRefusal(row);
-    this.#running.refuseConnection(socket, refusals.formatRawRefusal(refusal));
+    const text = refusals.formatRawRefusal(refusals.createNotRunRefusal(row));
+    if (this.#running.refuseConnection(socket, text)) {
+      this.#count(row);
+    }
   }
 
   #count(row: refusals.RefusalRow): void {
--- a/packages/gateway/src/running_requests.ts
+++ b/packages/gateway/src/running_requests.ts
@@ -137,15 +137,18 @@
   /**
    * Ends a connection on which something unreadable came. Requests before it are still answered; one
    * whose own body is unreadable is cut off, since it can never be complete.
+   *
+   * @returns Whether the last words will be sent.
    */
-  refuseConnection(socket: net.Socket, lastWords: string): void {
+  refuseConnection(socket: net.Socket, lastWords: string): boolean {
     const connection = this.#getConnection(socket);
     const isBodyBroken = [...connection.answers].some((answer) => !answer.req.complete);
     if (isBodyBroken) {
       socket.destroy();
-      return;
+      return false;
     }
     connection.close(lastWords);
+    return true;
   }
 
   /** Notes that a request with a key runs, until `remove`. */
--- a/packages/gateway/test/answers_test.ts
+++ b/packages/gateway/test/answers_test.ts
@@ -3,7 +3,7 @@
  */
 
 import assert from "node:assert/strict";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as test from "node:test";
 import * as fc from "fast-check";
 import * as harness from "./harness.ts";
@@ -205,6 +205,43 @@
     assert.equal(await vm.getCount("hemlockwalk_cut_answers_total", { reason: "truncated" }), 1);
   });
 
+  test.it("never follow a body that its caller did not finish", async (context) => {
+    let begun = 0;
+    let ends = 0;
+    let cuts = 0;
+    const target = await harness.startTarget((request) => {
+      begun++;
+      request.on("end", () => ends++);
+      request.on("error", () => cuts++);
+      request.resume();
+    });
+    const vm = await harness.startVm({ targets: [target.address] });
+    context.after(async () => {
+      await vm.services.stop();
+      await target.stop();
+    });
+    const head = `POST /fines HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n`;
+    const part = Buffer.alloc(100_000);
+    const framings = [
+      "Content-Length: 300000\r\n\r\n",
+      "Transfer-Encoding: chunked\r\n\r\n186a0\r\n",
+    ];
+    for (const framing of framings) {
+      const before = begun;
+      const socket = net.connect(vm.port, "127.0.0.1");
+      socket.on("error", () => {});
+      socket.write(head + framing);
+      socket.write(part);
+      await harness.waitFor(() => begun > before);
+      // An orderly end in the middle of the body, as from a process that died.
+      socket.end();
+      await harness.waitFor(() => cuts === begun);
+      await harness.waitFor(async () => await vm.getCount("hemlockwalk_running_requests") === 0);
+    }
+    assert.equal(ends, 0);
+    assert.equal(await vm.getCount("hemlockwalk_refusals_total"), 0);
+  });
+
   test.it("that come twice or late reach no other caller", async (context) => {
     const target = await harness.startRawTarget((socket) => {
       socket.on("data", (chunk) => {
