Measurement tells false ejections by target from the VMs' logs

Cause: ejections are counted by judge, kind and scope, not by target (10,000 targets would be too many labels), so every ejection in a fault scenario looked false. The VM hosts now read the log lines.

--- a/packages/measure/src/emulator/commands.ts
+++ b/packages/measure/src/emulator/commands.ts
@@ -29,6 +29,16 @@
   readonly metrics: string;
 }
 
+/** An ejection that a VM logged. */
+export interface EjectionRecord {
+  readonly vm: string;
+  /** `coordinator` for the whole fleet, `local` for the VM alone. */
+  readonly judge: string;
+  readonly target: string;
+  readonly fault: string;
+  readonly scope: string;
+}
+
 /** What a worker tells of its process. */
 export interface ProcessReport {
   readonly cpuMilliseconds: number;
@@ -74,6 +84,10 @@
     readonly answer: undefined;
   };
   readonly reportVms: { readonly request: undefined; readonly answer: readonly VmReport[] };
+  readonly takeEjections: {
+    readonly request: undefined;
+    readonly answer: readonly EjectionRecord[];
+  };
   readonly reportProcess: { readonly request: undefined; readonly answer: ProcessReport };
   readonly startTargets: {
     readonly request: {
--- a/packages/measure/src/emulator/vm_host_main.ts
+++ b/packages/measure/src/emulator/vm_host_main.ts
@@ -10,12 +10,14 @@
 import * as model from "@hemlockwalk/model";
 import * as targets from "@hemlockwalk/targets";
 import type * as commands from "./commands.ts";
+import * as ejectionLogs from "./ejection_log.ts";
 import * as peerRelay from "./peer_relay.ts";
 import * as worker from "./worker.ts";
 
 const vms = new Map<string, kernel.Kernel>();
 const relays = new Map<string, peerRelay.PeerRelay>();
 const cuts = new Set<string>();
+const ejectionLog = new ejectionLogs.EjectionLog();
 
 /** The parts that the design is measured against: static shares, turns, no detection. */
 const BASELINE_PARTS: Partial<daemon.VirtualMachineParts> = {
@@ -69,7 +71,7 @@
   for (const plan of request.vms) {
     const vm = daemon.createVirtualMachine(
       createSettings(plan, request),
-      kernel.createSilentLogger(),
+      ejectionLog.createLogger(plan.vm),
       request.variant === "baseline" ? BASELINE_PARTS : {},
     );
     await startRelay(plan);
@@ -108,5 +110,6 @@
     return undefined;
   },
   reportVms: () => Promise.all([...vms].map(([id, vm]) => reportVm(id, vm))),
+  takeEjections: () => ejectionLog.ejections,
   reportProcess: worker.getProcessReport,
 });
--- a/packages/measure/src/experiment/analysis.ts
+++ b/packages/measure/src/experiment/analysis.ts
@@ -3,6 +3,7 @@
  */
 
 import * as deployments from "../deployments.ts";
+import type * as commands from "../emulator/commands.ts";
 import type * as scenarios from "../scenario.ts";
 import type * as types from "../types.ts";
 import * as detection from "./detection.ts";
@@ -49,8 +50,11 @@
   readonly worstLatencyP99Milliseconds: number;
   readonly highestOvershoot: number;
   readonly detections: readonly DetectionResult[];
-  /** Ejections of targets that had no fault. */
+  /** Ejections for the whole fleet of targets that had no fault. */
   readonly falseEjections: number;
+  /** Targets without a fault that single VMs avoided for a while. */
+  readonly falseAvoidances: number;
+  readonly ejections: readonly commands.EjectionRecord[];
   readonly runMoreThanOnce: number;
   /** Requests that were answered "not run" but ran. */
   readonly falseNotRun: number;
@@ -102,7 +106,9 @@
     ),
     highestOvershoot: Math.max(...workspaces.map((result) => result.overshoot)),
     detections: data.scenario.events.flatMap((event) => detectFault(data, event)),
-    falseEjections: countFalseEjections(data),
+    falseEjections: countFalseEjections(data, "coordinator"),
+    falseAvoidances: countFalseEjections(data, "local"),
+    ejections: data.ejections,
     ...countRuns(data),
     answersLost: data.records.filter((record) => !record.complete).length,
     answersMixed: data.records.filter((record) => record.mixed).length,
@@ -167,7 +173,7 @@
   return [{ target, fault: event.fault.kind, milliseconds }];
 }
 
-function countFalseEjections(data: experiment.ExperimentData): number {
+function countFalseEjections(data: experiment.ExperimentData, judge: string): number {
   const faulty = new Set(data.scenario.events.flatMap((event) => {
     const service = event.kind === "target_fault"
       ? data.deployment.services[event.service]
@@ -176,11 +182,9 @@
       ? [deployments.getTargetId(service, event.target + 1)]
       : [];
   }));
-  const ejections = metricsText.listSamples(data.vmReports, "hemlockwalk_target_ejections_total");
-  return sum(
-    ejections.filter((sample) => !faulty.has(sample.labels["target"] ?? ""))
-      .map((sample) => sample.value),
-  );
+  return data.ejections.filter((ejection) =>
+    ejection.judge === judge && !faulty.has(ejection.target)
+  ).length;
 }
 
 function countRuns(
--- a/packages/measure/src/experiment/experiment.ts
+++ b/packages/measure/src/experiment/experiment.ts
@@ -32,6 +32,7 @@
   readonly vmCpuMilliseconds: number;
   readonly vmResidentBytes: number;
   readonly vmReports: readonly commands.VmReport[];
+  readonly ejections: readonly commands.EjectionRecord[];
   readonly platformCalls: number;
 }
 
@@ -112,6 +113,7 @@
       vmCpuMilliseconds,
       vmResidentBytes: await this.#fleet.getResidentBytes(),
       vmReports: await this.#fleet.report(),
+      ejections: await this.#fleet.takeEjections(),
       platformCalls: this.#fleet.platform.calls,
     };
   }
--- a/packages/measure/src/experiment/table.ts
+++ b/packages/measure/src/experiment/table.ts
@@ -17,6 +17,10 @@
   { title: "latency p99, ms", format: (result) => result.latencyP99Milliseconds.toFixed(1) },
   { title: "detection, ms", format: formatDetections },
   { title: "false ejections", format: (result) => String(result.falseEjections) },
+  {
+    title: "targets avoided by one VM by mistake",
+    format: (result) => String(result.falseAvoidances),
+  },
   {
     title: "worst-served workspace",
     format: (result) => `${formatShare(result.worstServedShare)} (${result.worstServedWorkspace})`,
--- a/packages/measure/src/experiment/vm_fleet.ts
+++ b/packages/measure/src/experiment/vm_fleet.ts
@@ -116,6 +116,14 @@
     return reports.reduce((sum, report) => sum + report.residentBytes, 0);
   }
 
+  /** Ejections that the VMs have logged so far. */
+  async takeEjections(): Promise<commands.EjectionRecord[]> {
+    const ejections = await Promise.all(
+      this.#listHosts().map((host) => host.worker.call("takeEjections", undefined)),
+    );
+    return ejections.flat();
+  }
+
   /** Keeps the VMs of the small host from running. Callers still reach their listeners. */
   pauseSmallHost(): void {
     this.#small.worker.pause();
