--- a/packages/fleet/src/peer_counters.ts
+++ b/packages/fleet/src/peer_counters.ts
@@ -8,6 +8,7 @@
 export class PeerCounters {
   readonly frames;
   readonly bytes;
+  readonly sentBytes;
   readonly drops;
   readonly linksOpened;
   readonly linksEnded;
@@ -25,6 +26,11 @@
       "Bytes of frames moved over peer links, without the overhead of TCP.",
       ["direction"],
     );
+    this.sentBytes = metrics.createCounter(
+      "hemlockwalk_peer_sent_bytes_total",
+      "Bytes of frames handed to peer links, by the part of the daemon that sent them.",
+      ["part"],
+    );
     this.drops = metrics.createCounter(
       "hemlockwalk_peer_drops_total",
       "Frames dropped, by reason.",
--- a/packages/fleet/src/peer_messaging.ts
+++ b/packages/fleet/src/peer_messaging.ts
@@ -52,6 +52,11 @@
   return isFrame ? frame as Frame : undefined;
 }
 
+/** The part of the daemon that a channel belongs to: its name up to the first dot. */
+export function getPart(channel: string): string {
+  return channel.split(".", 1)[0] ?? channel;
+}
+
 /** What all peer networks have in common. A subclass moves the frames. */
 export abstract class PeerMessaging implements types.PeerNetwork {
   readonly self: types.VmIdentity;
--- a/packages/fleet/src/web_socket_peer_network.ts
+++ b/packages/fleet/src/web_socket_peer_network.ts
@@ -158,6 +158,7 @@
     if (bytes.length > sockets.MAX_MESSAGE_BYTES) {
       return this.#refuse("too_large", `The frame has ${bytes.length} bytes.`);
     }
+    this.#options.counters.sentBytes.inc({ part: messaging.getPart(frame.channel) }, bytes.length);
     const peer = this.#getPeer(to);
     if (peer.link?.isOpen !== true) {
       return this.#dialFor(to, peer, bytes);
--- /dev/null
+++ b/packages/measure/src/slopes_main.ts
@@ -0,0 +1,149 @@
+/**
+ * The command `npm run slopes`: what control costs each VM, by the size of the fleet.
+ *
+ * Starts fleets of several sizes with real sockets, lets them run with no callers, and prints bytes,
+ * processor time and memory of one VM.
+ */
+
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import process from "node:process";
+import * as citty from "citty";
+import * as deployments from "./deployments.ts";
+import type * as commands from "./emulator/commands.ts";
+import * as metricsText from "./experiment/metrics_text.ts";
+import * as releaseNotes from "./experiment/release_note.ts";
+import * as vmFleet from "./experiment/vm_fleet.ts";
+import type * as types from "./types.ts";
+
+const DEFAULT_SIZES = "5,10,20,40";
+const WARM_UP_MILLISECONDS = 20_000;
+const MEASURE_MILLISECONDS = 20_000;
+
+/** An address that nothing listens on; no request is sent to it. */
+const UNUSED_ADDRESS = "127.0.0.1:9";
+
+const PARTS = ["membership", "configuration", "limits", "targets", "claims"] as const;
+
+/** What control costs one VM in a fleet of one size. */
+interface SlopePoint {
+  readonly vms: number;
+  readonly sentBytesPerSecond: Readonly<Record<string, number>>;
+  /** Sent and received, heartbeats of links included. */
+  readonly linkBytesPerSecond: number;
+  readonly framesPerSecond: number;
+  readonly cpuShare: number;
+  readonly residentMegabytes: number;
+  readonly platformCallsPerSecond: number;
+}
+
+async function measureSize(
+  deployment: types.DeploymentPlan,
+  secretFile: string,
+): Promise<SlopePoint> {
+  const fleet = new vmFleet.VmFleet(deployment, "built", secretFile);
+  try {
+    await fleet.start();
+    publishNote(fleet, deployment);
+    await fleet.waitForNote(1);
+    await wait(WARM_UP_MILLISECONDS);
+    const cpuBefore = await fleet.getCpuMilliseconds();
+    const before = await fleet.report();
+    const callsBefore = fleet.platform.calls;
+    await wait(MEASURE_MILLISECONDS);
+    const after = await fleet.report();
+    const cpuMilliseconds = await fleet.getCpuMilliseconds() - cpuBefore;
+    const perVmSecond = (value: number) => value / deployment.vms / (MEASURE_MILLISECONDS / 1_000);
+    const grown = (name: string, label?: string) =>
+      perVmSecond(sumMetric(after, name, label) - sumMetric(before, name, label));
+    return {
+      vms: deployment.vms,
+      sentBytesPerSecond: Object.fromEntries(
+        PARTS.map((part) => [part, grown("hemlockwalk_peer_sent_bytes_total", part)]),
+      ),
+      linkBytesPerSecond: grown("hemlockwalk_peer_bytes_total"),
+      framesPerSecond: grown("hemlockwalk_peer_frames_total"),
+      cpuShare: perVmSecond(cpuMilliseconds) / 1_000,
+      residentMegabytes: await fleet.getResidentBytes() / deployment.vms / 1_000_000,
+      platformCallsPerSecond: (fleet.platform.calls - callsBefore) /
+        (MEASURE_MILLISECONDS / 1_000),
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function publishNote(fleet: vmFleet.VmFleet, deployment: types.DeploymentPlan): void {
+  const addresses: Record<string, string> = {};
+  for (const service of deployment.services) {
+    for (let number = 1; number <= service.targets; number++) {
+      addresses[deployments.getTargetId(service, number)] = UNUSED_ADDRESS;
+    }
+  }
+  const { number, text, digest } = releaseNotes.createFirstNote(deployment, addresses);
+  fleet.platform.publish(`notes/${number}`, text);
+  fleet.platform.publish("head", JSON.stringify({ number, digest }));
+}
+
+function sumMetric(
+  reports: readonly commands.VmReport[],
+  name: string,
+  part: string | undefined,
+): number {
+  return metricsText.listSamples(reports, name)
+    .filter((sample) => part === undefined || sample.labels["part"] === part)
+    .reduce((sum, sample) => sum + sample.value, 0);
+}
+
+function formatPoint(point: SlopePoint): string {
+  const cells = [
+    String(point.vms),
+    ...PARTS.map((part) => (point.sentBytesPerSecond[part] ?? 0).toFixed(0)),
+    point.linkBytesPerSecond.toFixed(0),
+    point.framesPerSecond.toFixed(1),
+    `${(point.cpuShare * 100).toFixed(2)}%`,
+    point.residentMegabytes.toFixed(0),
+    point.platformCallsPerSecond.toFixed(1),
+  ];
+  return `| ${cells.join(" | ")} |`;
+}
+
+function wait(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+const slopesCommand = citty.defineCommand({
+  meta: { name: "slopes", description: "Measures what control costs a VM, by the fleet's size." },
+  args: {
+    sizes: { type: "string", default: DEFAULT_SIZES, description: "Numbers of VMs." },
+    deployment: { type: "string", default: "pitchwise" },
+  },
+  async run({ args }) {
+    const deployment = deployments.DEPLOYMENTS.get(args.deployment);
+    if (deployment === undefined) {
+      throw new Error(`Unknown deployment '${args.deployment}'.`);
+    }
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), "hemlockwalk-slopes-"));
+    const secretFile = path.join(folder, "peer-secret");
+    fs.writeFileSync(secretFile, "a secret that only this measurement uses\n");
+    const titles = [
+      "VMs",
+      ...PARTS.map((part) => `${part}, B/s sent`),
+      "links, B/s both ways",
+      "frames/s",
+      "core",
+      "MB",
+      "platform calls/s, fleet",
+    ];
+    process.stdout.write(`| ${titles.join(" | ")} |\n`);
+    process.stdout.write(`|${titles.map(() => " --- |").join("")}\n`);
+    for (const size of args.sizes.split(",").map(Number)) {
+      const plan = { ...deployment, vms: size, vmLimit: Math.ceil(size * 1.1) };
+      process.stdout.write(`${formatPoint(await measureSize(plan, secretFile))}\n`);
+    }
+    fs.rmSync(folder, { recursive: true });
+  },
+});
+
+await citty.runMain(slopesCommand);
