--- a/packages/fleet/bench/membership_bench.ts
+++ b/packages/fleet/bench/membership_bench.ts
@@ -1,6 +1,6 @@
 /**
  * Measures the membership on the tests' clock: traffic for each VM in calm, time until a dead VM has
- * left all views, and the speed of the owner choice. Arguments: numbers of VMs.
+ * left all views, and the speed of the owner choice. Arguments: numbers of VMs, or `disturbances`.
  */
 
 import process from "node:process";
@@ -11,6 +11,10 @@
 const STEP_MILLISECONDS = 10;
 const DEATHS = 5;
 const GIVE_UP_MILLISECONDS = 60_000;
+const DISTURBED_VMS = 20;
+const DISTURBED_DATA_CENTRES = 3;
+const CUTS = 20;
+const PAUSES_MILLISECONDS = [500, 1_000, 2_000, 4_000, 8_000] as const;
 
 async function measureDeath(fleet: simulation.SimulatedFleet, name: string): Promise<number> {
   await fleet.kill(name);
@@ -70,7 +74,43 @@
   }
 }
 
+/** One-way cuts between random VMs, each for 20 s, and pauses of one VM. */
+async function measureDisturbances(): Promise<void> {
+  const fleet = new simulation.SimulatedFleet(DISTURBED_DATA_CENTRES);
+  await fleet.start(DISTURBED_VMS);
+  await fleet.clock.advance(20_000, STEP_MILLISECONDS);
+  const countAll = async () => {
+    let suspicions = 0;
+    let deaths = 0;
+    for (const vm of fleet.vms.values()) {
+      suspicions += await vm.count("hemlockwalk_membership_suspicions_total");
+      deaths += await vm.count("hemlockwalk_membership_deaths_total");
+    }
+    return `suspicions ${suspicions}, departures from views ${deaths}`;
+  };
+  for (let cut = 0; cut < CUTS; cut++) {
+    const from = fleet.getName(Math.floor(Math.random() * DISTURBED_VMS));
+    const to = fleet.getName(Math.floor(Math.random() * DISTURBED_VMS));
+    fleet.setCut(from, to, true);
+    await fleet.clock.advance(20_000, STEP_MILLISECONDS);
+    fleet.setCut(from, to, false);
+  }
+  process.stdout.write(`${CUTS} one-way cuts of 20 s, one at a time: ${await countAll()}\n`);
+  for (const pause of PAUSES_MILLISECONDS) {
+    fleet.pause(fleet.getName(3));
+    await fleet.clock.advance(pause, STEP_MILLISECONDS);
+    fleet.resume(fleet.getName(3));
+    await fleet.clock.advance(20_000, STEP_MILLISECONDS);
+    process.stdout.write(`so far, after a pause of ${pause} ms: ${await countAll()}\n`);
+  }
+  await fleet.end();
+}
+
 measureOwners();
+if (process.argv.length > 2 && process.argv[2] === "disturbances") {
+  await measureDisturbances();
+  process.exit(0);
+}
 for (const argument of process.argv.slice(2)) {
   await measureFleet(Number(argument));
 }
