--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -21,15 +21,18 @@
   ): fleet.WebSocketPeerNetwork;
   createRateLimiter(services: kernel.Kernel, logger: kernel.PartLogger): limits.RateLimiter;
   createFairQueue(services: kernel.Kernel): limits.FairQueue;
-  createTargetPool(services: kernel.Kernel): targets.TargetPool;
+  createTargetPool(
+    services: kernel.Kernel,
+    settings: model.Settings,
+    logger: kernel.PartLogger,
+  ): targets.TargetPool;
 }
 
 const STANDARD_PARTS: VirtualMachineParts = {
   createPeerNetwork: (self, options) => new fleet.WebSocketPeerNetwork(self, options),
-  createRateLimiter,
-  createFairQueue: () => new limits.ArrivalOrderQueue(),
-  createTargetPool: (services) =>
-    new targets.RoundRobinPool(services.get(configuration.CONFIGURATION)),
+  createRateLimiter: (services, logger) => limits.createRateLimiter(services, logger),
+  createFairQueue: (services) => new limits.WeightedFairQueue(services.get(kernel.METRICS)),
+  createTargetPool: targets.createTargetPool,
 };
 
 /** Creates the kernel of a VM with all its services, ready to start. */
@@ -53,7 +56,10 @@
   registerClaims(services, settings);
   services.register(limits.RATE_LIMITER, parts.createRateLimiter(services, createLogger("limits")));
   services.register(limits.FAIR_QUEUE, parts.createFairQueue(services));
-  services.register(targets.TARGET_POOL, parts.createTargetPool(services));
+  services.register(
+    targets.TARGET_POOL,
+    parts.createTargetPool(services, settings, createLogger("targets")),
+  );
   services.register(
     gateway.GATEWAY,
     new gateway.Gateway(services, settings.listener, createLogger("gateway")),
@@ -102,7 +108,7 @@
   }
   const membership = new fleet.GossipMembership({
     network,
-    address: settings.peers.address,
+    address: settings.peers.advertisedAddress ?? settings.peers.address,
     seeds: settings.peers.seeds.map((seed) => ({ ...seed, state: "live" as const })),
     list: services.get(configuration.VM_LIST_SOURCE),
     pauses: services.get(kernel.PAUSE_DETECTOR),
@@ -133,24 +139,6 @@
   );
 }
 
-function createRateLimiter(
-  services: kernel.Kernel,
-  logger: kernel.PartLogger,
-): limits.RateLimiter {
-  const network = services.find(fleet.PEER_NETWORK);
-  const configurationService = services.get(configuration.CONFIGURATION);
-  if (network === undefined) {
-    return new limits.StaticShareLimiter(configurationService);
-  }
-  return new limits.EscrowLimiter({
-    configuration: configurationService,
-    network,
-    membership: services.get(fleet.MEMBERSHIP),
-    metrics: services.get(kernel.METRICS),
-    logger,
-  });
-}
-
 function createIdentity(settings: model.Settings): fleet.VmIdentity {
   return {
     vm: settings.vm,
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -69,6 +69,8 @@
       this.#server = server;
       this.#tlsWatcher = new tlsFiles.TlsFileWatcher(settings.tls, server, logger, gatewayMeters);
     }
+    // Headers beyond a count would be dropped unseen; the bound on their bytes is enough.
+    this.#server.maxHeadersCount = 0;
     this.#server.on("request", (request, response) => handler(request, response, false));
     this.#server.on("checkContinue", (request, response) => handler(request, response, true));
     this.#server.on("checkExpectation", (_request, response: http.ServerResponse) => {
@@ -132,7 +134,8 @@
 
   #refuseBroken(error: NodeJS.ErrnoException, socket: net.Socket): void {
     const row = findRow(error.code ?? "");
-    if (row === undefined || !socket.writable) {
+    // A connection that was opened ahead of need and never used is no request.
+    if (row === undefined || !socket.writable || socket.bytesRead === 0) {
       socket.destroy();
       return;
     }
@@ -140,9 +143,10 @@
   }
 
   #refuseSocket(socket: net.Socket, row: refusals.RefusalRow): void {
-    this.#count(row);
-    const refusal = refusals.createNotRunRefusal(row);
-    this.#running.refuseConnection(socket, refusals.formatRawRefusal(refusal));
+    const text = refusals.formatRawRefusal(refusals.createNotRunRefusal(row));
+    if (this.#running.refuseConnection(socket, text)) {
+      this.#count(row);
+    }
   }
 
   #count(row: refusals.RefusalRow): void {
--- a/packages/gateway/src/retries.ts
+++ b/packages/gateway/src/retries.ts
@@ -15,9 +15,12 @@
 /** Retries that each request adds to its service's budget. */
 const BUDGET_PER_REQUEST = 0.1;
 
-/** Most retries that a budget holds, and what it starts with. */
+/** Most retries that a budget holds. */
 const BUDGET_CAPACITY = 10;
 
+/** What a budget starts with: VMs that start during an outage must not add to it. */
+const BUDGET_START = 2;
+
 /** With less time than this another attempt is not begun. */
 const SHORTEST_ATTEMPT_MILLISECONDS = 5;
 
@@ -25,21 +28,29 @@
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
 
 /** Why a request is sent again. */
-export type RetryReason =
-  | "connect_failed"
-  | "not_run_signal"
-  | "reset"
-  | "attempt_timeout"
-  | "server_error";
+export const RETRY_REASONS = [
+  "connect_failed",
+  "not_run_signal",
+  "reset",
+  "attempt_timeout",
+  "server_error",
+] as const;
+
+/** One of the reasons why a request is sent again. */
+export type RetryReason = typeof RETRY_REASONS[number];
 
 /** Why a failed request is not sent again. */
-export type NoRetryReason =
-  | "may_have_run"
-  | "body_not_replayable"
-  | "attempts_spent"
-  | "no_other_target"
-  | "deadline_near"
-  | "budget_spent";
+export const NO_RETRY_REASONS = [
+  "may_have_run",
+  "body_not_replayable",
+  "attempts_spent",
+  "no_other_target",
+  "deadline_near",
+  "budget_spent",
+] as const;
+
+/** One of the reasons why a failed request is not sent again. */
+export type NoRetryReason = typeof NO_RETRY_REASONS[number];
 
 /** What the decision depends on. */
 export interface RetrySituation {
@@ -60,7 +71,7 @@
 
 /** Retries that a VM may still make for one service. */
 export class RetryBudget {
-  #level = BUDGET_CAPACITY;
+  #level = BUDGET_START;
 
   /** Notes a request, which earns a part of a retry. */
   addRequest(): void {
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -155,7 +155,19 @@
   services.register<configuration.ConfigurationService>(configuration.CONFIGURATION, fake);
   services.register<limits.RateLimiter>(limits.RATE_LIMITER, limiter);
   services.register<limits.FairQueue>(limits.FAIR_QUEUE, new limits.ArrivalOrderQueue());
-  services.register<targets.TargetPool>(targets.TARGET_POOL, new targets.RoundRobinPool(fake));
+  services.register<targets.TargetPool>(
+    targets.TARGET_POOL,
+    new targets.AdaptivePool({
+      self: {
+        vm: model.createVmId("vm-1"),
+        incarnation: model.createIncarnation(),
+        dataCentre: model.createDataCentreId("north-1"),
+      },
+      configuration: fake,
+      metrics,
+      logger: new kernel.PartLogger(kernel.createSilentLogger(), "targets"),
+    }, { strategy: new targets.RoundRobinStrategy(), detection: false }),
+  );
   if (declaration.claimStore !== undefined) {
     services.register(claims.CLAIM_STORE, declaration.claimStore);
   }
