claims: tell callers after a cold start when to come back

Cause: in a trial with three daemons every refusal of the first minute said 1 s, though the first grant came 69 s after the start. A VM that has heard no holder for a lease now gives the time that the fleet needs before it can vouch for the retention.

--- a/packages/claims/src/claim_panel.ts
+++ b/packages/claims/src/claim_panel.ts
@@ -9,8 +9,8 @@
 import * as slots from "./slots.ts";
 import type * as voters from "./slot_voter.ts";
 
-/** A slot whose holder is unknown or silent is asked again after this time. */
-const NO_HOLDER_WAIT_MILLISECONDS = 1_000;
+/** A slot whose holder is silent is asked again after this time. */
+const SILENT_HOLDER_WAIT_MILLISECONDS = 1_000;
 
 /** What a panel said. */
 export interface PanelVerdict {
@@ -30,7 +30,7 @@
 
 const ABSTAINED: messages.SlotVerdict = {
   kind: "abstained",
-  waitMilliseconds: NO_HOLDER_WAIT_MILLISECONDS,
+  waitMilliseconds: SILENT_HOLDER_WAIT_MILLISECONDS,
 };
 
 /** Reaches the slots of panels. */
@@ -108,7 +108,8 @@
     isRefresh: boolean,
   ): Promise<messages.SlotVerdict[]> {
     if (vm === undefined) {
-      return group.map(() => ABSTAINED);
+      const waitMilliseconds = this.#voter.estimateWait();
+      return group.map(() => ({ kind: "abstained", waitMilliseconds }));
     }
     if (vm === this.#network.self.vm) {
       return group.map((slot) => this.#holder.decide(slot, claim.key, claim.owner, isRefresh));
--- a/packages/claims/src/slot_voter.ts
+++ b/packages/claims/src/slot_voter.ts
@@ -8,6 +8,9 @@
 import * as timings from "./claim_timing.ts";
 import * as slots from "./slots.ts";
 
+/** A slot without a known holder is asked again after this time. */
+const NO_HOLDER_WAIT_MILLISECONDS = 1_000;
+
 /** A VM that holds a slot, as far as it was heard. */
 export interface SlotHolderHint {
   readonly vm: model.VmId;
@@ -115,6 +118,22 @@
     this.#holders.set(slot, { vm: holder.vm, incarnation: holder.incarnation });
   }
 
+  /**
+   * How long a caller should wait for a slot that nobody is heard to hold.
+   *
+   * After one lease without any holder the fleet itself must have started lately, and its slots grant
+   * nothing before its VMs can vouch for the retention.
+   */
+  estimateWait(): number {
+    const uptime = kernel.getMonotonicMilliseconds() - this.#started;
+    if (this.#holders.size > 0 || uptime < this.#timing.minLease) {
+      return NO_HOLDER_WAIT_MILLISECONDS;
+    }
+    const abstention = this.#timing.maxLease * (1 + timings.CLOCK_DRIFT);
+    const coldStart = 2 * abstention + timings.getGuardedPeriod(this.#timing);
+    return Math.max(NO_HOLDER_WAIT_MILLISECONDS, coldStart - uptime);
+  }
+
   /** Who was last heard to hold a slot. */
   findHolder(slot: number): SlotHolderHint | undefined {
     return this.#holders.get(slot);
--- a/packages/claims/test/fleet_claim_store_test.ts
+++ b/packages/claims/test/fleet_claim_store_test.ts
@@ -43,7 +43,11 @@
 
   test.it("answers a repeat through another VM by what became of the first", async () => {
     await withFleet(async (fleet) => {
-      assert.equal((await fleet.claimNow(0, "k")).kind, "unavailable");
+      await fleet.wait(fleets.TIMING.minLease);
+      const cold = await fleet.claimNow(0, "k");
+      assert.ok(cold.kind === "unavailable");
+      // The caller is told to come back after the cold start and not every second.
+      assert.ok(cold.retryAfterMilliseconds > fleets.TIMING.retention);
       await fleet.wait(fleets.COLD_START_MILLISECONDS);
       const first = await fleet.claimNow(0, "k");
       assert.ok(first.kind === "granted");
