fleet: fewer unproven connections at once; a test of the bounded queue

Cause: 256 connections before their proof could each make a VM hold a message of 2 MiB, which is four times the memory that it may use. Now 32; a VM that is turned away comes back with backoff.

--- a/packages/fleet/src/web_socket_peer_network.ts
+++ b/packages/fleet/src/web_socket_peer_network.ts
@@ -26,8 +26,11 @@
 const MIN_BACKOFF_MILLISECONDS = 100;
 const MAX_BACKOFF_MILLISECONDS = 3_000;
 
-/** Connections that may be in the handshake at once, before any of them is proven. */
-const MAX_ACCEPTING = 256;
+/**
+ * Connections that may be in the handshake at once, before any of them is proven. Each may make this
+ * VM hold one message of the greatest size, so a stranger must not have many.
+ */
+const MAX_ACCEPTING = 32;
 
 /** A second link between the same VMs stays open so long for what is under way on it. */
 const REPLACED_GRACE_MILLISECONDS = 1_000;
--- a/packages/fleet/test/web_socket_peer_network_test.ts
+++ b/packages/fleet/test/web_socket_peer_network_test.ts
@@ -159,6 +159,23 @@
     assert.equal((await callEcho(left, "vm-2", "b"))._unsafeUnwrap(), "b");
   });
 
+  test.it("refuses frames while too many bytes wait, and takes them again later", async (context) => {
+    const [left, right] = await startPair(context);
+    assert.ok((await callEcho(left, "vm-2", 1)).isOk());
+    const payload = new Uint8Array(sockets.MAX_MESSAGE_BYTES / 2);
+    const results = Array.from(
+      { length: 32 },
+      () => left.network.send(right.network.self.vm, ECHO, payload),
+    );
+    const kinds = new Set(results.map((result) => result.isErr() ? result.error.kind : "queued"));
+    assert.deepEqual(kinds, new Set(["queued", "queue_full"]));
+    const drops = "hemlockwalk_peer_drops_total";
+    const refused = results.filter((result) => result.isErr()).length;
+    assert.equal(await left.count(drops, { reason: "queue_full" }), refused);
+    await waitUntil(() => left.network.send(right.network.self.vm, ECHO, 2).isOk());
+    assert.equal((await callEcho(left, "vm-2", 3))._unsafeUnwrap(), 3);
+  });
+
   test.it("ends the calls under way when the peer stops", async (context) => {
     const [left, right] = await startPair(context);
     assert.ok((await callEcho(left, "vm-2", 1)).isOk());
