--- a/packages/fleet/test/web_socket_peer_network_test.ts
+++ b/packages/fleet/test/web_socket_peer_network_test.ts
@@ -159,6 +159,23 @@
     assert.equal((await callEcho(left, "vm-2", "b"))._unsafeUnwrap(), "b");
   });
 
+  test.it("refuses frames while too many bytes wait, and takes them again later", async (context) => {
+    const [left, right] = await startPair(context);
+    assert.ok((await callEcho(left, "vm-2", 1)).isOk());
+    const payload = new Uint8Array(sockets.MAX_MESSAGE_BYTES / 2);
+    const results = Array.from(
+      { length: 32 },
+      () => left.network.send(right.network.self.vm, ECHO, payload),
+    );
+    const kinds = new Set(results.map((result) => result.isErr() ? result.error.kind : "queued"));
+    assert.deepEqual(kinds, new Set(["queued", "queue_full"]));
+    const drops = "hemlockwalk_peer_drops_total";
+    const refused = results.filter((result) => result.isErr()).length;
+    assert.equal(await left.count(drops, { reason: "queue_full" }), refused);
+    await waitUntil(() => left.network.send(right.network.self.vm, ECHO, 2).isOk());
+    assert.equal((await callEcho(left, "vm-2", 3))._unsafeUnwrap(), 3);
+  });
+
   test.it("ends the calls under way when the peer stops", async (context) => {
     const [left, right] = await startPair(context);
     assert.ok((await callEcho(left, "vm-2", 1)).isOk());
@@ -185,13 +202,19 @@
       left.addresses.set("vm-2", `127.0.0.1:${relay.port}`);
       assert.ok((await callEcho(left, "vm-2", 1)).isOk());
       relay.stopForwarding(direction);
+      // The VM that hears nothing goes on sending, so that the other one goes on hearing it.
+      const deaf = direction === "forward" ? right : left;
+      const heard = direction === "forward" ? left : right;
       const lost = [callEcho(left, "vm-2", 2), callEcho(right, "vm-1", 2)];
       left.addresses.set("vm-2", `127.0.0.1:${right.network.port}`);
       const ended = "hemlockwalk_peer_links_ended_total";
-      await waitUntil(async () => await left.count(ended) === 1 && await right.count(ended) === 1);
+      await waitUntil(async () => {
+        if (await deaf.count(ended) === 0) {
+          deaf.network.send(heard.network.self.vm, ECHO, 3);
+        }
+        return await left.count(ended) === 1 && await right.count(ended) === 1;
+      });
       // The VM that hears nothing sees silence; the other one sees that nothing is confirmed.
-      const deaf = direction === "forward" ? right : left;
-      const heard = direction === "forward" ? left : right;
       assert.equal(await deaf.count(ended, { reason: "silent" }), 1);
       assert.equal(
         await heard.count(ended, { reason: "one_way" }) +
