Answers behind others on a broken connection end too

The server gives no event to an answer that waits behind another one when their connection breaks; its request ran on until its deadline. The end of the connection now ends all its answers. Shown: the property, and a drain test with three requests sent at once on a connection that breaks.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -3,6 +3,7 @@
  */
 
 import type * as http from "node:http";
+import process from "node:process";
 import type * as claims from "@hemlockwalk/claims";
 import * as headers from "./headers.ts";
 
--- a/packages/gateway/src/call_handler.ts
+++ b/packages/gateway/src/call_handler.ts
@@ -70,7 +70,6 @@
     wantsContinue: boolean,
   ): Promise<void> {
     const started = kernel.getMonotonicMilliseconds();
-    const { socket } = request;
     const call: Call = {
       request,
       response,
@@ -79,12 +78,10 @@
       callerMilliseconds: 0,
       targetMilliseconds: 0,
     };
-    this.#parts.running.openAnswer(socket, response);
-    response.on("close", () => {
+    this.#parts.running.openAnswer(request.socket, response, () => {
       if (!response.writableFinished) {
         call.running?.end("caller_gone");
       }
-      this.#parts.running.closeAnswer(socket, response);
     });
     // The caller's connection may break at any moment; its `close` event tells so too.
     response.on("error", ignoreError);
--- a/packages/gateway/src/running_requests.ts
+++ b/packages/gateway/src/running_requests.ts
@@ -7,6 +7,7 @@
 
 import type * as http from "node:http";
 import type * as net from "node:net";
+import process from "node:process";
 import type * as model from "@hemlockwalk/model";
 import type * as types from "./types.ts";
 
@@ -68,7 +69,8 @@
 class CallerConnection {
   readonly socket: net.Socket;
   readonly keys = new Set<model.KeyDigest>();
-  readonly answers = new Set<http.ServerResponse>();
+  /** Answers that have not ended, with what is to be done when they do. */
+  readonly answers = new Map<http.ServerResponse, () => void>();
   #closing = false;
   #lastWords: string | undefined;
 
@@ -86,7 +88,7 @@
     this.#lastWords = lastWords;
     // An answer that announces the end of the connection would leave no room for last words.
     if (lastWords === undefined) {
-      for (const answer of this.answers) {
+      for (const answer of this.answers.keys()) {
         answer.shouldKeepAlive = false;
       }
     }
@@ -117,20 +119,19 @@
     return this.#count;
   }
 
-  /** Notes that a request came on a connection, until `closeAnswer`. */
-  openAnswer(socket: net.Socket, response: http.ServerResponse): void {
-    this.#getConnection(socket).answers.add(response);
-    this.#count++;
-  }
-
-  /** Notes that an answer has ended, complete or not. */
-  closeAnswer(socket: net.Socket, response: http.ServerResponse): void {
+  /**
+   * Notes that a request came on a connection.
+   *
+   * @param onClose Called once, when the answer has ended, complete or not.
+   */
+  openAnswer(socket: net.Socket, response: http.ServerResponse, onClose: () => void): void {
     const connection = this.#getConnection(socket);
-    connection.answers.delete(response);
-    connection.closeIfIdle();
-    this.#count--;
-    if (this.#count === 0) {
-      this.#idleWaiters.splice(0).forEach((resolve) => resolve());
+    connection.answers.set(response, onClose);
+    this.#count++;
+    response.once("close", () => this.#closeAnswer(connection, response));
+    if (socket.destroyed) {
+      // The parser may still hold requests of a connection that has ended.
+      process.nextTick(() => this.#closeAnswer(connection, response));
     }
   }
 
@@ -142,7 +143,7 @@
    */
   refuseConnection(socket: net.Socket, lastWords: string): boolean {
     const connection = this.#getConnection(socket);
-    const isBodyBroken = [...connection.answers].some((answer) => !answer.req.complete);
+    const isBodyBroken = [...connection.answers.keys()].some((answer) => !answer.req.complete);
     if (isBodyBroken) {
       socket.destroy();
       return false;
@@ -199,15 +200,35 @@
       const created = new CallerConnection(socket);
       connection = created;
       this.#connections.set(socket, created);
-      socket.once("close", () => {
-        for (const key of [...created.keys]) {
-          this.#forgetKey(created, key);
-        }
-      });
+      socket.once("close", () => this.#closeConnection(created));
     }
     return connection;
   }
 
+  #closeConnection(connection: CallerConnection): void {
+    for (const key of [...connection.keys]) {
+      this.#forgetKey(connection, key);
+    }
+    // An answer that waits behind another one on the connection gets no event of its own.
+    for (const response of [...connection.answers.keys()]) {
+      this.#closeAnswer(connection, response);
+    }
+  }
+
+  #closeAnswer(connection: CallerConnection, response: http.ServerResponse): void {
+    const onClose = connection.answers.get(response);
+    if (onClose === undefined) {
+      return;
+    }
+    connection.answers.delete(response);
+    onClose();
+    connection.closeIfIdle();
+    this.#count--;
+    if (this.#count === 0) {
+      this.#idleWaiters.splice(0).forEach((resolve) => resolve());
+    }
+  }
+
   #forgetKey(connection: CallerConnection, key: model.KeyDigest): void {
     connection.keys.delete(key);
     removeFromSet(this.#connectionsByKey, key, connection);
--- a/packages/gateway/test/drain_test.ts
+++ b/packages/gateway/test/drain_test.ts
@@ -4,6 +4,7 @@
 
 import assert from "node:assert/strict";
 import * as http from "node:http";
+import * as net from "node:net";
 import * as test from "node:test";
 import * as harness from "./harness.ts";
 
@@ -47,6 +48,26 @@
     await stop;
   });
 
+  test.it("does not wait for answers behind others on a broken connection", async (context) => {
+    let begun = 0;
+    let cancelled = 0;
+    const target = await harness.startTarget((_request, response) => {
+      begun++;
+      response.on("close", () => cancelled++);
+    });
+    const vm = await harness.startVm({ targets: [target.address] });
+    context.after(() => target.stop());
+    const request =
+      `GET /fines HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`;
+    const socket = net.connect(vm.port, "127.0.0.1");
+    socket.write(request.repeat(3));
+    await harness.waitFor(() => begun === 3);
+    socket.destroy();
+    await harness.waitFor(() => cancelled === 3);
+    assert.equal(await vm.getCount("hemlockwalk_running_requests"), 0);
+    await vm.services.stop();
+  });
+
   test.it("loses none of the requests that come during the stop", async (context) => {
     const target = await harness.startTarget((_request, response) => {
       setTimeout(() => response.end("done"), 10);
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -252,11 +252,16 @@
   readonly reset: boolean;
 }
 
-/** Sends bytes and reads until the connection ends, or until the answer satisfies `until`. */
+/**
+ * Sends bytes and reads until the connection ends, or until the answer satisfies `until`.
+ *
+ * @param halfClose Whether the caller ends its side after the last byte.
+ */
 export function sendRaw(
   port: number,
   chunks: readonly (string | Buffer)[],
   until: (text: string) => boolean = () => false,
+  halfClose = false,
 ): Promise<RawAnswer> {
   return new Promise((resolve) => {
     const socket = net.connect(port, "127.0.0.1");
@@ -278,6 +283,8 @@
       if (chunk !== undefined && socket.writable) {
         socket.write(chunk);
         setImmediate(() => writeNext(index + 1));
+      } else if (halfClose) {
+        socket.end();
       }
     };
     socket.on("connect", () => writeNext(0));
--- a/packages/gateway/test/requests_test.ts
+++ b/packages/gateway/test/requests_test.ts
@@ -4,8 +4,11 @@
 
 import assert from "node:assert/strict";
 import * as test from "node:test";
+import * as fc from "fast-check";
 import * as harness from "./harness.ts";
 
+const SEED = 20_260_304;
+
 const HEAD = `Host: city.example\r\nAuthorization: Bearer ${harness.KEY}\r\n`;
 
 /** Requests that two parsers could read in two ways, and the reason of their refusal. */
@@ -175,6 +178,71 @@
     assert.equal((await harness.call(vm.port, { path: "/%46ines" })).status, 404);
   });
 
+  test.it("lets no request through within the body of another", async (context) => {
+    const seen: (string | undefined)[] = [];
+    const target = await harness.startTarget((request, response) => {
+      seen.push(request.url);
+      request.resume();
+      request.on("end", () => response.end("ok"));
+    });
+    const vm = await harness.startVm({ targets: [target.address] });
+    context.after(async () => {
+      await vm.services.stop();
+      await target.stop();
+    });
+    const inner = "GET /fines/inner HTTP/1.1\r\nHost: a\r\nhemlockwalk-workspace: ghent\r\n\r\n";
+    const bodies = [
+      inner,
+      `0\r\n\r\n${inner}`,
+      `${inner.length.toString(16)}\r\n${inner}\r\n0\r\n\r\n`,
+    ];
+    const framings = [
+      ...bodies.map((body) => `Content-Length: ${body.length}`),
+      "Content-Length: 0",
+      "Content-Length: 5",
+      "Content-Length: 0x5",
+      "Content_Length: 5",
+      "Content-Length : 5",
+      "Transfer-Encoding: chunked",
+      "Transfer-Encoding: Chunked",
+      "Transfer-Encoding:\tchunked",
+      "Transfer-Encoding: xchunked",
+      "Transfer-Encoding: chunked, identity",
+      "Transfer-Encoding: identity",
+      "Transfer_Encoding: chunked",
+      "X: y\r\n Transfer-Encoding: chunked",
+      "X: y\rTransfer-Encoding: chunked",
+      "X: y\nTransfer-Encoding: chunked",
+      "Connection: Transfer-Encoding",
+      "Connection: close, Content-Length",
+      "Expect: 100-continue",
+    ];
+    let outer = 0;
+    await fc.assert(
+      fc.asyncProperty(
+        fc.shuffledSubarray(framings, { maxLength: 3 }),
+        fc.constantFrom(...bodies),
+        fc.constantFrom("POST", "GET", "DELETE"),
+        async (lines, body, method) => {
+          const request = `${method} /fines/outer HTTP/1.1\r\n${HEAD}${
+            lines.map((line) => `${line}\r\n`).join("")
+          }\r\n${body}`;
+          // The last request ends the connection, unless something before it did.
+          const last = `GET /fines/last HTTP/1.1\r\n${HEAD}Connection: close\r\n\r\n`;
+          await harness.sendRaw(vm.port, [request, last], () => false, true);
+          // A request on the same target connections shows what is left on them.
+          await harness.call(vm.port, { path: "/fines/next" });
+          const paths = seen.splice(0);
+          assert.deepEqual(paths.filter((path) => path === "/fines/inner"), []);
+          assert.equal(paths.at(-1), "/fines/next");
+          outer += paths.includes("/fines/outer") ? 1 : 0;
+        },
+      ),
+      { seed: SEED, numRuns: 300 },
+    );
+    assert.ok(outer > 30, `${outer} were forwarded.`);
+  });
+
   test.it("refuses slow senders of headers and bodies", async (context) => {
     const vm = await harness.startVm({
       targets: [await harness.getDeadAddress()],
