A connection on which nothing was sent is not proven alive

Cause: a connection that was taken and given back unused, since the request had been ended meanwhile, counted as just proven, so that a write could go onto it after its silence had begun.

--- a/packages/gateway/src/connections.ts
+++ b/packages/gateway/src/connections.ts
@@ -119,19 +119,21 @@
   }
 
   /**
-   * Gives a connection back.
+   * Gives a connection back after a request.
    *
    * @param usable Whether the last answer ended completely, so that another request may follow.
    */
   release(connection: TargetConnection, usable: boolean): void {
-    if (usable && !this.#retired && connection.connected) {
+    if (usable) {
       connection.provenMilliseconds = kernel.getMonotonicMilliseconds();
       connection.reused = true;
-      this.#idle.push(connection);
-    } else {
-      this.#drop(connection);
     }
-    this.#serveWaiter();
+    this.#putBack(connection, usable);
+  }
+
+  /** Gives a connection back on which nothing was sent. That is no sign of life. */
+  releaseUnused(connection: TargetConnection): void {
+    this.#putBack(connection, connection.reused);
   }
 
   /** Closes idle connections and, as they are given back, the others. */
@@ -163,6 +165,15 @@
     return this.#create();
   }
 
+  #putBack(connection: TargetConnection, usable: boolean): void {
+    if (usable && !this.#retired && connection.connected) {
+      this.#idle.push(connection);
+    } else {
+      this.#drop(connection);
+    }
+    this.#serveWaiter();
+  }
+
   #create(): TargetConnection {
     const connection = new TargetConnection(`http://${this.address}`);
     this.#open++;
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -91,7 +91,7 @@
     const isLate = accepted.deadlineMilliseconds <= kernel.getMonotonicMilliseconds();
     if (connection === undefined || runningRequest.endReason !== undefined || isLate) {
       if (connection !== undefined) {
-        pool.release(connection, connection.reused);
+        pool.releaseUnused(connection);
       }
       lease.release(run.createOutcome("cancelled", 0));
       return undefined;
--- a/packages/gateway/test/connections_test.ts
+++ b/packages/gateway/test/connections_test.ts
@@ -44,7 +44,7 @@
     const events: connections.ConnectionEvent[] = [];
     const pool = new connections.TargetConnections(
       "127.0.0.1:1",
-      () => 2,
+      () => 3,
       (event) => events.push(event),
     );
     const take = (idempotent: boolean) =>
@@ -58,13 +58,14 @@
       const fresh = take(false);
       assert.notEqual(fresh, first);
       assert.equal(take(true), first, "A read may use an older one.");
-      pool.release(first, true);
+      pool.releaseUnused(first);
+      assert.notEqual(take(false), first, "An unused connection is not proven.");
       pool.release(fresh, false);
       void clock.advance(10_000, 10_000);
       // The timers of a process that was paused have not closed the connection.
       const latest = take(true);
       assert.notEqual(latest, first);
-      assert.equal(events.filter((event) => event === "passed_over").length, 2);
+      assert.equal(events.filter((event) => event === "passed_over").length, 3);
     } finally {
       clock.restore();
       pool.retire();
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -2,6 +2,7 @@
  * A gateway between real sockets, with small fakes of the services that it uses.
  */
 
+import assert from "node:assert/strict";
 import * as http from "node:http";
 import * as net from "node:net";
 import * as claims from "@hemlockwalk/claims";
@@ -341,9 +342,14 @@
   return (JSON.parse(result.body) as { reason: string }).reason;
 }
 
-/** Waits until a condition holds; the runner's own limit ends a wait in vain. */
+/** Ends a wait in vain, so that a failing test does not hold up the others. */
+const LONGEST_WAIT_MILLISECONDS = 30_000;
+
+/** Waits until a condition holds. */
 export async function waitFor(condition: () => boolean | Promise<boolean>): Promise<void> {
+  const until = performance.now() + LONGEST_WAIT_MILLISECONDS;
   while (!await condition()) {
+    assert.ok(performance.now() < until, `In vain: ${condition.toString()}`);
     await new Promise((resolve) => setTimeout(resolve, 1));
   }
 }
--- a/packages/gateway/test/runs_test.ts
+++ b/packages/gateway/test/runs_test.ts
@@ -154,6 +154,7 @@
       ),
       { seed: SEED, numRuns: 80 },
     );
+    await harness.waitFor(async () => await vm.getCount("hemlockwalk_running_requests") === 0);
     assert.ok(refused > 5, `${refused} were refused as not run.`);
     assert.ok(await vm.getCount("hemlockwalk_retries_total") > 20);
   });
