--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -2,6 +2,7 @@
  * Wires the services of one VM into a kernel.
  */
 
+import * as claims from "@hemlockwalk/claims";
 import * as configuration from "@hemlockwalk/configuration";
 import * as fleet from "@hemlockwalk/fleet";
 import * as gateway from "@hemlockwalk/gateway";
@@ -29,8 +30,8 @@
 
 const STANDARD_PARTS: VirtualMachineParts = {
   createPeerNetwork: (self, options) => new fleet.WebSocketPeerNetwork(self, options),
-  createRateLimiter,
-  createFairQueue: () => new limits.ArrivalOrderQueue(),
+  createRateLimiter: (services, logger) => limits.createRateLimiter(services, logger),
+  createFairQueue: (services) => new limits.WeightedFairQueue(services.get(kernel.METRICS)),
   createTargetPool: targets.createTargetPool,
 };
 
@@ -51,7 +52,8 @@
     new configuration.PlatformClient(settings.platform.addresses),
     createLogger("configuration"),
   );
-  registerMembership(services, settings, network, createLogger("membership"));
+  const membership = registerMembership(services, settings, network, createLogger("membership"));
+  registerClaims(services, settings);
   services.register(limits.RATE_LIMITER, parts.createRateLimiter(services, createLogger("limits")));
   services.register(limits.FAIR_QUEUE, parts.createFairQueue(services));
   services.register(
@@ -66,6 +68,10 @@
     administration.ADMINISTRATION,
     new administration.Administration(services, settings.admin.address),
   );
+  if (membership !== undefined) {
+    const announcement = new fleet.LeavingAnnouncement(membership);
+    services.register(fleet.LEAVING_ANNOUNCEMENT, announcement);
+  }
   return services;
 }
 
@@ -94,11 +100,11 @@
   settings: model.Settings,
   network: fleet.WebSocketPeerNetwork | undefined,
   logger: kernel.PartLogger,
-): void {
+): fleet.GossipMembership | undefined {
   if (network === undefined || settings.peers === undefined) {
     const sole = new fleet.SoleMembership(createIdentity(settings), settings.listener.address);
     services.register<fleet.Membership>(fleet.MEMBERSHIP, sole);
-    return;
+    return undefined;
   }
   const membership = new fleet.GossipMembership({
     network,
@@ -110,25 +116,27 @@
     logger,
   });
   network.useDirectory(membership);
+  membership.onChange(() => network.dropStaleLinks());
   services.register<fleet.Membership>(fleet.MEMBERSHIP, membership);
+  return membership;
 }
 
-function createRateLimiter(
-  services: kernel.Kernel,
-  logger: kernel.PartLogger,
-): limits.RateLimiter {
+/** Registers the store of claims; a VM without peers has none. */
+function registerClaims(services: kernel.Kernel, settings: model.Settings): void {
   const network = services.find(fleet.PEER_NETWORK);
-  const configurationService = services.get(configuration.CONFIGURATION);
   if (network === undefined) {
-    return new limits.StaticShareLimiter(configurationService);
+    return;
   }
-  return new limits.EscrowLimiter({
-    configuration: configurationService,
-    network,
-    membership: services.get(fleet.MEMBERSHIP),
-    metrics: services.get(kernel.METRICS),
-    logger,
-  });
+  services.register<claims.ClaimStore>(
+    claims.CLAIM_STORE,
+    new claims.FleetClaimStore({
+      network,
+      membership: services.get(fleet.MEMBERSHIP),
+      configuration: services.get(configuration.CONFIGURATION),
+      counters: new claims.ClaimCounters(services.get(kernel.METRICS)),
+      timing: claims.createTiming(settings.claims.retentionMilliseconds),
+    }),
+  );
 }
 
 function createIdentity(settings: model.Settings): fleet.VmIdentity {
