Callers that went away are counted apart from refusals

Cause: requests behind others on a broken connection were counted as deadline_exceeded, run no, though nobody was told anything.

--- a/packages/gateway/src/call_handler.ts
+++ b/packages/gateway/src/call_handler.ts
@@ -86,7 +86,9 @@
     // The caller's connection may break at any moment; its `close` event tells so too.
     response.on("error", ignoreError);
     const refusal = await this.#answer(call).catch((error: unknown) => this.#fail(call, error));
-    if (refusal !== undefined && !response.destroyed) {
+    if (call.running?.endReason === "caller_gone") {
+      this.#parts.meters.cancelledRequests.inc();
+    } else if (refusal !== undefined && !response.destroyed) {
       this.#parts.meters.refusals.inc({ reason: refusal.row.reason, run: refusal.run });
       refusals.sendRefusal(response, refusal, this.#endsConnection(call, refusal));
     }
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -15,6 +15,7 @@
   readonly #connections;
   readonly #connectionEvents = new Map<connections.ConnectionEvent, { inc(): void }>();
   readonly withdrawnRequests;
+  readonly cancelledRequests;
   readonly claims;
   readonly tlsReloads;
   readonly total: kernel.LatencyDistribution;
@@ -53,6 +54,10 @@
       "hemlockwalk_withdrawn_requests_total",
       "Running requests that were ended since their key was withdrawn.",
     );
+    this.cancelledRequests = metrics.createCounter(
+      "hemlockwalk_cancelled_requests_total",
+      "Requests whose caller went away before their answer was complete.",
+    );
     this.claims = metrics.createCounter(
       "hemlockwalk_claims_total",
       "Requests with an Idempotency-Key, by what was decided.",
