Answer digests only when there is something to tell

Cause: at 750 VMs, 50 targets and 425 calls a second, evidence on one service cost 50 KB a second over the fleet, most of it loads that change no choice, and 156 ms of processor time a second. Ticks of idle services do next to nothing.

--- a/packages/targets/bench/detection.ts
+++ b/packages/targets/bench/detection.ts
@@ -139,7 +139,10 @@
   const results = seeds.map((seed) => run(size, scenario, "adaptive", seed));
   const baselines = (["round_robin", "least_loaded"] as const).map((kind) => {
     const runs = seeds.slice(0, BASELINE_SEEDS).map((seed) => run(size, scenario, kind, seed));
-    return getMean(runs.map(({ badShare }) => badShare));
+    return {
+      badShare: getMean(runs.map(({ badShare }) => badShare)),
+      good: getMean(runs.map(countGood)),
+    };
   });
   const times: number[] = [];
   for (const { detectedMilliseconds } of results) {
@@ -159,13 +162,18 @@
     String(sum(results.map(({ falseEjections }) => falseEjections))),
     String(sum(results.map(({ falseTargets }) => falseTargets))),
     getPercent(getMean(results.map(({ badShare }) => badShare))),
-    ...baselines.map(getPercent),
+    ...baselines.map(({ badShare }) => getPercent(badShare)),
+    [getMean(results.map(countGood)), ...baselines.map(({ good }) => good)]
+      .map((good) => good.toFixed(0)).join(" / "),
     results.some(({ floorBroken }) => floorBroken) ? "BROKEN" : "kept",
-    String(sum(results.map(({ counts }) => counts.refused))),
   ];
   process.stdout.write(`| ${cells.join(" | ")} |\n`);
 }
 
+function countGood({ counts }: RunResult): number {
+  return counts.calls - counts.bad - counts.shed;
+}
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
@@ -182,7 +190,7 @@
 const seeds = Array.from({ length: Number(seedCount) }, (_, index) => Number(firstSeed) + index);
 process.stdout.write(
   "| size | scenario | p50 s | p99 s | within goal | false, half of VMs | false, any VM | " +
-    "bad calls | round robin | least loaded | floor | refused |\n",
+    "bad calls | round robin | least loaded | good calls | floor |\n",
 );
 process.stdout.write(`| ${Array.from({ length: 12 }, () => "---").join(" | ")} |\n`);
 for (const size of listSizes()) {
--- a/packages/targets/src/coordinator.ts
+++ b/packages/targets/src/coordinator.ts
@@ -24,6 +24,9 @@
 
 const EVALUATION_INTERVAL_MILLISECONDS = 50;
 
+/** A target's load below this is not told, since it does not change a choice. */
+const LEAST_TOLD_LOAD = 0.5;
+
 /** A VM that was not heard for this many verdict lifetimes no longer uses the service. */
 const USER_LIFETIMES = 2;
 
@@ -51,6 +54,8 @@
   /** Smallest difference seen between this VM's clock and the sender's. */
   clockOffset: number;
   suspect: boolean;
+  /** Whether the last message told of verdicts or loads. */
+  wasTold: boolean;
   loads: readonly messages.TargetLoad[];
 }
 
@@ -92,7 +97,10 @@
       }
     }
     this.evaluate(nowMilliseconds);
-    this.#send(user, nowMilliseconds);
+    // Where there is nothing to tell and nothing was told before, an answer would be wasted.
+    if (this.#hasNews() || user.wasTold) {
+      this.#send(user, nowMilliseconds);
+    }
   }
 
   /** Judges the targets, and tells all VMs when verdicts have changed. */
@@ -143,6 +151,7 @@
       heardAt: nowMilliseconds,
       clockOffset: Math.min(offset, sameLife?.clockOffset ?? offset),
       suspect: digest.suspect,
+      wasTold: sameLife?.wasTold ?? false,
       loads: messages.listLoads(digest.loads),
     };
     this.#users.set(from.vm, user);
@@ -184,8 +193,13 @@
     return suspect >= LEAST_SUSPECT_VMS && suspect >= users * SUSPECT_VM_SHARE;
   }
 
+  #hasNews(): boolean {
+    return this.judge.hasVerdicts || this.#sumLoads().length > 0;
+  }
+
   #send(user: User, nowMilliseconds: number): void {
     this.#sequence++;
+    user.wasTold = this.#hasNews();
     const verdicts = this.judge.listVerdicts(nowMilliseconds);
     this.#context.send(user.identity.vm, {
       service: this.#context.service,
@@ -216,6 +230,7 @@
         sums.set(target, (sums.get(target) ?? 0) + running);
       }
     }
-    return [...sums].map(([target, running]) => ({ target, running }));
+    const loads = [...sums].map(([target, running]) => ({ target, running }));
+    return loads.filter(({ running }) => running >= LEAST_TOLD_LOAD);
   }
 }
--- a/packages/targets/src/evidence_exchange.ts
+++ b/packages/targets/src/evidence_exchange.ts
@@ -22,8 +22,12 @@
  */
 const COORDINATOR_NATS = 12;
 
-/** VMs that must each have seen a bad call. */
+/**
+ * VMs that must each have seen a bad call, where the target has more slots than that. A hanging target
+ * of few slots is full before more VMs meet it.
+ */
 const LEAST_SOURCES = 3;
+const LEAST_SOURCES_FOR_FEW_SLOTS = 2;
 
 /** Coordinators whose verdicts are followed: the first, and the one that takes over from it. */
 const FOLLOWED_COORDINATORS = 2;
@@ -221,7 +225,7 @@
         nats: COORDINATOR_NATS,
         // Several VMs clear each other.
         leastPeers: 0,
-        getLeastSources: () => Math.min(LEAST_SOURCES, this.#members),
+        getLeastSources: () => this.#getLeastSources(service),
         separatesPaths: () => guards.pathCheck && this.#dataCentres > 1,
         keepFloor: guards.floor,
       },
@@ -243,6 +247,12 @@
     return coordinator;
   }
 
+  #getLeastSources(service: model.ServiceId): number {
+    const slots = this.#context.configuration.getSnapshot()?.findService(service)?.slots ?? 1;
+    const least = slots > LEAST_SOURCES ? LEAST_SOURCES : LEAST_SOURCES_FOR_FEW_SLOTS;
+    return Math.min(least, this.#members);
+  }
+
   #sendVerdicts(to: model.VmId, message: messages.VerdictMessage): void {
     const { network } = this.#context;
     if (to === network.self.vm) {
--- a/packages/targets/src/self_suspicion.ts
+++ b/packages/targets/src/self_suspicion.ts
@@ -19,6 +19,7 @@
 export class SelfSuspicion {
   readonly #targets = new Map<types.ShortId, LatestCalls>();
   readonly #enabled: boolean;
+  #lastBadAt = Number.NEGATIVE_INFINITY;
 
   constructor(enabled: boolean) {
     this.#enabled = enabled;
@@ -34,12 +35,16 @@
     calls.callAt = nowMilliseconds;
     if (bad) {
       calls.badAt = nowMilliseconds;
+      this.#lastBadAt = nowMilliseconds;
     }
   }
 
   /** Whether this VM should not trust what it sees. */
   isSuspect(nowMilliseconds: number): boolean {
     const since = nowMilliseconds - WINDOW_MILLISECONDS;
+    if (this.#lastBadAt < since) {
+      return false;
+    }
     let called = 0;
     let bad = 0;
     for (const [target, calls] of this.#targets) {
--- a/packages/targets/src/service_evidence.ts
+++ b/packages/targets/src/service_evidence.ts
@@ -178,6 +178,9 @@
     inUse: (target: types.ShortId) => boolean,
     nowMilliseconds: number,
   ): boolean {
+    if (this.#suspicious.size === 0) {
+      return false;
+    }
     const sum = windows.createCounts();
     for (const [target, window] of this.#targets) {
       if (inUse(target)) {
--- a/packages/targets/src/service_judge.ts
+++ b/packages/targets/src/service_judge.ts
@@ -96,6 +96,11 @@
     return this.#version;
   }
 
+  /** Whether any target is out of use. */
+  get hasVerdicts(): boolean {
+    return this.#ejections.length > 0;
+  }
+
   /** Takes over the declared targets and how many of them may be out besides the leaving ones. */
   declare(targets: readonly JudgedTarget[], allowance: number): void {
     this.#declared = new Map(targets.map((target) => [target.target, target]));
--- a/packages/targets/src/service_pool.ts
+++ b/packages/targets/src/service_pool.ts
@@ -409,6 +409,9 @@
 
   /** Targets that came back into use get little at first. */
   #noteReturns(nowMilliseconds: number): void {
+    if (this.#outBefore.size === 0 && !this.#hasVerdicts(nowMilliseconds)) {
+      return;
+    }
     const { out } = this.select(NO_ROUTE, nowMilliseconds);
     for (const shortId of this.#outBefore) {
       if (!out.has(shortId)) {
@@ -418,6 +421,11 @@
     this.#outBefore = out;
   }
 
+  #hasVerdicts(nowMilliseconds: number): boolean {
+    const held = this.#context.exchange?.getCurrent(this.#service.id, nowMilliseconds);
+    return this.#judge.hasVerdicts || (held?.verdicts.length ?? 0) > 0;
+  }
+
   #sendDigest(nowMilliseconds: number): void {
     const { exchange, suspicion } = this.#context;
     if (exchange === undefined) {
--- a/packages/targets/src/target_state.ts
+++ b/packages/targets/src/target_state.ts
@@ -97,7 +97,7 @@
   takeAverageLoad(nowMilliseconds: number): number {
     this.#accumulate(nowMilliseconds);
     const elapsed = nowMilliseconds - this.#loadSince;
-    const average = elapsed > 0 ? this.#busyMilliseconds / elapsed : this.#running;
+    const average = elapsed > 0 ? this.#busyMilliseconds / elapsed : 0;
     this.#busyMilliseconds = 0;
     this.#loadSince = nowMilliseconds;
     return average;
