--- a/packages/targets/src/adaptive_pool.ts
+++ b/packages/targets/src/adaptive_pool.ts
@@ -155,7 +155,9 @@
       configuration: configurationService,
       metrics,
       guards,
-      onLoads: (service, loads) => this.#pools.get(service)?.noteLoads(loads),
+      onLoads: (service, loads) => {
+        this.#pools.get(service)?.noteLoads(loads, kernel.getMonotonicMilliseconds());
+      },
     });
   }
 
--- a/packages/targets/src/service_evidence.ts
+++ b/packages/targets/src/service_evidence.ts
@@ -6,6 +6,7 @@
  */
 
 import type * as model from "@hemlockwalk/model";
+import * as comparisons from "./peer_comparison.ts";
 import * as windows from "./evidence_window.ts";
 import * as latencies from "./latency_buckets.ts";
 import * as scopes from "./fault_scope.ts";
@@ -22,33 +23,16 @@
 /** Calls needed before a median is believed to tell how long is very long. */
 const LEAST_ROUGH_MEDIAN_CALLS = 4;
 
-/** Shares of bad calls that are expected of a healthy target at the least. */
-const LEAST_SHARES = { broken: 0.002, failed: 0.005, slow: 0.01 } as const;
-
 const FAULT_KINDS = ["broken", "failed", "slow"] as const;
 
-/** The expected share is this many times the share that the other targets show. */
-const PEER_SHARE_FACTOR = 2;
-
 /** Shares of bad calls below which a target is not worth an ejection. */
 const MATERIAL_SHARES = { broken: 0.1, failed: 0.1, slow: 0.4 } as const;
 
 /** A share of one route's calls below which the route is not worth avoiding there. */
 const MATERIAL_ROUTE_SHARE = 0.25;
 
-/** The share of the other targets that may be bad as well, and the share of calls that makes one so. */
+/** The share of the other targets that may be bad as well. */
 const SHARED_CAUSE_SHARE = 0.5;
-const BAD_PEER_SHARE = 0.25;
-
-/** Bad calls from which on a target with a large share of them is not compared with. */
-const SICK_PEER_CALLS = 3;
-
-/** Shares of the service's calls above which slowness is taken for overload. */
-const OVERLOAD_SHED_SHARE = 0.05;
-const OVERLOAD_SLOW_SHARE = 0.25;
-
-/** A share of a target's own calls above which its slowness is taken for load. */
-const TARGET_SHED_SHARE = 0.1;
 
 /** Counts by route begin with a bad call, which this much more evidence makes up for. */
 const FIRST_CALL_NATS = 5;
@@ -247,22 +231,22 @@
     nowMilliseconds: number,
   ): Finding | undefined {
     const longest = windows.WINDOWS_MILLISECONDS.length - 1;
-    const longPeers = listPeerCounts(target, totals, longest);
+    const longPeers = comparisons.listPeerCounts(target, totals, longest);
     for (const kind of FAULT_KINDS) {
       for (let index = 0; index < windows.WINDOWS_MILLISECONDS.length; index++) {
         const counts = own[index];
         if (counts === undefined || !this.#canSuffice(kind, counts[kind])) {
           continue;
         }
-        const peers = listPeerCounts(target, totals, index);
-        const overloaded = kind === "slow" && isOverloaded(counts, peers);
+        const peers = comparisons.listPeerCounts(target, totals, index);
+        const overloaded = kind === "slow" && comparisons.isOverloaded(counts, peers);
         if (overloaded) {
           continue;
         }
         if (!this.#arePeersWell(target, kind, index, totals.keys(), nowMilliseconds)) {
           break;
         }
-        const expected = getExpectedShare(kind, peers, longPeers);
+        const expected = comparisons.getExpectedShare(kind, peers, longPeers);
         const finding = this.#judgeWindow(target, kind, counts, index, expected, nowMilliseconds);
         if (finding !== undefined) {
           return finding;
@@ -274,7 +258,7 @@
 
   /** Whether so many bad calls could be a finding at all, if there were no good ones. */
   #canSuffice(kind: types.FaultKind, bad: number): boolean {
-    return statistics.isAboveShare(bad, bad, LEAST_SHARES[kind], this.#options.nats);
+    return statistics.isAboveShare(bad, bad, comparisons.LEAST_SHARES[kind], this.#options.nats);
   }
 
   /**
@@ -298,7 +282,7 @@
       const counts = this.#targets.get(other)?.countSince(first ?? nowMilliseconds);
       if (other !== target && counts !== undefined && counts.calls > 0) {
         called++;
-        bad += counts[kind] > 0 && counts[kind] >= counts.calls * BAD_PEER_SHARE ? 1 : 0;
+        bad += comparisons.isBad(kind, counts) ? 1 : 0;
       }
     }
     const leastPeers = Math.min(this.#options.leastPeers, others);
@@ -343,58 +327,3 @@
     return { target, scope: { route, dataCentre }, kind, evidence };
   }
 }
-
-function listPeerCounts(
-  target: types.ShortId,
-  totals: ReadonlyMap<types.ShortId, readonly windows.CallCounts[]>,
-  index: number,
-): windows.CallCounts[] {
-  const peers: windows.CallCounts[] = [];
-  for (const [other, counts] of totals) {
-    const inWindow = counts[index];
-    if (other !== target && inWindow !== undefined && inWindow.calls > 0) {
-      peers.push(inWindow);
-    }
-  }
-  return peers;
-}
-
-function isOverloaded(own: windows.CallCounts, peers: readonly windows.CallCounts[]): boolean {
-  const sum = windows.createCounts();
-  for (const counts of peers) {
-    windows.addCounts(sum, counts);
-  }
-  return own.shed > own.calls * TARGET_SHED_SHARE ||
-    sum.shed > sum.calls * OVERLOAD_SHED_SHARE ||
-    sum.slow > sum.calls * OVERLOAD_SLOW_SHARE;
-}
-
-/** The share of bad calls that a healthy target may show, from the others that are not clearly sick. */
-function getExpectedShare(
-  kind: types.FaultKind,
-  peers: readonly windows.CallCounts[],
-  longPeers: readonly windows.CallCounts[],
-): number {
-  const least = LEAST_SHARES[kind];
-  const now = sumHealthy(kind, peers);
-  const long = sumHealthy(kind, longPeers);
-  const longShare = (long[kind] + 1) / (long.calls + 1 / least);
-  // A single bad call in a short window says little about the share.
-  const nowShare = now[kind] > 1 ? now[kind] / now.calls : 0;
-  return Math.max(least, Math.max(longShare, nowShare) * PEER_SHARE_FACTOR);
-}
-
-function sumHealthy(
-  kind: types.FaultKind,
-  peers: readonly windows.CallCounts[],
-): windows.CallCounts {
-  const sum = windows.createCounts();
-  for (const counts of peers) {
-    const sick = counts[kind] >= SICK_PEER_CALLS &&
-      counts[kind] >= counts.calls * BAD_PEER_SHARE;
-    if (!sick) {
-      windows.addCounts(sum, counts);
-    }
-  }
-  return sum;
-}
--- a/packages/targets/src/service_judge.ts
+++ b/packages/targets/src/service_judge.ts
@@ -61,10 +61,10 @@
   readonly scope: types.VerdictScope;
   offences: number;
   state: types.Verdict["state"];
+  /** When the state began, or the last trial request was reported. */
   since: number;
   until: number;
   trialSuccesses: number;
-  trialCalls: number;
 }
 
 interface Offences {
@@ -140,7 +140,7 @@
     if (ejection === undefined || kind === "shed") {
       return;
     }
-    ejection.trialCalls += calls.count;
+    ejection.since = nowMilliseconds;
     if (kind === "good") {
       this.#countSuccess(ejection, calls.count);
     } else {
@@ -165,7 +165,6 @@
       until: nowMilliseconds +
         Math.min(verdict.remainingMilliseconds, LONGEST_EJECTION_MILLISECONDS),
       trialSuccesses: 0,
-      trialCalls: 0,
     });
     this.#offences.set(verdict.target, { count: verdict.offences, at: nowMilliseconds });
     this.#version++;
@@ -243,7 +242,6 @@
     ejection.since = nowMilliseconds;
     ejection.until = nowMilliseconds + getEjectionMilliseconds(ejection.offences);
     ejection.trialSuccesses = 0;
-    ejection.trialCalls = 0;
     this.#version++;
     this.#events.trialFailed(ejection.target);
   }
@@ -255,7 +253,7 @@
         ejection.since = nowMilliseconds;
         this.#version++;
       } else if (
-        ejection.state === "trial" && ejection.trialCalls === 0 &&
+        ejection.state === "trial" &&
         nowMilliseconds - ejection.since >= TRIAL_STARVED_MILLISECONDS
       ) {
         this.#return(ejection, "starved");
@@ -281,7 +279,6 @@
       since: nowMilliseconds,
       until: nowMilliseconds + getEjectionMilliseconds(offences),
       trialSuccesses: 0,
-      trialCalls: 0,
     });
     this.evidence.forget(finding.target);
     this.#version++;
--- a/packages/targets/test/choice_test.ts
+++ b/packages/targets/test/choice_test.ts
@@ -136,6 +136,30 @@
     assert.ok(total <= 18 + 10, `${total} run in 18 slots`);
   });
 
+  test.it("lets waiting requests borrow again when no load is reported any more", async (context) => {
+    const declaration = { targets: 4, dataCentres: 1, slots: 2, vmLimit: 8 };
+    const fleet = new testFleet.TestFleet(8, declaration, 6_012);
+    context.after(() => fleet.stop());
+    fleet.rule = () => undefined;
+    for (let round = 0; round < 10; round++) {
+      for (let vm = 0; vm < 8; vm++) {
+        fleet.request(vm, false);
+      }
+      await fleet.run(500, 0);
+    }
+    const index = fleet.vms.findIndex((vm) => vm !== fleet.getCoordinator());
+    const { pool, identity } = fleet.getVm(index);
+    assert.equal(fleet.request(index, false), undefined, "All slots are taken.");
+    const notified: model.ServiceId[] = [];
+    pool.onCapacity((service) => notified.push(service));
+    for (const other of fleet.vms) {
+      fleet.hub.getLink(other.identity.vm, identity.vm).cut = true;
+    }
+    await fleet.run(10_000, 0);
+    assert.ok(notified.length > 0);
+    assert.notEqual(fleet.request(index, false), undefined);
+  });
+
   test.it("gives a leaving target nothing from the moment of the note on", (context) => {
     const { pool, configuration } = createPool(context, { targets: 4, dataCentres: 1 });
     countChoices(pool, 50, () => "success");
