--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -2,6 +2,7 @@
  * Wires the services of one VM into a kernel.
  */
 
+import * as claims from "@hemlockwalk/claims";
 import * as configuration from "@hemlockwalk/configuration";
 import * as fleet from "@hemlockwalk/fleet";
 import * as gateway from "@hemlockwalk/gateway";
@@ -12,46 +13,136 @@
 import type bunyan from "bunyan";
 import * as administration from "./administration.ts";
 
+/** The parts that measurements replace by baselines or by parts that can be disturbed. */
+export interface VirtualMachineParts {
+  createPeerNetwork(
+    self: fleet.VmIdentity,
+    options: fleet.PeerNetworkOptions,
+  ): fleet.WebSocketPeerNetwork;
+  createRateLimiter(services: kernel.Kernel, logger: kernel.PartLogger): limits.RateLimiter;
+  createFairQueue(services: kernel.Kernel): limits.FairQueue;
+  createTargetPool(
+    services: kernel.Kernel,
+    settings: model.Settings,
+    logger: kernel.PartLogger,
+  ): targets.TargetPool;
+}
+
+const STANDARD_PARTS: VirtualMachineParts = {
+  createPeerNetwork: (self, options) => new fleet.WebSocketPeerNetwork(self, options),
+  createRateLimiter: (services, logger) => limits.createRateLimiter(services, logger),
+  createFairQueue: (services) => new limits.WeightedFairQueue(services.get(kernel.METRICS)),
+  createTargetPool: targets.createTargetPool,
+};
+
 /** Creates the kernel of a VM with all its services, ready to start. */
-export function createVirtualMachine(settings: model.Settings, logger: bunyan): kernel.Kernel {
+export function createVirtualMachine(
+  settings: model.Settings,
+  logger: bunyan,
+  replacedParts: Partial<VirtualMachineParts> = {},
+): kernel.Kernel {
+  const parts = { ...STANDARD_PARTS, ...replacedParts };
+  const createLogger = (part: string) => new kernel.PartLogger(logger, part);
   const services = new kernel.Kernel();
   services.register(kernel.METRICS, new kernel.Metrics());
   services.register(kernel.PAUSE_DETECTOR, new kernel.PauseDetector());
-  registerFleet(services, settings);
-  const platform = new configuration.PlatformClient(settings.platform.addresses);
-  const configurationService = services.register<configuration.ConfigurationService>(
-    configuration.CONFIGURATION,
-    new configuration.PlatformConfiguration(
-      platform,
-      new kernel.PartLogger(logger, "configuration"),
-    ),
-  );
-  services.register<limits.RateLimiter>(
-    limits.RATE_LIMITER,
-    new limits.StaticShareLimiter(configurationService),
+  const network = registerPeerNetwork(services, settings, parts, createLogger("peers"));
+  configuration.registerConfiguration(
+    services,
+    new configuration.PlatformClient(settings.platform.addresses),
+    createLogger("configuration"),
   );
-  services.register<limits.FairQueue>(limits.FAIR_QUEUE, new limits.ArrivalOrderQueue());
-  services.register<targets.TargetPool>(
+  const membership = registerMembership(services, settings, network, createLogger("membership"));
+  registerClaims(services, settings);
+  services.register(limits.RATE_LIMITER, parts.createRateLimiter(services, createLogger("limits")));
+  services.register(limits.FAIR_QUEUE, parts.createFairQueue(services));
+  services.register(
     targets.TARGET_POOL,
-    targets.createTargetPool(services, settings, new kernel.PartLogger(logger, "targets")),
+    parts.createTargetPool(services, settings, createLogger("targets")),
+  );
+  services.register(
+    gateway.GATEWAY,
+    new gateway.Gateway(services, settings.listener, createLogger("gateway")),
   );
-  services.register(gateway.GATEWAY, new gateway.Gateway(services, settings.listener.address));
   services.register(
     administration.ADMINISTRATION,
     new administration.Administration(services, settings.admin.address),
   );
+  if (membership !== undefined) {
+    const announcement = new fleet.LeavingAnnouncement(membership);
+    services.register(fleet.LEAVING_ANNOUNCEMENT, announcement);
+  }
   return services;
 }
 
-function registerFleet(services: kernel.Kernel, settings: model.Settings): void {
-  const self: fleet.VmIdentity = {
+/** Registers the links to other VMs; undefined when the settings name none. */
+function registerPeerNetwork(
+  services: kernel.Kernel,
+  settings: model.Settings,
+  parts: VirtualMachineParts,
+  logger: kernel.PartLogger,
+): fleet.WebSocketPeerNetwork | undefined {
+  if (settings.peers === undefined) {
+    return undefined;
+  }
+  const network = parts.createPeerNetwork(createIdentity(settings), {
+    address: settings.peers.address,
+    secrets: new fleet.FilePeerSecrets(settings.peers.secretFile),
+    counters: new fleet.PeerCounters(services.get(kernel.METRICS)),
+    logger,
+  });
+  services.register<fleet.PeerNetwork>(fleet.PEER_NETWORK, network);
+  return network;
+}
+
+function registerMembership(
+  services: kernel.Kernel,
+  settings: model.Settings,
+  network: fleet.WebSocketPeerNetwork | undefined,
+  logger: kernel.PartLogger,
+): fleet.GossipMembership | undefined {
+  if (network === undefined || settings.peers === undefined) {
+    const sole = new fleet.SoleMembership(createIdentity(settings), settings.listener.address);
+    services.register<fleet.Membership>(fleet.MEMBERSHIP, sole);
+    return undefined;
+  }
+  const membership = new fleet.GossipMembership({
+    network,
+    address: settings.peers.advertisedAddress ?? settings.peers.address,
+    seeds: settings.peers.seeds.map((seed) => ({ ...seed, state: "live" as const })),
+    list: services.get(configuration.VM_LIST_SOURCE),
+    pauses: services.get(kernel.PAUSE_DETECTOR),
+    counters: new fleet.MembershipCounters(services.get(kernel.METRICS)),
+    logger,
+  });
+  network.useDirectory(membership);
+  membership.onChange(() => network.dropStaleLinks());
+  services.register<fleet.Membership>(fleet.MEMBERSHIP, membership);
+  return membership;
+}
+
+/** Registers the store of claims; a VM without peers has none. */
+function registerClaims(services: kernel.Kernel, settings: model.Settings): void {
+  const network = services.find(fleet.PEER_NETWORK);
+  if (network === undefined) {
+    return;
+  }
+  services.register<claims.ClaimStore>(
+    claims.CLAIM_STORE,
+    new claims.FleetClaimStore({
+      network,
+      membership: services.get(fleet.MEMBERSHIP),
+      configuration: services.get(configuration.CONFIGURATION),
+      counters: new claims.ClaimCounters(services.get(kernel.METRICS)),
+      timing: claims.createTiming(settings.claims.retentionMilliseconds),
+    }),
+  );
+}
+
+function createIdentity(settings: model.Settings): fleet.VmIdentity {
+  return {
     vm: settings.vm,
     incarnation: model.createIncarnation(),
     dataCentre: settings.dataCentre,
   };
-  const address = settings.peers?.address ?? settings.listener.address;
-  services.register<fleet.Membership>(
-    fleet.MEMBERSHIP,
-    new fleet.SoleMembership(self, address),
-  );
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,193 +1,120 @@
 /**
- * The caller-facing listener: each request is checked, admitted, given a target and forwarded.
+ * The caller-facing side of a VM as a service: its start, its reaction to new configurations, its stop.
  */
 
-import * as http from "node:http";
-import type * as net from "node:net";
 import * as configuration from "@hemlockwalk/configuration";
 import * as kernel from "@hemlockwalk/kernel";
 import * as limits from "@hemlockwalk/limits";
-import * as model from "@hemlockwalk/model";
+import type * as model from "@hemlockwalk/model";
 import * as targets from "@hemlockwalk/targets";
-import type * as neverthrow from "neverthrow";
-import * as undici from "undici";
-import * as admission from "./admission.ts";
+import * as handlers from "./call_handler.ts";
+import * as connections from "./connections.ts";
 import * as forwarding from "./forwarding.ts";
-import * as refusals from "./refusals.ts";
-import type * as types from "./types.ts";
-
-const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+import * as listeners from "./listener.ts";
+import * as meters from "./meters.ts";
+import * as running from "./running_requests.ts";
 
 /** Serves callers. */
 export class Gateway implements kernel.Service {
   readonly #services: kernel.Kernel;
-  readonly #address: string;
-  readonly #server: http.Server;
-  readonly #dispatcher: undici.Agent;
-  readonly #refusals;
-  readonly #requests;
-  #running = 0;
-  #drained: (() => void) | undefined;
+  readonly #settings: model.ListenerSettings;
+  readonly #logger: kernel.PartLogger;
+  readonly #meters: meters.GatewayMeters;
+  readonly #running = new running.RunningRequests();
+  readonly #listener: listeners.Listener;
+  #connections: connections.ConnectionTable | undefined;
+  #handler: handlers.CallHandler | undefined;
 
   /**
    * @param services Where the gateway finds the services it uses.
-   * @param address IP number and port to listen on.
+   * @param settings The listener's part of the settings.
+   * @throws {tlsFiles.TlsStartError} When the TLS files cannot be used.
    */
-  constructor(services: kernel.Kernel, address: string) {
+  constructor(
+    services: kernel.Kernel,
+    settings: model.ListenerSettings,
+    logger: kernel.PartLogger,
+  ) {
     this.#services = services;
-    this.#address = address;
-    this.#dispatcher = new undici.Agent({
-      connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
-      pipelining: 1,
-    });
+    this.#settings = settings;
+    this.#logger = logger;
     const metrics = services.get(kernel.METRICS);
-    this.#requests = metrics.createLatency(
-      "hemlockwalk_request_seconds",
-      "Time from a request's arrival to the end of its answer.",
+    this.#meters = new meters.GatewayMeters(metrics);
+    metrics.createGauge(
+      "hemlockwalk_running_requests",
+      "Requests whose answer is not complete.",
+      () => this.#running.count,
     );
-    this.#refusals = metrics.createCounter(
-      "hemlockwalk_refusals_total",
-      "Requests that this VM answered itself, by reason.",
-      ["reason", "run"],
+    metrics.createGauge(
+      "hemlockwalk_open_target_connections",
+      "Connections that this VM holds open to targets.",
+      () => this.#connections?.size ?? 0,
+    );
+    this.#listener = new listeners.Listener(
+      settings,
+      (request, response, wantsContinue) => {
+        const handler = kernel.getDefined(this.#handler, "The gateway serves after its start.");
+        void handler.serve(request, response, wantsContinue);
+      },
+      this.#running,
+      this.#meters,
+      logger,
     );
-    this.#server = http.createServer((request, response) => {
-      void this.#serve(request, response);
-    });
   }
 
   /** The port that the listener is bound to. */
   get port(): number {
-    return (this.#server.address() as net.AddressInfo).port;
+    return this.#listener.port;
   }
 
   async start(): Promise<void> {
+    const pool = this.#services.get(targets.TARGET_POOL);
     const queue = this.#services.get(limits.FAIR_QUEUE);
-    this.#services.get(targets.TARGET_POOL).onCapacity((service) => queue.notifyCapacity(service));
-    const place = kernel.getDefined(
-      model.splitSocketAddress(this.#address),
-      "Settings hold checked addresses.",
+    pool.onCapacity((service) => queue.notifyCapacity(service));
+    const table = new connections.ConnectionTable(
+      pool,
+      (event) => this.#meters.countConnection(event),
     );
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(place.port, place.host, resolve);
+    this.#connections = table;
+    this.#handler = new handlers.CallHandler(this.#services, {
+      forwarder: new forwarding.Forwarder(pool, queue, table, this.#meters),
+      running: this.#running,
+      meters: this.#meters,
+      settings: this.#settings,
+      logger: this.#logger,
+    });
+    this.#services.get(configuration.CONFIGURATION).onChange((change) => {
+      this.#withdrawKeys(change.withdrawnKeys);
+      table.retain(change.current);
     });
+    await this.#listener.start();
   }
 
+  /**
+   * Serves on while the balancer still sends requests here, with answers that end their connections,
+   * and then until the last answer is complete.
+   */
   async drain(): Promise<void> {
-    this.#server.close();
-    this.#server.closeIdleConnections();
-    if (this.#running > 0) {
-      await new Promise<void>((resolve) => {
-        this.#drained = resolve;
-      });
-    }
-  }
-
-  async stop(): Promise<void> {
-    this.#server.closeAllConnections();
-    await this.#dispatcher.destroy();
-  }
-
-  async #serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const started = kernel.getMonotonicMilliseconds();
-    this.#running++;
-    const refusal = await this.#answer(request, response);
-    if (refusal !== undefined) {
-      this.#refusals.inc({ reason: refusal.row.reason, run: refusal.run });
-      refusals.sendRefusal(response, refusal);
-    }
-    this.#requests.record(kernel.getMonotonicMilliseconds() - started);
-    this.#running--;
-    if (this.#running === 0) {
-      this.#drained?.();
-    }
+    this.#handler?.announceStop();
+    await kernel.sleep(this.#settings.drainLagMilliseconds);
+    await this.#listener.close();
   }
 
-  async #answer(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<refusals.Refusal | undefined> {
-    const snapshot = this.#services.get(configuration.CONFIGURATION).getSnapshot();
-    const accepted = admission.acceptRequest(snapshot, request);
-    if (accepted.isErr()) {
-      return accepted.error;
-    }
-    const overRate = await this.#checkRate(accepted.value);
-    if (overRate !== undefined) {
-      return overRate;
-    }
-    return this.#forward(accepted.value, request, response);
+  stop(): void {
+    this.#listener.stop();
+    this.#connections?.close();
   }
 
-  async #checkRate(accepted: types.AcceptedRequest): Promise<refusals.Refusal | undefined> {
-    if (accepted.workspace === undefined) {
-      return undefined;
-    }
-    const limiter = this.#services.get(limits.RATE_LIMITER);
-    const decision = await limiter.admit(accepted.workspace, accepted.deadlineMilliseconds);
-    if (decision.isOk()) {
-      return undefined;
+  #withdrawKeys(digests: readonly model.KeyDigest[]): void {
+    let ended = 0;
+    for (const digest of digests) {
+      ended += this.#running.withdraw(digest);
     }
-    const row = decision.error.kind === "over_rate"
-      ? refusals.Refusals.overRate
-      : refusals.Refusals.noShare;
-    return refusals.createNotRunRefusal(row, decision.error.retryAfterMilliseconds);
-  }
-
-  async #forward(
-    accepted: types.AcceptedRequest,
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<refusals.Refusal | undefined> {
-    const callerGone = new AbortController();
-    response.once("close", () => {
-      if (!response.writableFinished) {
-        callerGone.abort();
-      }
-    });
-    const lease = await this.#acquire(accepted, callerGone.signal);
-    if (lease.isErr()) {
-      return createQueueRefusal(lease.error);
+    if (ended > 0) {
+      this.#meters.withdrawnRequests.inc(ended);
+      this.#logger.info("Requests of withdrawn keys were ended.", { ended });
     }
-    const { outcome, refusal } = await forwarding.forwardRequest(
-      this.#dispatcher,
-      accepted,
-      lease.value.target,
-      request,
-      response,
-      callerGone.signal,
-    );
-    lease.value.release(outcome);
-    return refusal;
   }
-
-  #acquire(
-    accepted: types.AcceptedRequest,
-    signal: AbortSignal,
-  ): Promise<neverthrow.Result<targets.TargetLease, limits.QueueRefusal>> {
-    const pool = this.#services.get(targets.TARGET_POOL);
-    const targetRequest: targets.TargetRequest = {
-      service: accepted.service.id,
-      route: accepted.route.id,
-      idempotent: accepted.idempotent,
-      exclude: new Set<model.TargetId>(),
-    };
-    return this.#services.get(limits.FAIR_QUEUE).enter({
-      service: accepted.service.id,
-      workspace: accepted.workspace?.id,
-      weight: (accepted.workspace?.weight ?? 1) * accepted.route.weight,
-      deadlineMilliseconds: accepted.deadlineMilliseconds,
-      signal,
-      tryAcquire: () => pool.tryAcquire(targetRequest),
-    });
-  }
-}
-
-function createQueueRefusal(refusal: limits.QueueRefusal): refusals.Refusal {
-  const row = refusal.kind === "queue_full"
-    ? refusals.Refusals.queueFull
-    : refusals.Refusals.queueTimeout;
-  return refusals.createNotRunRefusal(row, refusal.retryAfterMilliseconds);
 }
 
 /** The name under which the gateway is found. */
--- /dev/null
+++ b/packages/limits/test/escrow_limiter_test.ts
@@ -0,0 +1,63 @@
+/**
+ * The escrow limiter in chosen situations, against the oracle.
+ */
+
+import assert from "node:assert/strict";
+import * as test from "node:test";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
+import * as limits from "../src/mod.ts";
+import * as harness from "./fleet_harness.ts";
+
+const READY_MILLISECONDS = 4_500;
+
+/** Several leases: time for votes of the past to be given up. */
+const SETTLE_MILLISECONDS = 15_000;
+
+test.describe("escrow limiter", () => {
+  let clock: kernelTesting.TestClock;
+
+  test.beforeEach(() => {
+    clock = new kernelTesting.TestClock();
+  });
+  test.afterEach(() => {
+    clock.restore();
+  });
+
+  test.it("admits the whole rate at one VM and never more", async () => {
+    const workspace = harness.createWorkspace("antwerp", 50, 20);
+    const fleet = new harness.TestFleet({ vmCount: 5, vmLimit: 6, workspaces: [workspace] });
+    await clock.advance(READY_MILLISECONDS);
+    const vm = fleet.vms[1]!;
+    for (let step = 0; step < 1_000; step++) {
+      fleet.request(vm, workspace.id);
+      await clock.advance(10, 5);
+    }
+    const oracle = fleet.oracles.get(workspace.id)!;
+    assert.equal(oracle.violations, 0);
+    assert.ok(oracle.admissions > 0.95 * (50 * 10), `${oracle.admissions} were admitted`);
+    fleet.stop();
+  });
+
+  test.it("settles on one coordinator for each shard after views have differed", async () => {
+    const workspace = harness.createWorkspace("antwerp", 50, 20);
+    const fleet = new harness.TestFleet({ vmCount: 12, vmLimit: 13, workspaces: [workspace] });
+    const members = fleet.listMembers();
+    for (let round = 0; round < 12; round++) {
+      for (const [index, vm] of fleet.vms.entries()) {
+        const isSeen = (other: number) =>
+          other === index || (other * 5 + index * 7 + round) % 4 > 0;
+        vm.membership.set(members.filter((_, other) => isSeen(other)));
+      }
+      await clock.advance(READY_MILLISECONDS / 4);
+    }
+    fleet.publishMembers();
+    await clock.advance(SETTLE_MILLISECONDS);
+    let held = 0;
+    for (const vm of fleet.vms) {
+      const gauge = vm.metrics.registry.getSingleMetric("hemlockwalk_limits_shards");
+      held += (await gauge?.get())?.values[0]?.value ?? 0;
+    }
+    assert.equal(held, limits.SHARD_COUNT);
+    fleet.stop();
+  });
+});
--- a/packages/model/src/settings.ts
+++ b/packages/model/src/settings.ts
@@ -14,9 +14,42 @@
   keyFile: zod.string().min(1),
 });
 
+const DEFAULT_MAXIMUM_HEADER_BYTES = 16 * 1_024;
+const DEFAULT_HEADER_TIMEOUT_MILLISECONDS = 10_000;
+const DEFAULT_BODY_IDLE_TIMEOUT_MILLISECONDS = 10_000;
+const DEFAULT_DRAIN_LAG_MILLISECONDS = 5_000;
+
+const timeoutMilliseconds = zod.number().int().min(100).max(600_000);
+
 const listener = zod.strictObject({
   address: schemas.socketAddress,
   tls: tlsFiles.optional(),
+  /** Largest request line and headers together. */
+  maximumHeaderBytes: zod.number().int().min(4_096).max(1_048_576).default(
+    DEFAULT_MAXIMUM_HEADER_BYTES,
+  ),
+  /** Time for the request line and headers to arrive. */
+  headerTimeoutMilliseconds: timeoutMilliseconds.default(DEFAULT_HEADER_TIMEOUT_MILLISECONDS),
+  /** Longest silence within a request's body. */
+  bodyIdleTimeoutMilliseconds: timeoutMilliseconds.default(
+    DEFAULT_BODY_IDLE_TIMEOUT_MILLISECONDS,
+  ),
+  /** Time for which a stopping VM goes on to serve new requests, since the balancer lags. */
+  drainLagMilliseconds: zod.number().int().min(0).max(600_000).default(
+    DEFAULT_DRAIN_LAG_MILLISECONDS,
+  ),
+  /** Whether what the sender says in `Forwarded` and `X-Forwarded-*` comes from the balancer. */
+  trustForwardedHeaders: zod.boolean().default(false),
+});
+
+/** Time for which a key is guarded after its use, unless settings say otherwise. */
+const DEFAULT_CLAIM_RETENTION_MILLISECONDS = 60_000;
+
+const claims = zod.strictObject({
+  /** Time for which a caller's `Idempotency-Key` does not run again. The same on all VMs. */
+  retentionMilliseconds: zod.number().int().min(1_000).max(600_000).default(
+    DEFAULT_CLAIM_RETENTION_MILLISECONDS,
+  ),
 });
 
 const peerSeed = zod.strictObject({
@@ -35,9 +68,12 @@
   }),
   peers: zod.strictObject({
     address: schemas.socketAddress,
+    /** Where other VMs reach this one, if not at `address` itself. */
+    advertisedAddress: schemas.socketAddress.optional(),
     secretFile: zod.string().min(1),
     seeds: zod.array(peerSeed).default([]),
   }).optional(),
+  claims: claims.default({ retentionMilliseconds: DEFAULT_CLAIM_RETENTION_MILLISECONDS }),
   log: zod.strictObject({
     level: zod.enum(["debug", "info", "warn", "error"]).default("info"),
   }).default({ level: "info" }),
@@ -46,6 +82,9 @@
 /** Checked settings of one VM. */
 export type Settings = zod.output<typeof settingsSchema>;
 
+/** The caller-facing listener. */
+export type ListenerSettings = Settings["listener"];
+
 /** Checks the text of a settings file. */
 export function parseSettings(
   text: string,
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -23,7 +23,7 @@
 export type KeyDigest = Brand<string, "KeyDigest">;
 /** Position of a release note in the chain, from 1. */
 export type NoteNumber = Brand<number, "NoteNumber">;
-/** SHA-256 of a release note's bytes, as 64 lower-case hexadecimal digits. */
+/** SHA-256 of a release note's trimmed text, as 64 lower-case hexadecimal digits. */
 export type NoteDigest = Brand<string, "NoteDigest">;
 
 /** A tenant with its own keys, rate and burst. */
@@ -57,6 +57,8 @@
   readonly workspaces?: readonly WorkspaceId[] | undefined;
   /** Longest time from the request's arrival to the end of its answer. */
   readonly timeoutMilliseconds: number;
+  /** Largest body of a request; absent for the gateway's own limit. */
+  readonly bodyLimitBytes?: number | undefined;
   /** Methods whose repetition does no harm on this route. */
   readonly idempotentMethods: readonly string[];
   /** Factor on the weight of a workspace for requests on this route. */
--- a/packages/targets/test/fixtures.ts
+++ b/packages/targets/test/fixtures.ts
@@ -2,7 +2,8 @@
  * Small fakes around the pool: a configuration that the test sets, and a pause source.
  */
 
-import * as configuration from "@hemlockwalk/configuration";
+import type * as configuration from "@hemlockwalk/configuration";
+import * as configurationTesting from "@hemlockwalk/configuration/testing";
 import * as fleet from "@hemlockwalk/fleet";
 import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
@@ -35,33 +36,26 @@
 
 /** A configuration with one service. */
 export function createSnapshot(declaration: Declaration, number = 1): configuration.Snapshot {
-  const tables = configuration.createEmptyTables();
-  tables.services.set(SERVICE, {
+  const service: model.Service = {
     id: SERVICE,
     floor: declaration.floor ?? 0.7,
     slots: declaration.slots ?? 6,
     connections: declaration.connections ?? 330,
+  };
+  const targets = Array.from({ length: declaration.targets }, (_, index): model.Target => ({
+    id: getTargetId(index),
+    service: SERVICE,
+    address: `127.0.0.1:${10_000 + index}`,
+    dataCentre: getDataCentre(index % declaration.dataCentres),
+    leaving: declaration.leaving?.has(index) ?? false,
+  }));
+  const vmLimit = declaration.vmLimit ?? 44;
+  return new configurationTesting.PlainSnapshot({
+    number,
+    fleet: { vmLimit },
+    services: [service],
+    targets,
   });
-  for (let index = 0; index < declaration.targets; index++) {
-    const id = getTargetId(index);
-    tables.targets.set(id, {
-      id,
-      service: SERVICE,
-      address: `127.0.0.1:${10_000 + index}`,
-      dataCentre: getDataCentre(index % declaration.dataCentres),
-      leaving: declaration.leaving?.has(index) ?? false,
-    });
-  }
-  return new configuration.TableSnapshot(
-    model.createNoteNumber(number),
-    model.createNoteDigest(String(number)),
-    {
-      vmLimit: declaration.vmLimit ?? 44,
-      keyPlacement: { header: "hemlockwalk-key" },
-      regions: {},
-    },
-    tables,
-  );
 }
 
 /** A configuration that the test sets. */
