A second data centre that sees a fault widens the ejection

Cause: at 750 VMs and 50 targets each data centre had to find a dead target for itself, and a first bad call waited up to 2.4 s behind an ordinary digest.

Ruled out: ejecting everywhere at the first data centre's word, which a one-way partition would cause.

--- a/packages/targets/src/evidence_reporter.ts
+++ b/packages/targets/src/evidence_reporter.ts
@@ -33,6 +33,7 @@
   readonly #probed = new Set<types.ShortId>();
   #urgent = false;
   #lastSentAt: number;
+  #lastUrgentAt = Number.NEGATIVE_INFINITY;
   #lastCallAt = Number.NEGATIVE_INFINITY;
 
   /** @param firstSentAt Spreads the digests of several VMs over the interval. */
@@ -71,7 +72,7 @@
     nowMilliseconds: number,
   ): boolean {
     const elapsed = nowMilliseconds - this.#lastSentAt;
-    if (this.#urgent && elapsed >= urgentMilliseconds) {
+    if (this.#urgent && nowMilliseconds - this.#lastUrgentAt >= urgentMilliseconds) {
       return true;
     }
     return elapsed >= intervalMilliseconds && nowMilliseconds - this.#lastCallAt < USE_MILLISECONDS;
@@ -103,6 +104,9 @@
     }
     this.#pending.clear();
     this.#probed.clear();
+    if (this.#urgent) {
+      this.#lastUrgentAt = nowMilliseconds;
+    }
     this.#urgent = false;
     this.#lastSentAt = nowMilliseconds;
     return digest;
--- a/packages/targets/src/evidence_window.ts
+++ b/packages/targets/src/evidence_window.ts
@@ -79,6 +79,14 @@
   sum.shed += added.shed;
 }
 
+function subtractCounts(sum: CallCounts, removed: CallCounts): void {
+  sum.calls -= removed.calls;
+  sum.broken -= removed.broken;
+  sum.failed -= removed.failed;
+  sum.slow -= removed.slow;
+  sum.shed -= removed.shed;
+}
+
 /** Recent calls of one target. */
 export class EvidenceWindow {
   #slices: Slice[] = [];
@@ -98,10 +106,17 @@
     }
   }
 
-  /** Forgets everything, such as after the target's return. */
-  clear(): void {
-    this.#slices = [];
-    this.#bad = [];
+  /** Forgets the calls from one data centre. */
+  forgetFrom(dataCentre: model.DataCentreId): void {
+    this.#bad = this.#bad.filter((bad) => bad.dataCentre !== dataCentre);
+    for (const slice of this.#slices) {
+      for (const [name, cell] of slice.cells) {
+        if (cell.dataCentre === dataCentre) {
+          slice.cells.delete(name);
+          subtractCounts(slice, cell);
+        }
+      }
+    }
   }
 
   /** Counts for each window length, in the order of the lengths. */
--- a/packages/targets/src/fault_scope.ts
+++ b/packages/targets/src/fault_scope.ts
@@ -18,6 +18,8 @@
 export interface PathFinding {
   /** Whether the target is at fault, since several data centres see it alike. */
   readonly spread: boolean;
+  /** Whether some data centre has shown that it does not see the fault. */
+  readonly healthyElsewhere: boolean;
   /** Otherwise the data centre from which it is seen. */
   readonly dataCentre?: model.DataCentreId | undefined;
 }
@@ -33,7 +35,7 @@
 ): PathFinding {
   const worst = findWorst(byDataCentre, kind);
   if (worst === undefined) {
-    return { spread: false };
+    return { spread: false, healthyElsewhere: false };
   }
   const { name, counts } = worst;
   let othersBad = 0;
@@ -48,7 +50,7 @@
   }
   const spread = !healthy && othersBad >= SPREAD_LEAST_CALLS &&
     statistics.isAboveShare(othersBad, othersCalls, expectedShare, SPREAD_NATS);
-  return { spread, dataCentre: name };
+  return { spread, healthyElsewhere: healthy, dataCentre: name };
 }
 
 /**
--- a/packages/targets/src/service_evidence.ts
+++ b/packages/targets/src/service_evidence.ts
@@ -61,6 +61,8 @@
   readonly kind: types.FaultKind;
   /** Nats against the target's being like the others. */
   readonly evidence: number;
+  /** Whether some data centre has shown that it does not see the fault. */
+  readonly healthyElsewhere: boolean;
 }
 
 /** One report of calls to one target, as it comes from a VM. */
@@ -116,6 +118,11 @@
     this.#suspicious.delete(target);
   }
 
+  /** Forgets what calls from one data centre to a target showed. */
+  forgetFrom(target: types.ShortId, dataCentre: model.DataCentreId): void {
+    this.#targets.get(target)?.forgetFrom(dataCentre);
+  }
+
   /** Forgets all targets but the given ones. */
   retain(declared: ReadonlySet<types.ShortId>): void {
     for (const target of [...this.#targets.keys()]) {
@@ -322,8 +329,9 @@
     }
     const path: scopes.PathFinding = separatesPaths()
       ? scopes.findFaultyPath(details.byDataCentre, kind, expected)
-      : { spread: true };
+      : { spread: true, healthyElsewhere: false };
     const dataCentre = path.spread ? undefined : path.dataCentre;
-    return { target, scope: { route, dataCentre }, kind, evidence };
+    const { healthyElsewhere } = path;
+    return { target, scope: { route, dataCentre }, kind, evidence, healthyElsewhere };
   }
 }
--- a/packages/targets/src/service_judge.ts
+++ b/packages/targets/src/service_judge.ts
@@ -261,7 +261,8 @@
     }
   }
 
-  #eject(finding: evidences.Finding, nowMilliseconds: number): void {
+  #eject(found: evidences.Finding, nowMilliseconds: number): void {
+    const finding = this.#widen(found);
     if (!this.#mayEject(finding.target, finding.scope)) {
       this.#tellRefusal(finding.target, nowMilliseconds);
       return;
@@ -280,11 +281,28 @@
       until: nowMilliseconds + getEjectionMilliseconds(offences),
       trialSuccesses: 0,
     });
-    this.evidence.forget(finding.target);
+    if (finding.scope.dataCentre === undefined) {
+      this.evidence.forget(finding.target);
+    } else {
+      this.evidence.forgetFrom(finding.target, finding.scope.dataCentre);
+    }
     this.#version++;
     this.#events.ejected(finding);
   }
 
+  /** A second data centre that sees the fault shows the target's own, unless a third does not see it. */
+  #widen(finding: evidences.Finding): evidences.Finding {
+    const { target, scope, healthyElsewhere } = finding;
+    const seenBefore = this.#ejections.some((ejection) =>
+      ejection.target === target && ejection.scope.route === scope.route &&
+      ejection.scope.dataCentre !== undefined && ejection.scope.dataCentre !== scope.dataCentre
+    );
+    if (scope.dataCentre === undefined || healthyElsewhere || !seenBefore) {
+      return finding;
+    }
+    return { ...finding, scope: { route: scope.route } };
+  }
+
   #tellRefusal(target: types.ShortId, nowMilliseconds: number): void {
     const last = this.#refusedAt.get(target) ?? Number.NEGATIVE_INFINITY;
     if (nowMilliseconds - last >= REFUSAL_REPEAT_MILLISECONDS) {
--- a/packages/targets/test/service_judge_test.ts
+++ b/packages/targets/test/service_judge_test.ts
@@ -196,6 +196,30 @@
     );
   });
 
+  test.it("ejects a target that a second data centre sees failing too", () => {
+    const { judge } = createJudge(3);
+    let now = runCalls(judge, 1_000, 10_000, new Set());
+    const runFrom = (dataCentres: readonly number[], milliseconds: number) => {
+      for (const end = now + milliseconds; now < end; now += 100) {
+        for (let target = 0; target < TARGETS.length; target++) {
+          // The sick target is called from these data centres only.
+          const vm = dataCentres.map((index) => index + 4 * (now / 100 % 3));
+          const callers = target === 5 ? vm : [0, 1, 2, 3];
+          for (const caller of callers) {
+            report(judge, target, caller, now, target === 5 ? { result: "broken" } : {});
+          }
+        }
+        judge.evaluate(now);
+      }
+    };
+    judge.voidEvidence();
+    runFrom([2], 1_000);
+    assert.equal(getFirst(judge, now).scope.dataCentre, fixtures.getDataCentre(2));
+    runFrom([1], 1_000);
+    const verdicts = judge.listVerdicts(now);
+    assert.deepEqual(verdicts.map(({ scope }) => scope.dataCentre), [undefined]);
+  });
+
   test.it("avoids a target for one route only when only that route fails", () => {
     const { judge } = createJudge(3);
     const other = messages.createShortId(fixtures.OTHER_ROUTE);
