--- a/packages/targets/src/call_evidence.ts
+++ b/packages/targets/src/call_evidence.ts
@@ -188,10 +188,13 @@
     } else {
       this.judge.report(reported, call.trial, nowMilliseconds);
     }
-    if (!this.#reporter.add(kind, bad || call.trial, nowMilliseconds)) {
+    // Where this VM knows too little of the route to tell, the coordinator may know better.
+    const slowest = this.judge.evidence.getSlowestMilliseconds() ?? Infinity;
+    const urgent = bad || call.trial || latencyMilliseconds > slowest;
+    if (!this.#reporter.add(kind, urgent, nowMilliseconds)) {
       metrics.countVoid("too_many_kinds", 1);
     }
-    if (bad || call.trial) {
+    if (urgent) {
       this.sendDigest(nowMilliseconds);
     }
   }
