Average reported loads over a whole interval

Cause: a digest sent soon after another one averaged over a few milliseconds and told of a load of one, which stood for up to 10 s at 750 VMs.

--- a/packages/targets/src/service_pool.ts
+++ b/packages/targets/src/service_pool.ts
@@ -277,8 +277,9 @@
 
   #takeLoads(nowMilliseconds: number): messages.TargetLoad[] {
     const loads: messages.TargetLoad[] = [];
+    const interval = intervals.getDigestInterval(this.#context.exchange?.members ?? 1);
     for (const [target, state] of this.#states) {
-      const running = state.takeAverageLoad(nowMilliseconds);
+      const running = state.takeAverageLoad(interval, nowMilliseconds);
       state.ownReportedLoad = running;
       if (running >= LEAST_REPORTED_LOAD) {
         loads.push({ target, running });
--- a/packages/targets/src/target_state.ts
+++ b/packages/targets/src/target_state.ts
@@ -93,11 +93,15 @@
     return Math.max(LEAST_READINESS, share);
   }
 
-  /** Average number of running requests since the last call of this method. */
-  takeAverageLoad(nowMilliseconds: number): number {
+  /**
+   * Average number of running requests since the last call of this method.
+   *
+   * @param leastMilliseconds Shortest time to average over, since the value may stand for that long.
+   */
+  takeAverageLoad(leastMilliseconds: number, nowMilliseconds: number): number {
     this.#accumulate(nowMilliseconds);
     const elapsed = nowMilliseconds - this.#loadSince;
-    const average = elapsed > 0 ? this.#busyMilliseconds / elapsed : 0;
+    const average = this.#busyMilliseconds / Math.max(elapsed, leastMilliseconds);
     this.#busyMilliseconds = 0;
     this.#loadSince = nowMilliseconds;
     return average;
