Tests with random histories take their seed from one place

Cause: only the test of configuration could be run with another seed, through its own reading of the environment.

`getRandomRuns` in @hemlockwalk/kernel/testing gives the fixed seed and number of runs, unless HEMLOCKWALK_SEED and HEMLOCKWALK_RUNS are both set.

Ruled out: moving each generator into a module that a separate runner imports; the check would then exist twice.

--- a/packages/kernel/src/testing/mod.ts
+++ b/packages/kernel/src/testing/mod.ts
@@ -6,6 +6,8 @@
 
 import * as testing from "node:test";
 
+export { getRandomRuns, type RandomRuns } from "./random_runs.ts";
+
 const FLUSH_ROUNDS = 4;
 
 /** Pauses the clock of the runtime and advances it on request. */
--- /dev/null
+++ b/packages/kernel/src/testing/random_runs.ts
@@ -0,0 +1,33 @@
+/**
+ * How often and from which seed a test with random histories runs: fixed in continuous integration,
+ * given by the environment under `npm run fuzz`.
+ */
+
+import process from "node:process";
+import * as kernel from "../mod.ts";
+
+/** Parameters of fast-check. */
+export interface RandomRuns {
+  readonly seed: number;
+  readonly numRuns: number;
+  /** Whether a failing history is reported as it is, without the search for a shorter one. */
+  readonly endOnFailure: boolean;
+}
+
+/** The given seed and number of runs, unless `HEMLOCKWALK_SEED` and `HEMLOCKWALK_RUNS` are set. */
+export function getRandomRuns(seed: number, numRuns: number): RandomRuns {
+  const { HEMLOCKWALK_SEED, HEMLOCKWALK_RUNS, HEMLOCKWALK_SHRINK } = process.env;
+  if (HEMLOCKWALK_SEED === undefined || HEMLOCKWALK_RUNS === undefined) {
+    return { seed, numRuns, endOnFailure: false };
+  }
+  const runs = {
+    seed: Number(HEMLOCKWALK_SEED),
+    numRuns: Number(HEMLOCKWALK_RUNS),
+    endOnFailure: HEMLOCKWALK_SHRINK === undefined,
+  };
+  kernel.assert(
+    Number.isInteger(runs.seed) && Number.isInteger(runs.numRuns) && runs.numRuns > 0,
+    "HEMLOCKWALK_SEED and HEMLOCKWALK_RUNS are whole numbers.",
+  );
+  return runs;
+}
