--- a/packages/claims/test/fleet_claim_store_test.ts
+++ b/packages/claims/test/fleet_claim_store_test.ts
@@ -4,6 +4,7 @@
 
 import assert from "node:assert/strict";
 import * as test from "node:test";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
 import * as fc from "fast-check";
 import * as slotVoters from "../src/slot_voter.ts";
@@ -33,7 +34,7 @@
           total.set(kind, (total.get(kind) ?? 0) + count);
         }
       }),
-      { seed: 41, numRuns: 25 },
+      kernelTesting.getRandomRuns(41, 25),
     );
     // The histories must reach every kind of decision, or they show little.
     for (const kind of ["granted", "stored", "running", "unknown", "mismatch", "unavailable"]) {
--- a/packages/configuration/test/chain_model_test.ts
+++ b/packages/configuration/test/chain_model_test.ts
@@ -4,6 +4,7 @@
 
 import assert from "node:assert/strict";
 import * as test from "node:test";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
 import * as fastCheck from "fast-check";
 import * as configuration from "../src/mod.ts";
@@ -310,11 +311,7 @@
   test.it("agrees with the list of published notes over random histories", async () => {
     await fastCheck.assert(
       fastCheck.asyncProperty(fastCheck.nat({ max: 1_000 }), commands, runHistory),
-      {
-        seed: Number(process.env["HEMLOCKWALK_SEED"] ?? 31),
-        numRuns: Number(process.env["HEMLOCKWALK_RUNS"] ?? 25),
-        endOnFailure: process.env["HEMLOCKWALK_RUNS"] !== undefined,
-      },
+      kernelTesting.getRandomRuns(31, 25),
     );
   });
 });
--- a/packages/limits/test/histories_test.ts
+++ b/packages/limits/test/histories_test.ts
@@ -25,6 +25,6 @@
         }
       },
     );
-    await fastCheck.assert(property, { seed: SEED, numRuns: RUNS });
+    await fastCheck.assert(property, kernelTesting.getRandomRuns(SEED, RUNS));
   });
 });
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -20,6 +20,12 @@
   }
 }
 
+/** The environment without what the fuzzing command sets, so that seeds and runs are the fixed ones. */
+function createTestEnvironment() {
+  const { HEMLOCKWALK_SEED: _seed, HEMLOCKWALK_RUNS: _runs, ...environment } = process.env;
+  return environment;
+}
+
 function runTests() {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "hemlockwalk-test-"));
   const failuresFile = path.join(folder, "failures.txt");
@@ -31,7 +37,7 @@
     "--test-reporter=./scripts/failures_reporter.mjs",
     `--test-reporter-destination=${failuresFile}`,
     ...steps.listTestFiles(),
-  ], { cwd: steps.root, stdio: "inherit" });
+  ], { cwd: steps.root, stdio: "inherit", env: createTestEnvironment() });
   const failed = fs.readFileSync(failuresFile, "utf8").split("\n").filter((name) => name !== "");
   fs.rmSync(folder, { recursive: true });
   return knownRed.judgeRun(result.status, failed, knownRed.listKnownRed(steps.root));
