--- a/packages/limits/test/fleet_harness.ts
+++ b/packages/limits/test/fleet_harness.ts
@@ -108,13 +108,28 @@
   return { id: model.createWorkspaceId(id), rate, burst, weight: 1 };
 }
 
+/** A plain configuration that finds one workspace of many in constant time. */
+class WorkspaceSnapshot extends configurationTesting.PlainSnapshot {
+  readonly #workspaces: ReadonlyMap<model.WorkspaceId, model.Workspace>;
+
+  constructor(contents: configurationTesting.PlainContents) {
+    super(contents);
+    const workspaces = contents.workspaces ?? [];
+    this.#workspaces = new Map(workspaces.map((workspace) => [workspace.id, workspace]));
+  }
+
+  override findWorkspace(id: model.WorkspaceId): model.Workspace | undefined {
+    return this.#workspaces.get(id);
+  }
+}
+
 /** A configuration with nothing but workspaces. */
 export function createSnapshot(
   number: number,
   vmLimit: number,
   workspaces: readonly model.Workspace[],
 ): configuration.Snapshot {
-  return new configurationTesting.PlainSnapshot({ number, fleet: { vmLimit }, workspaces });
+  return new WorkspaceSnapshot({ number, fleet: { vmLimit }, workspaces });
 }
 
 /** One VM of the test. */
