Limits: single tokens ahead of need where many are left

At rates of 50 to 200 over 40 VMs a VM expects under one request in the time that a grant is held, so nearly every request waited.

--- a/packages/limits/src/coordinator.ts
+++ b/packages/limits/src/coordinator.ts
@@ -19,6 +19,9 @@
 /** Share of what is left after the waiting requests that one request may take ahead of need. */
 const AHEAD_SHARE = 0.125;
 
+/** From this many tokens on, single ones are granted ahead of a need that is not certain. */
+const PLENTY_TOKENS = 40;
+
 /** Grants shorter than this are spent by nobody. */
 const SHORTEST_GRANT_MILLISECONDS = 5;
 
@@ -338,6 +341,9 @@
   if (available <= ask.waiting) {
     return available;
   }
-  const ahead = Math.floor((available - ask.waiting) * AHEAD_SHARE);
+  const left = available - ask.waiting;
+  // A VM that hardly needs a token gets one only where many are left for the others.
+  const isWorthwhile = ask.onlyFromPlenty !== true || left >= PLENTY_TOKENS;
+  const ahead = isWorthwhile ? Math.floor(left * AHEAD_SHARE) : 0;
   return ask.waiting + Math.min(ask.ahead, ahead);
 }
--- a/packages/limits/src/grant_client.ts
+++ b/packages/limits/src/grant_client.ts
@@ -30,6 +30,9 @@
 /** How long the ends of grants wait for a question to travel with. */
 const RETURN_DELAY_MILLISECONDS = 15;
 
+/** From this many expected requests on, one token is worth holding. */
+const LEAST_EXPECTED_ARRIVALS = 0.25;
+
 /** A refused workspace is asked for again no later than this. */
 const LONGEST_DRY_MILLISECONDS = 1_000;
 
@@ -140,7 +143,7 @@
     const ask: messages.Ask = {
       workspace,
       waiting: this.#waiters.get(workspace)?.length ?? 0,
-      ahead: Math.max(0, Math.floor(expected - holding.countTokens())),
+      ...chooseAhead(expected, holding.countTokens()),
     };
     const batch = this.#batches.get(coordinator);
     const question = { workspace, holding, ask };
@@ -250,6 +253,18 @@
   }
 }
 
+/** What is asked for ahead of need, by the arrivals that are expected and the tokens held. */
+function chooseAhead(
+  expected: number,
+  held: number,
+): Pick<messages.Ask, "ahead" | "onlyFromPlenty"> {
+  if (expected >= 1) {
+    return { ahead: Math.max(0, Math.floor(expected - held)) };
+  }
+  const isLikely = expected >= LEAST_EXPECTED_ARRIVALS && held === 0;
+  return isLikely ? { ahead: 1, onlyFromPlenty: true } : { ahead: 0 };
+}
+
 /** Creates a refusal. */
 export function refuse(
   kind: errors.RateRefusal["kind"],
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -70,6 +70,8 @@
   waiting: count,
   /** Tokens for requests that are expected soon. */
   ahead: count,
+  /** The tokens ahead are wanted only where many are left. */
+  onlyFromPlenty: zod.boolean().optional(),
 });
 export type Ask = zod.infer<typeof ask>;
 
