--- a/packages/limits/src/grant_holder.ts
+++ b/packages/limits/src/grant_holder.ts
@@ -7,7 +7,7 @@
 import type * as safety from "./safety_margins.ts";
 
 /** Tokens that no request has used for this long go back. */
-const RETURN_AFTER_MILLISECONDS = 800;
+const RETURN_AFTER_MILLISECONDS = 600;
 
 /** Time constant of the demand estimate. */
 const DEMAND_MILLISECONDS = 1_000;
