--- a/packages/daemon/src/virtual_machine.ts
+++ b/packages/daemon/src/virtual_machine.ts
@@ -2,6 +2,7 @@
  * Wires the services of one VM into a kernel.
  */
 
+import * as claims from "@hemlockwalk/claims";
 import * as configuration from "@hemlockwalk/configuration";
 import * as fleet from "@hemlockwalk/fleet";
 import * as gateway from "@hemlockwalk/gateway";
@@ -20,15 +21,18 @@
   ): fleet.WebSocketPeerNetwork;
   createRateLimiter(services: kernel.Kernel, logger: kernel.PartLogger): limits.RateLimiter;
   createFairQueue(services: kernel.Kernel): limits.FairQueue;
-  createTargetPool(services: kernel.Kernel): targets.TargetPool;
+  createTargetPool(
+    services: kernel.Kernel,
+    settings: model.Settings,
+    logger: kernel.PartLogger,
+  ): targets.TargetPool;
 }
 
 const STANDARD_PARTS: VirtualMachineParts = {
   createPeerNetwork: (self, options) => new fleet.WebSocketPeerNetwork(self, options),
   createRateLimiter: (services, logger) => limits.createRateLimiter(services, logger),
   createFairQueue: (services) => new limits.WeightedFairQueue(services.get(kernel.METRICS)),
-  createTargetPool: (services) =>
-    new targets.RoundRobinPool(services.get(configuration.CONFIGURATION)),
+  createTargetPool: targets.createTargetPool,
 };
 
 /** Creates the kernel of a VM with all its services, ready to start. */
@@ -48,10 +52,14 @@
     new configuration.PlatformClient(settings.platform.addresses),
     createLogger("configuration"),
   );
-  registerMembership(services, settings, network, createLogger("membership"));
+  const membership = registerMembership(services, settings, network, createLogger("membership"));
+  registerClaims(services, settings);
   services.register(limits.RATE_LIMITER, parts.createRateLimiter(services, createLogger("limits")));
   services.register(limits.FAIR_QUEUE, parts.createFairQueue(services));
-  services.register(targets.TARGET_POOL, parts.createTargetPool(services));
+  services.register(
+    targets.TARGET_POOL,
+    parts.createTargetPool(services, settings, createLogger("targets")),
+  );
   services.register(
     gateway.GATEWAY,
     new gateway.Gateway(services, settings.listener, createLogger("gateway")),
@@ -60,6 +68,10 @@
     administration.ADMINISTRATION,
     new administration.Administration(services, settings.admin.address),
   );
+  if (membership !== undefined) {
+    const announcement = new fleet.LeavingAnnouncement(membership);
+    services.register(fleet.LEAVING_ANNOUNCEMENT, announcement);
+  }
   return services;
 }
 
@@ -88,15 +100,15 @@
   settings: model.Settings,
   network: fleet.WebSocketPeerNetwork | undefined,
   logger: kernel.PartLogger,
-): void {
+): fleet.GossipMembership | undefined {
   if (network === undefined || settings.peers === undefined) {
     const sole = new fleet.SoleMembership(createIdentity(settings), settings.listener.address);
     services.register<fleet.Membership>(fleet.MEMBERSHIP, sole);
-    return;
+    return undefined;
   }
   const membership = new fleet.GossipMembership({
     network,
-    address: settings.peers.address,
+    address: settings.peers.advertisedAddress ?? settings.peers.address,
     seeds: settings.peers.seeds.map((seed) => ({ ...seed, state: "live" as const })),
     list: services.get(configuration.VM_LIST_SOURCE),
     pauses: services.get(kernel.PAUSE_DETECTOR),
@@ -104,7 +116,27 @@
     logger,
   });
   network.useDirectory(membership);
+  membership.onChange(() => network.dropStaleLinks());
   services.register<fleet.Membership>(fleet.MEMBERSHIP, membership);
+  return membership;
+}
+
+/** Registers the store of claims; a VM without peers has none. */
+function registerClaims(services: kernel.Kernel, settings: model.Settings): void {
+  const network = services.find(fleet.PEER_NETWORK);
+  if (network === undefined) {
+    return;
+  }
+  services.register<claims.ClaimStore>(
+    claims.CLAIM_STORE,
+    new claims.FleetClaimStore({
+      network,
+      membership: services.get(fleet.MEMBERSHIP),
+      configuration: services.get(configuration.CONFIGURATION),
+      counters: new claims.ClaimCounters(services.get(kernel.METRICS)),
+      timing: claims.createTiming(settings.claims.retentionMilliseconds),
+    }),
+  );
 }
 
 function createIdentity(settings: model.Settings): fleet.VmIdentity {
--- a/packages/measure/src/emulator/commands.ts
+++ b/packages/measure/src/emulator/commands.ts
@@ -10,7 +10,10 @@
   readonly dataCentre: string;
   readonly listener: string;
   readonly admin: string;
+  /** Where other VMs reach this one: a relay that can lose messages. */
   readonly peers: string;
+  /** Its own peer listener, behind the relay. */
+  readonly peerListener: string;
 }
 
 /** Which implementations the VMs use. */
@@ -26,6 +29,16 @@
   readonly metrics: string;
 }
 
+/** An ejection that a VM logged. */
+export interface EjectionRecord {
+  readonly vm: string;
+  /** `coordinator` for the whole fleet, `local` for the VM alone. */
+  readonly judge: string;
+  readonly target: string;
+  readonly fault: string;
+  readonly scope: string;
+}
+
 /** What a worker tells of its process. */
 export interface ProcessReport {
   readonly cpuMilliseconds: number;
@@ -66,10 +79,15 @@
   };
   readonly stopVm: { readonly request: { readonly vm: string }; readonly answer: undefined };
   readonly cutDataCentres: {
+    /** IP numbers of the data centres. */
     readonly request: { readonly from: string; readonly to: string; readonly cut: boolean };
     readonly answer: undefined;
   };
   readonly reportVms: { readonly request: undefined; readonly answer: readonly VmReport[] };
+  readonly takeEjections: {
+    readonly request: undefined;
+    readonly answer: readonly EjectionRecord[];
+  };
   readonly reportProcess: { readonly request: undefined; readonly answer: ProcessReport };
   readonly startTargets: {
     readonly request: {
