--- a/packages/limits/src/escrow_limiter.ts
+++ b/packages/limits/src/escrow_limiter.ts
@@ -108,7 +108,9 @@
 
   /** Hands all shards over to other VMs, which takes one grant lifetime and a little more. */
   async drain(): Promise<void> {
-    this.#exchange.close();
+    if (!this.#exchange.close()) {
+      return;
+    }
     this.#returnTokens(true);
     // The successor asks for its votes and gets the levels with this VM's.
     const handover = safety.GRANT_LIFETIME_MILLISECONDS + safety.HANDOVER_MILLISECONDS;
--- a/packages/limits/src/lease_exchange.ts
+++ b/packages/limits/src/lease_exchange.ts
@@ -93,14 +93,15 @@
     this.#followMembership();
   }
 
-  /** Starts to give all shards up, and tells the others. */
-  close(): void {
+  /** Starts to give all shards up, and tells the others; false when there are no others. */
+  close(): boolean {
     this.#draining = true;
     const now = this.#now();
     for (const shard of this.#coordinator.listClaims()) {
       this.#coordinator.close(shard, now);
     }
     this.#hurry();
+    return this.#peers.size > 0;
   }
 
   stop(): void {
