Limits: tests of the handover at a planned stop and of a lost coordinator

Both are about what is admitted and not only about what is not: without the handover a burst of 100 at rate 2 would start from empty at the successor.

--- a/packages/limits/test/escrow_limiter_test.ts
+++ b/packages/limits/test/escrow_limiter_test.ts
@@ -60,4 +60,46 @@
     assert.equal(held, limits.SHARD_COUNT);
     fleet.stop();
   });
+
+  test.it("hands the levels of a VM that stops to its successor", async () => {
+    const workspace = harness.createWorkspace("antwerp", 2, 100);
+    const fleet = new harness.TestFleet({ vmCount: 5, vmLimit: 5, workspaces: [workspace] });
+    await clock.advance(READY_MILLISECONDS + 60_000, 100);
+    const coordinator = fleet.getCoordinator(workspace.id);
+    // Half of the burst is spent, so the level is known and not the one of a silent workspace.
+    for (let request = 0; request < 50; request++) {
+      fleet.request(coordinator, workspace.id);
+    }
+    const before = fleet.admissions;
+    const stopped = fleet.drain(coordinator);
+    await clock.advance(2_500);
+    await stopped;
+    fleet.publishMembers();
+    const successor = fleet.getCoordinator(workspace.id);
+    for (let request = 0; request < 100; request++) {
+      fleet.request(successor, workspace.id);
+    }
+    await clock.advance(100);
+    assert.notEqual(successor, coordinator);
+    assert.equal(fleet.violations, 0);
+    assert.ok(fleet.admissions - before >= 45, `${fleet.admissions - before} were admitted`);
+    fleet.stop();
+  });
+
+  test.it("admits again a few seconds after the coordinator was lost", async () => {
+    const workspace = harness.createWorkspace("antwerp", 50, 100);
+    const fleet = new harness.TestFleet({ vmCount: 5, vmLimit: 5, workspaces: [workspace] });
+    await clock.advance(READY_MILLISECONDS);
+    fleet.kill(fleet.getCoordinator(workspace.id));
+    fleet.publishMembers();
+    await clock.advance(5_000);
+    const before = fleet.admissions;
+    for (let step = 0; step < 100; step++) {
+      fleet.request(fleet.vms.find((vm) => vm.state === "alive")!, workspace.id);
+      await clock.advance(20, 5);
+    }
+    assert.equal(fleet.violations, 0);
+    assert.equal(fleet.admissions - before, 100);
+    fleet.stop();
+  });
 });
--- a/packages/limits/test/fleet_harness.ts
+++ b/packages/limits/test/fleet_harness.ts
@@ -11,6 +11,7 @@
 import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
 import * as limits from "../src/mod.ts";
+import * as shards from "../src/shards.ts";
 
 const TOLERANCE = 1e-6;
 
@@ -216,6 +217,20 @@
     }));
   }
 
+  /** The VM that should coordinate a workspace, where the given members are known. */
+  getCoordinator(
+    workspace: model.WorkspaceId,
+    members: readonly fleet.Member[] = this.listMembers(),
+  ): TestVm {
+    const self = kernel.getDefined(this.vms[0], "The fleet has a VM.").identity;
+    const owners = new shards.ShardOwners(new fleetTesting.FixedMembership(self, members));
+    const owner = owners.getOwner(shards.getShard(workspace));
+    return kernel.getDefined(
+      this.vms.find((vm) => vm.identity.vm === owner),
+      "The owner is a VM of the test.",
+    );
+  }
+
   /** Tells VMs the true list; the others keep the one they have. */
   publishMembers(isTold: (vm: TestVm) => boolean = () => true): void {
     const members = this.listMembers();
--- a/packages/limits/test/safety_margins_test.ts
+++ b/packages/limits/test/safety_margins_test.ts
@@ -6,12 +6,10 @@
 import assert from "node:assert/strict";
 import * as test from "node:test";
 import type * as fleet from "@hemlockwalk/fleet";
-import * as fleetTesting from "@hemlockwalk/fleet/testing";
 import * as kernel from "@hemlockwalk/kernel";
 import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import type * as model from "@hemlockwalk/model";
 import * as limits from "../src/mod.ts";
-import * as shards from "../src/shards.ts";
 import * as harness from "./fleet_harness.ts";
 
 const READY_MILLISECONDS = 4_500;
@@ -45,14 +43,7 @@
 
   /** The VM that coordinates the workspace where the given members are known. */
   getCoordinator(members: readonly fleet.Member[] = this.fleet.listMembers()): harness.TestVm {
-    const self = this.fleet.vms[0]!.identity;
-    const membership = new fleetTesting.FixedMembership(self, members);
-    const owners = new shards.ShardOwners(membership);
-    const owner = owners.getOwner(shards.getShard(this.workspace.id));
-    return kernel.getDefined(
-      this.fleet.vms.find((vm) => vm.identity.vm === owner),
-      "The owner is a VM of the test.",
-    );
+    return this.fleet.getCoordinator(this.workspace.id, members);
   }
 
   /** Sends requests to a VM at once. */
