--- a/packages/limits/test/fleet_harness.ts
+++ b/packages/limits/test/fleet_harness.ts
@@ -11,6 +11,7 @@
 import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
 import * as limits from "../src/mod.ts";
+import * as shards from "../src/shards.ts";
 
 const TOLERANCE = 1e-6;
 
@@ -51,12 +52,16 @@
 
 /** One token bucket for a workspace, fed with every admission. It may not run below zero. */
 export class Oracle {
-  readonly #bucket: limits.TokenBucket;
+  #bucket: limits.TokenBucket;
+  #rate: number;
+  #burst: number;
   admissions = 0;
   violations = 0;
 
   constructor(rate: number, burst: number, nowMilliseconds: number) {
     this.#bucket = new limits.TokenBucket(rate, burst, burst, nowMilliseconds);
+    this.#rate = rate;
+    this.#burst = burst;
   }
 
   record(nowMilliseconds: number): void {
@@ -66,8 +71,18 @@
     }
   }
 
+  /**
+   * Changes the bound. The promise is about intervals: one that contains the change has the higher
+   * burst, so a raise adds to the level at once, and a lower burst clamps it.
+   */
   configure(rate: number, burst: number, nowMilliseconds: number): void {
-    this.#bucket.configure(rate, burst, nowMilliseconds);
+    if (rate === this.#rate && burst === this.#burst) {
+      return;
+    }
+    const level = this.#bucket.getLevel(nowMilliseconds) + Math.max(0, burst - this.#burst);
+    this.#bucket = new limits.TokenBucket(rate, burst, level, nowMilliseconds);
+    this.#rate = rate;
+    this.#burst = burst;
   }
 }
 
@@ -108,13 +123,28 @@
   return { id: model.createWorkspaceId(id), rate, burst, weight: 1 };
 }
 
+/** A plain configuration that finds one workspace of many in constant time. */
+class WorkspaceSnapshot extends configurationTesting.PlainSnapshot {
+  readonly #workspaces: ReadonlyMap<model.WorkspaceId, model.Workspace>;
+
+  constructor(contents: configurationTesting.PlainContents) {
+    super(contents);
+    const workspaces = contents.workspaces ?? [];
+    this.#workspaces = new Map(workspaces.map((workspace) => [workspace.id, workspace]));
+  }
+
+  override findWorkspace(id: model.WorkspaceId): model.Workspace | undefined {
+    return this.#workspaces.get(id);
+  }
+}
+
 /** A configuration with nothing but workspaces. */
 export function createSnapshot(
   number: number,
   vmLimit: number,
   workspaces: readonly model.Workspace[],
 ): configuration.Snapshot {
-  return new configurationTesting.PlainSnapshot({ number, fleet: { vmLimit }, workspaces });
+  return new WorkspaceSnapshot({ number, fleet: { vmLimit }, workspaces });
 }
 
 /** One VM of the test. */
@@ -187,6 +217,20 @@
     }));
   }
 
+  /** The VM that should coordinate a workspace, where the given members are known. */
+  getCoordinator(
+    workspace: model.WorkspaceId,
+    members: readonly fleet.Member[] = this.listMembers(),
+  ): TestVm {
+    const self = kernel.getDefined(this.vms[0], "The fleet has a VM.").identity;
+    const owners = new shards.ShardOwners(new fleetTesting.FixedMembership(self, members));
+    const owner = owners.getOwner(shards.getShard(workspace));
+    return kernel.getDefined(
+      this.vms.find((vm) => vm.identity.vm === owner),
+      "The owner is a VM of the test.",
+    );
+  }
+
   /** Tells VMs the true list; the others keep the one they have. */
   publishMembers(isTold: (vm: TestVm) => boolean = () => true): void {
     const members = this.listMembers();
