--- a/packages/targets/test/fleet_test.ts
+++ b/packages/targets/test/fleet_test.ts
@@ -6,6 +6,7 @@
 import assert from "node:assert/strict";
 import * as test from "node:test";
 import * as fastCheck from "fast-check";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import type * as model from "@hemlockwalk/model";
 import * as targets from "../src/mod.ts";
 import * as fixtures from "./fixtures.ts";
@@ -276,7 +277,7 @@
         out += await runHistory(seed, steps, targets.ALL_GUARDS);
       },
     );
-    await fastCheck.assert(property, { seed: 6_004, numRuns: 25, endOnFailure: true });
+    await fastCheck.assert(property, kernelTesting.getRandomRuns(6_004, 25));
     assert.ok(out > 0, "The histories must hold ejections, or they show nothing.");
   });
 
--- a/scripts/fuzz.mjs
+++ b/scripts/fuzz.mjs
@@ -25,6 +25,11 @@
     test: "never grants a key twice and tells every repeat the truth",
     runs: 50,
   },
+  targets: {
+    file: "packages/targets/dist/test/fleet_test.js",
+    test: "keeps the floor, leaving targets and slots under random histories",
+    runs: 25,
+  },
 };
 
 const MILLISECONDS_IN_MINUTE = 60_000;
