Limits: a VM that cannot reach a coordinator asks through a third one

Ruled out: votes (the coordinators keep their majority) and the membership (both sides are vouched for by others). The VMs of the two data centres could not ask the other's coordinators.

A question whose direct way failed goes through a live VM outside both data centres; the direct way is tried again after 2 s. The grant is dated from the sending of the question by the VM that asks, so nothing else changes for safety.

--- a/packages/limits/src/escrow_limiter.ts
+++ b/packages/limits/src/escrow_limiter.ts
@@ -11,6 +11,7 @@
 import * as neverthrow from "neverthrow";
 import * as coordinators from "./coordinator.ts";
 import * as clients from "./grant_client.ts";
+import * as paths from "./grant_paths.ts";
 import * as holders from "./grant_holder.ts";
 import * as exchanges from "./lease_exchange.ts";
 import * as messages from "./messages.ts";
@@ -53,6 +54,7 @@
   readonly #coordinator: coordinators.Coordinator;
   readonly #holder: holders.GrantHolder;
   readonly #client: clients.GrantClient;
+  readonly #paths: paths.GrantPaths;
   readonly #reserved: reserved.ReservedShares;
   readonly #recent: policies.RecentConfigurations;
   readonly #stopping = new AbortController();
@@ -77,8 +79,15 @@
       (tokens) => this.#metrics.expiredTokens.inc(tokens),
       (coordinator, end) => this.#client.addReturn(coordinator, end),
     );
+    this.#paths = new paths.GrantPaths(
+      parts.network,
+      parts.membership,
+      this.#metrics,
+      this.#now,
+    );
     this.#client = new clients.GrantClient(
       parts.network,
+      this.#paths,
       this.#holder,
       this.#margins,
       this.#metrics,
@@ -100,6 +109,7 @@
   }
 
   start(): void {
+    this.#paths.listen();
     this.#network.handle(messages.GRANT_CHANNEL, (message) => this.#answerGrant(message));
     this.#network.handle(messages.RETURN_CHANNEL, (message) => this.#takeReturns(message));
     this.#exchange.start();
@@ -161,7 +171,7 @@
     const coordinator = this.#exchange.findCoordinator(workspace.id);
     const silence = this.#client.getSilenceMilliseconds(coordinator);
     const self = this.#network.self.vm;
-    const isTooLate = deadlineMilliseconds - now < clients.GRANT_TIMEOUT_MILLISECONDS;
+    const isTooLate = deadlineMilliseconds - now < paths.LONGEST_QUESTION_MILLISECONDS;
     if (coordinator === self || silence > 0 || isTooLate) {
       const wait = silence > 0 ? silence : NO_COORDINATOR_MILLISECONDS;
       return this.#count("no_share", clients.refuse("no_share", wait));
--- a/packages/limits/src/grant_client.ts
+++ b/packages/limits/src/grant_client.ts
@@ -11,14 +11,12 @@
 import * as neverthrow from "neverthrow";
 import type * as errors from "./errors.ts";
 import * as holders from "./grant_holder.ts";
+import * as paths from "./grant_paths.ts";
 import * as messages from "./messages.ts";
 import type * as limiterMetrics from "./metrics.ts";
 import * as safety from "./safety_margins.ts";
 import type * as types from "./types.ts";
 
-/** How long a question may take. */
-export const GRANT_TIMEOUT_MILLISECONDS = 150;
-
 /** For how long a coordinator that did not answer is not asked again. */
 const SILENCE_MILLISECONDS = 300;
 
@@ -51,6 +49,7 @@
 /** The requests of this VM that wait for tokens, and the questions about them. */
 export class GrantClient {
   readonly #network: fleet.PeerNetwork;
+  readonly #paths: paths.GrantPaths;
   readonly #holder: holders.GrantHolder;
   readonly #margins: safety.SafetyMargins;
   readonly #metrics: limiterMetrics.LimiterMetrics;
@@ -63,6 +62,7 @@
 
   constructor(
     network: fleet.PeerNetwork,
+    grantPaths: paths.GrantPaths,
     holder: holders.GrantHolder,
     margins: safety.SafetyMargins,
     metrics: limiterMetrics.LimiterMetrics,
@@ -70,6 +70,7 @@
     findCoordinator: (workspace: model.WorkspaceId) => model.VmId,
   ) {
     this.#network = network;
+    this.#paths = grantPaths;
     this.#holder = holder;
     this.#margins = margins;
     this.#metrics = metrics;
@@ -90,7 +91,7 @@
   ): Promise<types.RateDecision> | types.RateDecision {
     const waiters = this.#waiters.get(workspace) ?? [];
     if (waiters.length >= MAXIMUM_WAITING_PER_WORKSPACE) {
-      return refuse("no_share", GRANT_TIMEOUT_MILLISECONDS);
+      return refuse("no_share", paths.GRANT_TIMEOUT_MILLISECONDS);
     }
     this.#waiters.set(workspace, waiters);
     return new Promise((resolve) => {
@@ -124,6 +125,7 @@
 
   /** Forgets coordinators that were silent long ago. */
   sweep(): void {
+    this.#paths.sweep();
     const now = this.#now();
     for (const [coordinator, until] of this.#silentUntil) {
       if (until <= now) {
@@ -177,14 +179,8 @@
     const asks = questions.map((question) => question.ask);
     const returns = this.#takeReturns(coordinator);
     const request: messages.GrantRequest = returns === undefined ? { asks } : { asks, returns };
-    const result = await this.#network.call(
-      coordinator,
-      messages.GRANT_CHANNEL,
-      request,
-      GRANT_TIMEOUT_MILLISECONDS,
-    );
-    const answer = result.map((payload) => messages.grantAnswer.safeParse(payload));
-    const grants = answer.isOk() && answer.value.success ? answer.value.data.grants : undefined;
+    const answer = await this.#paths.ask(coordinator, request);
+    const grants = answer?.grants;
     if (grants === undefined) {
       this.#silentUntil.set(coordinator, this.#now() + SILENCE_MILLISECONDS);
       this.#metrics.decisions.inc({ decision: "coordinator_silent" });
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -10,6 +10,8 @@
 export const LEASE_CHANNEL = fleet.createChannelName("limits.lease");
 /** A VM asks a coordinator for tokens; answered by `grantAnswer`. */
 export const GRANT_CHANNEL = fleet.createChannelName("limits.grant");
+/** A VM asks another to ask a coordinator for it; answered by `grantAnswer` or not at all. */
+export const DETOUR_CHANNEL = fleet.createChannelName("limits.detour");
 /** A VM gives tokens back. */
 export const RETURN_CHANNEL = fleet.createChannelName("limits.return");
 
@@ -101,4 +103,13 @@
 });
 export type GrantRequest = zod.infer<typeof grantRequest>;
 
+export const detourRequest = zod.object({
+  coordinator: zod.string().min(1).max(63),
+  request: grantRequest,
+});
+export interface DetourRequest {
+  readonly coordinator: string;
+  readonly request: GrantRequest;
+}
+
 export const returnMessage = zod.object({ returns: zod.array(returned).max(MAXIMUM_ASKS) });
--- a/packages/limits/src/metrics.ts
+++ b/packages/limits/src/metrics.ts
@@ -15,6 +15,7 @@
   readonly votes;
   readonly leases;
   readonly handovers;
+  readonly detours;
   readonly malformed;
   readonly waits;
 
@@ -62,6 +63,11 @@
       "Shards whose levels were handed over, by result.",
       ["result"],
     );
+    this.detours = metrics.createCounter(
+      "hemlockwalk_limits_detours_total",
+      "Questions to coordinators that went through a third VM, by result.",
+      ["result"],
+    );
     this.malformed = metrics.createCounter(
       "hemlockwalk_limits_malformed_messages_total",
       "Messages that were dropped because of their shape, by channel.",
--- a/packages/limits/test/escrow_limiter_test.ts
+++ b/packages/limits/test/escrow_limiter_test.ts
@@ -13,6 +13,12 @@
 /** Several leases: time for votes of the past to be given up. */
 const SETTLE_MILLISECONDS = 15_000;
 
+/** Whether messages from one VM's data centre to the other's go from the first to the second. */
+function isNextDataCentre(vm: harness.TestVm, other: harness.TestVm): boolean {
+  const [first, second] = ["dc-0", "dc-1"];
+  return vm.identity.dataCentre === first && other.identity.dataCentre === second;
+}
+
 test.describe("escrow limiter", () => {
   let clock: kernelTesting.TestClock;
 
@@ -38,6 +44,36 @@
     fleet.stop();
   });
 
+  test.it("asks through a third VM while the way to a coordinator is cut", async () => {
+    // Enough workspaces that some have their coordinator in each data centre.
+    const workspaces = Array.from(
+      { length: 12 },
+      (_, index) => harness.createWorkspace(`workspace-${index}`, 50, 20),
+    );
+    const fleet = new harness.TestFleet({ vmCount: 8, vmLimit: 9, workspaces });
+    await clock.advance(READY_MILLISECONDS);
+    let admitted = 0;
+    for (const vm of fleet.vms) {
+      for (const other of fleet.vms.filter((candidate) => isNextDataCentre(vm, candidate))) {
+        fleet.setCut(vm, other, true);
+      }
+    }
+    // The first second is for each VM to find out which ways are cut.
+    await clock.advance(1_000);
+    for (let step = 0; step < 400; step++) {
+      const vm = fleet.vms[step % fleet.vms.length]!;
+      for (const workspace of workspaces) {
+        fleet.request(vm, workspace.id, (isAdmitted) => admitted += isAdmitted ? 1 : 0);
+      }
+      await clock.advance(25, 5);
+    }
+    await clock.advance(1_000);
+    assert.equal(fleet.violations, 0);
+    const sent = 400 * workspaces.length;
+    assert.ok(admitted >= 0.98 * sent, `${admitted} of ${sent} were admitted`);
+    fleet.stop();
+  });
+
   test.it("settles on one coordinator for each shard after views have differed", async () => {
     const workspace = harness.createWorkspace("antwerp", 50, 20);
     const fleet = new harness.TestFleet({ vmCount: 12, vmLimit: 13, workspaces: [workspace] });
