--- a/packages/limits/src/grant_paths.ts
+++ b/packages/limits/src/grant_paths.ts
@@ -20,17 +20,20 @@
 export const LONGEST_QUESTION_MILLISECONDS = GRANT_TIMEOUT_MILLISECONDS +
   DETOUR_TIMEOUT_MILLISECONDS;
 
-/** For how long a direct way that failed is not tried again. */
+/** How often a direct way that failed is tried again, with a question that nobody waits for. */
 const DIRECT_RETRY_MILLISECONDS = 2_000;
 
+/** A way that failed is forgotten when nobody has asked for so long. */
+const FORGET_MILLISECONDS = 60_000;
+
 /** Asks coordinators, and carries the questions of VMs that cannot reach theirs. */
 export class GrantPaths {
   readonly #network: fleet.PeerNetwork;
   readonly #membership: fleet.Membership;
   readonly #metrics: limiterMetrics.LimiterMetrics;
   readonly #now: () => number;
-  /** Until when the direct way to a coordinator is left alone. */
-  readonly #brokenUntil = new Map<model.VmId, number>();
+  /** Coordinators whose direct way failed, with the time of its next trial. */
+  readonly #nextTrials = new Map<model.VmId, number>();
   #detours = 0;
 
   constructor(
@@ -55,12 +58,16 @@
     coordinator: model.VmId,
     request: messages.GrantRequest,
   ): Promise<messages.GrantAnswer | undefined> {
-    if (!this.#isBroken(coordinator)) {
+    const nextTrial = this.#nextTrials.get(coordinator);
+    if (nextTrial === undefined) {
       const answer = await this.#askDirectly(coordinator, request);
       if (answer !== undefined) {
         return answer;
       }
-      this.#brokenUntil.set(coordinator, this.#now() + DIRECT_RETRY_MILLISECONDS);
+      this.#nextTrials.set(coordinator, this.#now() + DIRECT_RETRY_MILLISECONDS);
+    } else if (nextTrial <= this.#now()) {
+      this.#nextTrials.set(coordinator, this.#now() + DIRECT_RETRY_MILLISECONDS);
+      void this.#tryDirectWay(coordinator);
     }
     return this.#askByDetour(coordinator, request);
   }
@@ -68,15 +75,19 @@
   /** Forgets ways that failed long ago. */
   sweep(): void {
     const now = this.#now();
-    for (const [coordinator, until] of this.#brokenUntil) {
-      if (until <= now) {
-        this.#brokenUntil.delete(coordinator);
+    for (const [coordinator, nextTrial] of this.#nextTrials) {
+      if (nextTrial + FORGET_MILLISECONDS <= now) {
+        this.#nextTrials.delete(coordinator);
       }
     }
   }
 
-  #isBroken(coordinator: model.VmId): boolean {
-    return (this.#brokenUntil.get(coordinator) ?? Number.NEGATIVE_INFINITY) > this.#now();
+  /** Sends an empty question, so that no request waits for a way that may still be cut. */
+  async #tryDirectWay(coordinator: model.VmId): Promise<void> {
+    const answer = await this.#askDirectly(coordinator, { asks: [] });
+    if (answer !== undefined) {
+      this.#nextTrials.delete(coordinator);
+    }
   }
 
   async #askDirectly(
