Measurement waits by the kernel's sleep and publishes in one place

Cause: a read of the whole change found four copies of a waiting function beside kernel.sleep, and the publication of a note and its head written twice.

--- a/packages/measure/src/demo/demo_fleet.ts
+++ b/packages/measure/src/demo/demo_fleet.ts
@@ -7,6 +7,7 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import * as url from "node:url";
+import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
 import * as standins from "@hemlockwalk/standins";
 import * as processes from "../child_process_handle.ts";
@@ -74,7 +75,7 @@
         if (performance.now() > deadline) {
           throw new Error(`${vm.id} does not have note ${number} in force.`);
         }
-        await new Promise((resolve) => setTimeout(resolve, READY_POLL_MILLISECONDS));
+        await kernel.sleep(READY_POLL_MILLISECONDS);
       }
     }
   }
--- a/packages/measure/src/demo/demo_main.ts
+++ b/packages/measure/src/demo/demo_main.ts
@@ -4,6 +4,7 @@
  */
 
 import process from "node:process";
+import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
 import * as demoFleet from "./demo_fleet.ts";
 
@@ -98,7 +99,7 @@
       while (quiet < REQUESTS_PER_VM && performance.now() < deadline) {
         const answer = await send(vm, INSPECTOR_KEY, "GET");
         quiet = answer.status === 200 ? quiet + 1 : 0;
-        await wait(20);
+        await kernel.sleep(20);
       }
     }
   }
@@ -132,7 +133,7 @@
       while (
         answer.status !== 401 && performance.now() - published < WITHDRAWAL_BOUND_MILLISECONDS
       ) {
-        await wait(10);
+        await kernel.sleep(10);
         answer = await send(vm, DESK_KEY, "GET");
       }
       stopped += answer.status === 401 ? 1 : 0;
@@ -154,7 +155,7 @@
         const answer = await send(vm, INSPECTOR_KEY, "GET");
         served += answer.status === 200 ? 1 : 0;
         refusedWithoutRun += answer.status !== 200 && answer.run === "no" ? 1 : 0;
-        await wait(5);
+        await kernel.sleep(5);
       }
     }
     const total = this.fleet.vms.length * REQUESTS_PER_VM;
@@ -199,10 +200,6 @@
   return `status ${answer.status}, reason ${answer.reason ?? "none"}, run ${answer.run ?? "?"}`;
 }
 
-function wait(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 function print(line: string): void {
   process.stdout.write(`${line}\n`);
 }
--- a/packages/measure/src/experiment/experiment.ts
+++ b/packages/measure/src/experiment/experiment.ts
@@ -5,6 +5,7 @@
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
+import * as kernel from "@hemlockwalk/kernel";
 import type * as commands from "../emulator/commands.ts";
 import * as workerHandle from "../emulator/worker_handle.ts";
 import * as deployments from "../deployments.ts";
@@ -92,14 +93,14 @@
     const warmUp = this.#scenario.warmUpSeconds * 1_000;
     await this.#targetHost.call("startClock", undefined);
     await this.#startLoad();
-    await wait(warmUp);
+    await kernel.sleep(warmUp);
     const cpuBefore = await this.#fleet.getCpuMilliseconds();
     const start = performance.now();
     await this.#playEvents(start);
     await waitUntil(start + this.#scenario.durationSeconds * 1_000);
     const vmCpuMilliseconds = await this.#fleet.getCpuMilliseconds() - cpuBefore;
     const records = await this.#stopLoad();
-    await wait(COOL_DOWN_MILLISECONDS);
+    await kernel.sleep(COOL_DOWN_MILLISECONDS);
     const seen = await this.#targetHost.call("takeRecords", undefined);
     return {
       deployment: this.#deployment,
@@ -210,9 +211,7 @@
   }
 
   #publish(note: releaseNotes.NoteText): void {
-    const { number, digest } = note;
-    this.#fleet.platform.publish(`notes/${number}`, note.text);
-    this.#fleet.platform.publish("head", JSON.stringify({ number, digest }));
+    this.#fleet.publish(note);
     this.#lastNote = note;
   }
 
@@ -241,9 +240,5 @@
 }
 
 async function waitUntil(time: number): Promise<void> {
-  await wait(time - performance.now());
-}
-
-function wait(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+  await kernel.sleep(time - performance.now());
 }
--- a/packages/measure/src/experiment/vm_fleet.ts
+++ b/packages/measure/src/experiment/vm_fleet.ts
@@ -2,6 +2,7 @@
  * The VMs of an experiment, spread over worker processes, and the platform's view of them.
  */
 
+import * as kernel from "@hemlockwalk/kernel";
 import * as standins from "@hemlockwalk/standins";
 import * as deployments from "../deployments.ts";
 import type * as commands from "../emulator/commands.ts";
@@ -9,6 +10,7 @@
 import * as workerHandle from "../emulator/worker_handle.ts";
 import * as ports from "../free_port.ts";
 import type * as types from "../types.ts";
+import type * as releaseNotes from "./release_note.ts";
 
 /** VMs in a worker whose process a scenario pauses or kills. */
 const SMALL_HOST_VMS = 2;
@@ -78,6 +80,12 @@
     await Promise.all(this.#listHosts().map((host) => this.#startVms(host.worker, host.vms)));
   }
 
+  /** Publishes a release note as the newest of the chain. */
+  publish({ number, text, digest }: releaseNotes.NoteText): void {
+    this.platform.publish(`notes/${number}`, text);
+    this.platform.publish("head", JSON.stringify({ number, digest }));
+  }
+
   /** Waits until every VM is ready and has the given note in force. */
   async waitForNote(number: number): Promise<void> {
     const deadline = performance.now() + READY_TIMEOUT_MILLISECONDS;
@@ -89,7 +97,7 @@
       if (performance.now() > deadline) {
         throw new Error(`Not every VM has note ${number} in force.`);
       }
-      await wait(READY_POLL_MILLISECONDS);
+      await kernel.sleep(READY_POLL_MILLISECONDS);
     }
   }
 
@@ -242,7 +250,3 @@
 function createVmHost(): workerHandle.WorkerHandle {
   return new workerHandle.WorkerHandle("vm_host_main.js");
 }
-
-function wait(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
--- a/packages/measure/src/slopes_main.ts
+++ b/packages/measure/src/slopes_main.ts
@@ -9,6 +9,7 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import process from "node:process";
+import * as kernel from "@hemlockwalk/kernel";
 import * as citty from "citty";
 import * as deployments from "./deployments.ts";
 import type * as commands from "./emulator/commands.ts";
@@ -47,11 +48,11 @@
     await fleet.start();
     publishNote(fleet, deployment);
     await fleet.waitForNote(1);
-    await wait(WARM_UP_MILLISECONDS);
+    await kernel.sleep(WARM_UP_MILLISECONDS);
     const cpuBefore = await fleet.getCpuMilliseconds();
     const before = await fleet.report();
     const callsBefore = fleet.platform.calls;
-    await wait(MEASURE_MILLISECONDS);
+    await kernel.sleep(MEASURE_MILLISECONDS);
     const after = await fleet.report();
     const cpuMilliseconds = await fleet.getCpuMilliseconds() - cpuBefore;
     const perVmSecond = (value: number) => value / deployment.vms / (MEASURE_MILLISECONDS / 1_000);
@@ -81,9 +82,7 @@
       addresses[deployments.getTargetId(service, number)] = UNUSED_ADDRESS;
     }
   }
-  const { number, text, digest } = releaseNotes.createFirstNote(deployment, addresses);
-  fleet.platform.publish(`notes/${number}`, text);
-  fleet.platform.publish("head", JSON.stringify({ number, digest }));
+  fleet.publish(releaseNotes.createFirstNote(deployment, addresses));
 }
 
 function sumMetric(
@@ -109,10 +108,6 @@
   return `| ${cells.join(" | ")} |`;
 }
 
-function wait(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 const slopesCommand = citty.defineCommand({
   meta: { name: "slopes", description: "Measures what control costs a VM, by the fleet's size." },
   args: {
