--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,9 +1,9 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["**/dist/**", "**/node_modules/**", "scripts/**", "eslint.config.mjs"] },
+  { ignores: ["**/dist/**", "**/node_modules/**", "scripts/**", "target/**", "eslint.config.mjs"] },
   {
-    files: ["packages/**/*.ts"],
+    files: ["packages/**/*.ts", "platform/**/*.ts"],
     extends: [...tseslint.configs.recommendedTypeChecked],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
--- /dev/null
+++ b/packages/declarations/src/declaration_store.ts
@@ -0,0 +1,75 @@
+/**
+ * The declarations in force on one VM, indexed for requests.
+ *
+ * A VM moves only forward: an older version loses, wherever it comes from.
+ */
+
+import type * as model from "@hemlockwalk/model";
+import * as routes from "./route_table.ts";
+import type * as types from "./types.ts";
+
+/** One version, indexed by host and by key. */
+export class DeclarationView {
+  readonly declarations: types.Declarations;
+  readonly #routes: routes.RouteTable;
+  readonly #workspaceByKey = new Map<string, types.DeclaredWorkspace>();
+
+  constructor(declarations: types.Declarations) {
+    this.declarations = declarations;
+    this.#routes = new routes.RouteTable(declarations.routes);
+    for (const workspace of declarations.workspaces) {
+      for (const key of workspace.keys) {
+        this.#workspaceByKey.set(key, workspace);
+      }
+    }
+  }
+
+  /** Whether requests must carry a key unless their route is public. */
+  get hasKeys(): boolean {
+    return this.declarations.workspaces.length > 0;
+  }
+
+  findRoute(host: string, path: string): types.DeclaredRoute | undefined {
+    return this.#routes.find(host, path);
+  }
+
+  findWorkspace(key: string): types.DeclaredWorkspace | undefined {
+    return this.#workspaceByKey.get(key);
+  }
+
+  getWorkspaceById(id: model.WorkspaceId): types.DeclaredWorkspace | undefined {
+    return this.declarations.workspaces.find((workspace) => workspace.id === id);
+  }
+}
+
+/** Called with each version that comes into force. */
+export type VersionListener = (view: DeclarationView) => void;
+
+/** Holds the latest version. */
+export class DeclarationStore {
+  #current: DeclarationView | undefined;
+  readonly #listeners: VersionListener[] = [];
+
+  /** The version in force; undefined before the first one arrived. */
+  get current(): DeclarationView | undefined {
+    return this.#current;
+  }
+
+  onVersion(listener: VersionListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Puts declarations in force unless the same or a later version already is. */
+  apply(declarations: types.Declarations): boolean {
+    const isNewer = this.#current === undefined ||
+      declarations.version > this.#current.declarations.version;
+    if (!isNewer) {
+      return false;
+    }
+    this.#current = new DeclarationView(declarations);
+    for (const listener of this.#listeners) {
+      listener(this.#current);
+    }
+    return true;
+  }
+}
--- a/packages/kernel/src/logging.ts
+++ b/packages/kernel/src/logging.ts
@@ -15,6 +15,15 @@
   return bunyan.createLogger({ name: "hemlockwalk", vm, level });
 }
 
+/** Creates the root logger of one VM, which writes one JSON object a line to the given output. */
+export function createOutputLogger(
+  vm: string,
+  level: LogLevel,
+  output: NodeJS.WritableStream,
+): bunyan {
+  return bunyan.createLogger({ name: "hemlockwalk", vm, streams: [{ level, stream: output }] });
+}
+
 /** Creates a root logger that writes nothing, for tests and tools. */
 export function createSilentLogger(): bunyan {
   return bunyan.createLogger({ name: "hemlockwalk", level: bunyan.FATAL + 1 });
--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -3,6 +3,7 @@
  */
 
 export * from "./assert.ts";
+export * from "./bounded_output.ts";
 export * from "./clock.ts";
 export * from "./kernel.ts";
 export * from "./logging.ts";
--- /dev/null
+++ b/packages/placement/src/shared_bucket.ts
@@ -0,0 +1,140 @@
+/**
+ * A token bucket that all VMs draw on, without anybody who holds it.
+ *
+ * Load that this answers: a workspace far beyond its rate, spread unevenly over all VMs, and retries
+ * of all VMs against one budget. Each VM tells the others how many tokens it has taken and how many
+ * were asked of it, as counters that only rise. While the level is ample, tokens are taken at once;
+ * once it is low, each VM keeps to its share of the refill, by demand, so that what the others take
+ * unseen cannot add up. VMs that have lately been known but are not heard keep their share.
+ */
+
+import * as kernel from "@hemlockwalk/kernel";
+
+/** What other VMs may take before this one hears of it, as time. Three ticks of the mesh. */
+const UNSEEN_MILLISECONDS = 300;
+
+/** Time over which demand is averaged. */
+const DEMAND_WINDOW_MILLISECONDS = 2_000;
+
+/** Tokens that a VM may save up from its share. */
+const SHARE_BURST = 1.5;
+
+/** The level may fall so many bursts below zero; older debts are forgotten. */
+const MAX_DEBT_IN_BURSTS = 2;
+
+/** What one VM has taken and was asked for since it started. */
+export interface BucketCounters {
+  readonly taken: number;
+  readonly asked: number;
+}
+
+/** Presence of the fleet as one VM sees it. */
+export interface FleetPresence {
+  /** VMs heard at present, this one included. */
+  readonly present: number;
+  /** The most VMs known lately; at least `present`. */
+  readonly expected: number;
+}
+
+interface OtherVm {
+  incarnation: string;
+  taken: number;
+  asked: number;
+}
+
+/** One VM's view of a bucket. */
+export class SharedBucket {
+  #burst: number;
+  #level: number;
+  #taken = 0;
+  #asked = 0;
+  #reported = 0;
+  readonly #others = new Map<string, OtherVm>();
+  #shareLevel = 0;
+  #ownDemand = 0;
+  #fleetDemand = 0;
+  #decayedAt = kernel.getMonotonicMilliseconds();
+
+  /** @param level Tokens at the start. A VM that replaces another starts without any. */
+  constructor(burst: number, level: number) {
+    this.#burst = burst;
+    this.#level = Math.min(level, burst);
+  }
+
+  /** Tokens left, as far as known here. Negative after more was taken than there was. */
+  get level(): number {
+    return this.#level;
+  }
+
+  setBurst(burst: number): void {
+    this.#burst = burst;
+    this.#level = Math.min(this.#level, burst);
+  }
+
+  /** Adds what has accrued for the whole fleet since the last call. */
+  refill(tokens: number, presence: FleetPresence): void {
+    const heard = tokens * presence.present / Math.max(presence.expected, 1);
+    this.#level = Math.min(this.#burst, this.#level + heard);
+    const share = this.#fleetDemand > 0
+      ? Math.min(1, this.#ownDemand / this.#fleetDemand)
+      : 1 / Math.max(presence.expected, 1);
+    this.#shareLevel = Math.min(SHARE_BURST, this.#shareLevel + heard * share);
+  }
+
+  /** Takes a token if there is one for this VM. */
+  take(): boolean {
+    this.#asked++;
+    this.#addDemand(1, 1);
+    const othersDemand = Math.max(0, this.#fleetDemand - this.#ownDemand);
+    const unseen = othersDemand * UNSEEN_MILLISECONDS / DEMAND_WINDOW_MILLISECONDS;
+    if (this.#level >= 1 + Math.min(unseen, this.#burst / 2)) {
+      this.#spend();
+      return true;
+    }
+    if (this.#shareLevel < 1) {
+      return false;
+    }
+    this.#shareLevel -= 1;
+    this.#spend();
+    return true;
+  }
+
+  /** Gives back a token that was taken for nothing. */
+  giveBack(): void {
+    this.#level = Math.min(this.#burst, this.#level + 1);
+    this.#taken--;
+  }
+
+  /** This VM's counters if they have changed since the last collection. */
+  collect(): BucketCounters | undefined {
+    if (this.#asked === this.#reported) {
+      return undefined;
+    }
+    this.#reported = this.#asked;
+    return { taken: this.#taken, asked: this.#asked };
+  }
+
+  /** Takes the counters of another VM. */
+  receive(vm: string, incarnation: string, counters: BucketCounters): void {
+    const known = this.#others.get(vm);
+    const isSameLife = known?.incarnation === incarnation;
+    const taken = counters.taken - (isSameLife ? known.taken : 0);
+    const asked = counters.asked - (isSameLife ? known.asked : 0);
+    this.#others.set(vm, { incarnation, ...counters });
+    this.#level = Math.max(this.#level - taken, -MAX_DEBT_IN_BURSTS * this.#burst);
+    this.#addDemand(0, Math.max(asked, 0));
+  }
+
+  #spend(): void {
+    this.#level -= 1;
+    this.#taken++;
+  }
+
+  #addDemand(own: number, fleet: number): void {
+    const now = kernel.getMonotonicMilliseconds();
+    const decay = Math.exp((this.#decayedAt - now) / DEMAND_WINDOW_MILLISECONDS);
+    this.#decayedAt = now;
+    this.#ownDemand = this.#ownDemand * decay + own;
+    this.#fleetDemand = this.#fleetDemand * decay + fleet;
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/body.ts
@@ -0,0 +1,109 @@
+/**
+ * The body of a request: short ones are held, so that a request can be sent again; the rest of a
+ * long one is streamed to the first target.
+ */
+
+import type * as http from "node:http";
+
+/** Bodies up to this size are held. */
+const HELD_BODY_BYTES = 262_144;
+
+/** A body that is held, or whose beginning is. */
+export class RequestBody {
+  readonly #chunks: readonly Buffer[];
+  readonly #rest: http.IncomingMessage | undefined;
+  readonly #statedLength: number | undefined;
+  #isSent = false;
+
+  constructor(
+    chunks: readonly Buffer[],
+    rest: http.IncomingMessage | undefined,
+    statedLength: number | undefined,
+  ) {
+    this.#chunks = chunks;
+    this.#rest = rest;
+    this.#statedLength = statedLength;
+  }
+
+  /** Whether it can be sent more than once. */
+  get isHeld(): boolean {
+    return this.#rest === undefined;
+  }
+
+  /** Whether all of it was handed to the connection of the latest attempt. */
+  get isSent(): boolean {
+    return this.#isSent;
+  }
+
+  /** Length in bytes; undefined for none, or for a long one of unknown length. */
+  get length(): number | undefined {
+    if (this.#rest !== undefined) {
+      return this.#statedLength;
+    }
+    const bytes = this.#chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+    return bytes > 0 || this.#statedLength !== undefined ? bytes : undefined;
+  }
+
+  sendTo(outgoing: http.ClientRequest): void {
+    this.#isSent = false;
+    for (const chunk of this.#chunks) {
+      outgoing.write(chunk);
+    }
+    if (this.#rest === undefined) {
+      outgoing.end();
+      this.#isSent = true;
+      return;
+    }
+    this.#rest.once("end", () => {
+      this.#isSent = true;
+    });
+    this.#rest.pipe(outgoing);
+  }
+}
+
+/** What came of reading a body. */
+export type BodyResult =
+  | { readonly kind: "read"; readonly body: RequestBody }
+  | { readonly kind: "too_large" }
+  | { readonly kind: "broken_off" };
+
+/** Reads a body until its end or until it is too long to be held. */
+export function readBody(request: http.IncomingMessage, limitBytes: number): Promise<BodyResult> {
+  const statedLength = request.headers["content-length"] === undefined
+    ? undefined
+    : Number(request.headers["content-length"]);
+  if (statedLength !== undefined && statedLength > limitBytes) {
+    return Promise.resolve({ kind: "too_large" });
+  }
+  const hasBody = statedLength !== undefined || request.headers["transfer-encoding"] !== undefined;
+  if (!hasBody) {
+    request.resume();
+    return Promise.resolve({ kind: "read", body: new RequestBody([], undefined, undefined) });
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    const settle = (result: BodyResult) => {
+      request.off("data", onData);
+      request.off("end", onEnd);
+      request.off("close", onClose);
+      resolve(result);
+    };
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      bytes += chunk.length;
+      if (bytes > limitBytes) {
+        settle({ kind: "too_large" });
+      } else if (bytes > HELD_BODY_BYTES) {
+        request.pause();
+        settle({ kind: "read", body: new RequestBody(chunks, request, statedLength) });
+      }
+    };
+    const onEnd = () =>
+      settle({ kind: "read", body: new RequestBody(chunks, undefined, statedLength) });
+    const onClose = () => settle({ kind: "broken_off" });
+    request.on("data", onData);
+    request.once("end", onEnd);
+    request.once("close", onClose);
+  });
+}
--- /dev/null
+++ b/packages/proxy/src/budgets.ts
@@ -0,0 +1,227 @@
+/**
+ * Budgets that all VMs share: the rate of each workspace and the retries of each service.
+ */
+
+import type * as declarations from "@hemlockwalk/declarations";
+import * as kernel from "@hemlockwalk/kernel";
+import type * as mesh from "@hemlockwalk/mesh";
+import type * as model from "@hemlockwalk/model";
+import * as placement from "@hemlockwalk/placement";
+import type * as types from "./types.ts";
+
+const REFILL_INTERVAL_MILLISECONDS = 50;
+
+/** Share of the slack for retries that may be spent at once; the rest covers what VMs do unseen. */
+const SHARE_OF_RETRY_SLACK = 0.6;
+
+/** VMs that were known within this time still count as holders of their share. */
+const EXPECTED_FOR_MILLISECONDS = 20_000;
+
+/** A VM that has just started takes the fleet to be this large until it is linked. */
+const ASSUMED_FLEET_SIZE = 50;
+
+/** After so long without a link a VM takes itself to be alone. */
+const ALONE_AFTER_MILLISECONDS = 2_000;
+
+type CounterTable = Record<string, readonly [taken: number, asked: number]>;
+
+/** The fleet's budgets as seen by one VM. */
+export class Budgets implements kernel.Service {
+  readonly #mesh: mesh.Mesh;
+  readonly #store: declarations.DeclarationStore;
+  readonly #bounds: types.ProxyBounds;
+  readonly #isFirstStart: boolean;
+  readonly #rates = new Map<string, placement.SharedBucket>();
+  readonly #retries = new Map<string, placement.SharedBucket>();
+  readonly #requests = new Map<string, number>();
+  readonly #requestsReported = new Map<string, number>();
+  readonly #requestsOfOthers = new Map<
+    string,
+    { incarnation: string; counts: Map<string, number> }
+  >();
+  readonly #startedAt = kernel.getMonotonicMilliseconds();
+  #sizes: { at: number; size: number }[] = [];
+  #refilledAt = kernel.getMonotonicMilliseconds();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    vmMesh: mesh.Mesh,
+    store: declarations.DeclarationStore,
+    bounds: types.ProxyBounds,
+    isFirstStart: boolean,
+  ) {
+    this.#mesh = vmMesh;
+    this.#store = store;
+    this.#bounds = bounds;
+    this.#isFirstStart = isFirstStart;
+    vmMesh.addSection("rates", {
+      collect: () => collectBuckets(this.#rates),
+      receive: (from, payload) =>
+        this.#receiveBuckets(from, payload, (workspace) => this.#getRate(workspace)),
+    });
+    vmMesh.addSection("retries", {
+      collect: () => collectBuckets(this.#retries),
+      receive: (from, payload) =>
+        this.#receiveBuckets(from, payload, (service) => this.#getRetries(service)),
+    });
+    vmMesh.addSection("requests", {
+      collect: () => this.#collectRequests(),
+      receive: (from, payload) => this.#receiveRequests(from, payload),
+    });
+    store.onVersion((view) => this.#adoptRates(view));
+  }
+
+  start(): void {
+    this.#timer = setInterval(() => this.#refill(), REFILL_INTERVAL_MILLISECONDS);
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Takes a token of a workspace's rate; always possible for one without a limit. */
+  takeRate(workspace: declarations.DeclaredWorkspace): boolean {
+    if (workspace.ratePerSecond === undefined) {
+      return true;
+    }
+    return this.#getRate(workspace.id)?.take() ?? true;
+  }
+
+  /** Gives back the token of a request that was refused for another reason. */
+  returnRate(workspace: declarations.DeclaredWorkspace): void {
+    this.#rates.get(workspace.id)?.giveBack();
+  }
+
+  /** Counts a caller's request, from which the service's budget of retries grows. */
+  countRequest(service: model.ServiceId): void {
+    this.#requests.set(service, (this.#requests.get(service) ?? 0) + 1);
+    this.#growRetries(service, 1);
+  }
+
+  /** Takes a retry of a service. */
+  takeRetry(service: model.ServiceId): boolean {
+    return this.#getRetries(service).take();
+  }
+
+  returnRetry(service: model.ServiceId): void {
+    this.#getRetries(service).giveBack();
+  }
+
+  /** Share of the retries at hand that is left, from 0 to 1. */
+  getRetryLevel(service: model.ServiceId): number {
+    return Math.max(0, this.#getRetries(service).level / this.#getRetryBurst());
+  }
+
+  #getRate(workspace: string): placement.SharedBucket | undefined {
+    let bucket = this.#rates.get(workspace);
+    const declared = this.#store.current?.getWorkspaceById(workspace as model.WorkspaceId);
+    if (bucket === undefined && declared?.ratePerSecond !== undefined) {
+      // Of what ran before a restart nothing is known, so a replaced VM starts without tokens.
+      bucket = new placement.SharedBucket(declared.burst, this.#isFirstStart ? declared.burst : 0);
+      this.#rates.set(workspace, bucket);
+    }
+    return bucket;
+  }
+
+  #getRetryBurst(): number {
+    return Math.max(1, this.#bounds.retrySlack * SHARE_OF_RETRY_SLACK);
+  }
+
+  #getRetries(service: string): placement.SharedBucket {
+    let bucket = this.#retries.get(service);
+    if (bucket === undefined) {
+      const burst = this.#getRetryBurst();
+      bucket = new placement.SharedBucket(burst, this.#isFirstStart ? burst : 0);
+      this.#retries.set(service, bucket);
+    }
+    return bucket;
+  }
+
+  #growRetries(service: string, requests: number): void {
+    this.#getRetries(service).refill(requests * this.#bounds.retryRatio, this.#getPresence());
+  }
+
+  #adoptRates(view: declarations.DeclarationView): void {
+    for (const workspace of view.declarations.workspaces) {
+      if (workspace.ratePerSecond === undefined) {
+        this.#rates.delete(workspace.id);
+      } else {
+        this.#rates.get(workspace.id)?.setBurst(workspace.burst);
+      }
+    }
+  }
+
+  #refill(): void {
+    const now = kernel.getMonotonicMilliseconds();
+    const seconds = (now - this.#refilledAt) / 1_000;
+    this.#refilledAt = now;
+    this.#noteSize(now);
+    const presence = this.#getPresence();
+    for (const workspace of this.#store.current?.declarations.workspaces ?? []) {
+      const bucket = this.#rates.get(workspace.id);
+      if (bucket !== undefined && workspace.ratePerSecond !== undefined) {
+        bucket.refill(workspace.ratePerSecond * seconds, presence);
+      }
+    }
+  }
+
+  #noteSize(now: number): void {
+    const size = this.#mesh.size;
+    this.#sizes = this.#sizes.filter((sample) =>
+      sample.at > now - EXPECTED_FOR_MILLISECONDS && sample.size > size
+    );
+    this.#sizes.push({ at: now, size });
+  }
+
+  #getPresence(): placement.FleetPresence {
+    const now = kernel.getMonotonicMilliseconds();
+    const present = this.#mesh.size;
+    const isUnknown = present === 1 && now - this.#startedAt < ALONE_AFTER_MILLISECONDS;
+    const expected = this.#sizes.reduce((most, sample) => Math.max(most, sample.size), present);
+    return { present, expected: isUnknown ? ASSUMED_FLEET_SIZE : expected };
+  }
+
+  #receiveBuckets(
+    from: mesh.MemberIdentity,
+    payload: unknown,
+    find: (name: string) => placement.SharedBucket | undefined,
+  ): void {
+    for (const [name, [taken, asked]] of Object.entries(payload as CounterTable)) {
+      find(name)?.receive(from.vm, from.incarnation, { taken, asked });
+    }
+  }
+
+  #collectRequests(): unknown {
+    const counts: Record<string, number> = {};
+    for (const [service, count] of this.#requests) {
+      if (this.#requestsReported.get(service) !== count) {
+        counts[service] = count;
+        this.#requestsReported.set(service, count);
+      }
+    }
+    return Object.keys(counts).length === 0 ? undefined : counts;
+  }
+
+  #receiveRequests(from: mesh.MemberIdentity, payload: unknown): void {
+    let known = this.#requestsOfOthers.get(from.vm);
+    if (known?.incarnation !== from.incarnation) {
+      known = { incarnation: from.incarnation, counts: new Map() };
+      this.#requestsOfOthers.set(from.vm, known);
+    }
+    for (const [service, count] of Object.entries(payload as Record<string, number>)) {
+      this.#growRetries(service, Math.max(0, count - (known.counts.get(service) ?? 0)));
+      known.counts.set(service, count);
+    }
+  }
+}
+
+function collectBuckets(buckets: ReadonlyMap<string, placement.SharedBucket>): unknown {
+  const table: Record<string, readonly [number, number]> = {};
+  for (const [name, bucket] of buckets) {
+    const counters = bucket.collect();
+    if (counters !== undefined) {
+      table[name] = [counters.taken, counters.asked];
+    }
+  }
+  return Object.keys(table).length === 0 ? undefined : table;
+}
--- /dev/null
+++ b/packages/proxy/src/headers.ts
@@ -0,0 +1,95 @@
+/**
+ * Which headers go on to a target, and which come back to the caller.
+ */
+
+import type * as http from "node:http";
+import type * as types from "./types.ts";
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+const HOP_BY_HOP_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+const KEY_HEADER = "authorization";
+
+/** The caller's headers that go to every attempt, as names and values in turn. */
+export function createForwardedHeaders(
+  request: http.IncomingMessage,
+  profile: types.HeaderProfile,
+): string[] {
+  const dropped = new Set([
+    KEY_HEADER,
+    "content-length",
+    "expect",
+    profile.deadline,
+    profile.expectedTarget,
+    profile.workspace,
+    ...listConnectionHeaders(request.headers.connection),
+  ]);
+  return filterHeaders(request.rawHeaders, dropped);
+}
+
+/** The target's headers that go to the caller, as names and values in turn. */
+export function createAnswerHeaders(answer: http.IncomingMessage): string[] {
+  return filterHeaders(
+    answer.rawHeaders,
+    new Set(listConnectionHeaders(answer.headers.connection)),
+  );
+}
+
+/** The caller's key; undefined without one. */
+export function findKey(
+  request: http.IncomingMessage,
+  profile: types.HeaderProfile,
+): string | undefined {
+  const value = request.headers[KEY_HEADER];
+  const space = value?.indexOf(" ") ?? -1;
+  if (value === undefined || space < 0) {
+    return undefined;
+  }
+  const isScheme = value.slice(0, space).toLowerCase() === profile.keyScheme.toLowerCase();
+  return isScheme ? value.slice(space + 1).trim() : undefined;
+}
+
+/** The value of a header that holds a number of milliseconds; undefined for anything else. */
+export function parseMilliseconds(value: string | string[] | undefined): number | undefined {
+  if (typeof value !== "string" || !/^\d{1,12}$/.test(value)) {
+    return undefined;
+  }
+  return Number(value);
+}
+
+/** Bytes of a head as the caller has sent it, without the separators. */
+export function countHeadBytes(request: http.IncomingMessage): number {
+  let bytes = (request.url ?? "").length;
+  for (const text of request.rawHeaders) {
+    bytes += text.length;
+  }
+  return bytes;
+}
+
+function filterHeaders(raw: readonly string[], dropped: ReadonlySet<string>): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index < raw.length; index += 2) {
+    const name = raw[index] ?? "";
+    const lowerCase = name.toLowerCase();
+    if (!HOP_BY_HOP_HEADERS.has(lowerCase) && !dropped.has(lowerCase)) {
+      kept.push(name, raw[index + 1] ?? "");
+    }
+  }
+  return kept;
+}
+
+function listConnectionHeaders(value: string | undefined): string[] {
+  return (value ?? "").split(",").map((name) => name.trim().toLowerCase()).filter((name) =>
+    name !== ""
+  );
+}
--- /dev/null
+++ b/packages/proxy/src/listener.ts
@@ -0,0 +1,154 @@
+/**
+ * The listener for callers, and the one on which the platform's balancer asks for readiness.
+ */
+
+import * as http from "node:http";
+import type * as net from "node:net";
+import type * as declarations from "@hemlockwalk/declarations";
+import * as kernel from "@hemlockwalk/kernel";
+import * as handlers from "./request_handler.ts";
+import type * as types from "./types.ts";
+
+/** Greatest head that is read at all; the declared limit is checked after it. */
+const MAX_HEAD_BYTES = 65_536;
+
+/** Used before the first declarations. */
+const DEFAULT_IDLE_MILLISECONDS = 15_000;
+const DEFAULT_HEADER_MILLISECONDS = 5_000;
+
+/** The balancer takes a VM out after two missed questions, a second apart. */
+const BALANCER_LAG_MILLISECONDS = 2_800;
+
+/** What is left of the grace period when the last requests are cut. */
+const EXIT_MARGIN_MILLISECONDS = 300;
+
+const DRAIN_POLL_MILLISECONDS = 50;
+
+/** Settings of the listener. */
+export interface ListenerOptions {
+  /** IP number and port for callers. */
+  readonly callerAddress: string;
+  readonly bounds: types.ProxyBounds;
+  readonly store: declarations.DeclarationStore;
+  readonly createContext: (isStopping: () => boolean) => handlers.RequestContext;
+  readonly logger: kernel.PartLogger;
+}
+
+/** Accepts callers' connections and hands over their requests. */
+export class CallerListener implements kernel.Service {
+  readonly #options: ListenerOptions;
+  readonly #server: http.Server;
+  readonly #running = new Map<net.Socket, Set<handlers.RequestHandler>>();
+  #runningCount = 0;
+  #isStopping = false;
+
+  constructor(options: ListenerOptions) {
+    this.#options = options;
+    const context = options.createContext(() => this.#isStopping);
+    this.#server = http.createServer({
+      maxHeaderSize: MAX_HEAD_BYTES,
+      keepAliveTimeout: DEFAULT_IDLE_MILLISECONDS,
+      headersTimeout: DEFAULT_HEADER_MILLISECONDS,
+      requestTimeout: 0,
+      connectionsCheckingInterval: 1_000,
+      noDelay: true,
+    });
+    this.#server.on("request", (request, response) => this.#handle(context, request, response));
+    this.#server.on("connection", (socket: net.Socket) => {
+      socket.once("close", () => this.#leave(socket));
+    });
+    options.store.onVersion((view) => {
+      const { idleMilliseconds, headerMilliseconds } = view.declarations.limits;
+      this.#server.keepAliveTimeout = idleMilliseconds;
+      this.#server.headersTimeout = headerMilliseconds;
+    });
+  }
+
+  get isStopping(): boolean {
+    return this.#isStopping;
+  }
+
+  async start(): Promise<void> {
+    await listen(this.#server, this.#options.callerAddress);
+  }
+
+  /** Goes on serving while the balancer lags, then waits for what runs. */
+  async drain(): Promise<void> {
+    this.#isStopping = true;
+    const startedAt = kernel.getMonotonicMilliseconds();
+    const endsAt = startedAt + this.#options.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
+    await kernel.sleep(BALANCER_LAG_MILLISECONDS);
+    while (this.#runningCount > 0 && kernel.getMonotonicMilliseconds() < endsAt) {
+      await kernel.sleep(DRAIN_POLL_MILLISECONDS);
+    }
+    this.#options.logger.info("Callers are drained.", { running: this.#runningCount });
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #handle(
+    context: handlers.RequestContext,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    response.sendDate = false;
+    const { socket } = request;
+    const handler = new handlers.RequestHandler(context, request, response);
+    const running = this.#running.get(socket) ?? new Set();
+    running.add(handler);
+    this.#running.set(socket, running);
+    this.#runningCount++;
+    handler.run().catch((error: unknown) => {
+      this.#options.logger.error("A request failed unexpectedly.", {
+        error: error instanceof Error ? error.stack : String(error),
+      });
+      response.destroy();
+    }).finally(() => {
+      running.delete(handler);
+      this.#runningCount--;
+    });
+  }
+
+  #leave(socket: net.Socket): void {
+    for (const handler of this.#running.get(socket) ?? []) {
+      handler.leave();
+    }
+    this.#running.delete(socket);
+  }
+}
+
+/** Answers whether this VM takes callers. */
+export class ReadinessListener implements kernel.Service {
+  readonly #address: string;
+  readonly #server: http.Server;
+
+  /** @param path Path of the balancer's question. */
+  constructor(address: string, path: string, isReady: () => boolean) {
+    this.#address = address;
+    this.#server = http.createServer((request, response) => {
+      const isKnown = request.url === path;
+      response.writeHead(!isKnown ? 404 : isReady() ? 200 : 503, { "Content-Length": 0 });
+      response.end();
+    });
+  }
+
+  async start(): Promise<void> {
+    await listen(this.#server, this.#address);
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+function listen(server: http.Server, address: string): Promise<void> {
+  const colon = address.lastIndexOf(":");
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), resolve);
+  });
+}
--- /dev/null
+++ b/packages/proxy/src/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The request path of a fleet whose declarations are published whole.
+ */
+
+export * from "./feeds.ts";
+export * from "./listener.ts";
+export * from "./proxy_vm.ts";
+export * from "./store_follower.ts";
+export type * from "./types.ts";
--- /dev/null
+++ b/packages/proxy/src/proxy_vm.ts
@@ -0,0 +1,128 @@
+/**
+ * One VM of a fleet whose declarations and targets are published whole: its services and how they
+ * are wired.
+ */
+
+import * as declarations from "@hemlockwalk/declarations";
+import * as kernel from "@hemlockwalk/kernel";
+import * as mesh from "@hemlockwalk/mesh";
+import type * as bunyan from "bunyan";
+import * as budgets from "./budgets.ts";
+import * as feeds from "./feeds.ts";
+import * as listeners from "./listener.ts";
+import * as log from "./request_log.ts";
+import * as connections from "./target_connections.ts";
+import * as knowledge from "./target_knowledge.ts";
+import type * as types from "./types.ts";
+
+const HOUSEKEEPING_INTERVAL_MILLISECONDS = 1_000;
+
+/** Names under which the services of such a VM are found. */
+export const MESH = kernel.createServiceName<mesh.Mesh>("mesh");
+export const BUDGETS = kernel.createServiceName<budgets.Budgets>("budgets");
+export const CALLER_LISTENER = kernel.createServiceName<listeners.CallerListener>(
+  "caller-listener",
+);
+
+/** What a VM needs to know at its start. */
+export interface ProxyVmOptions {
+  readonly identity: mesh.MemberIdentity;
+  readonly callerAddress: string;
+  readonly listSeeds: () => readonly string[];
+  readonly profile: types.HeaderProfile;
+  readonly bounds: types.ProxyBounds;
+  /** Whether the whole fleet starts for the first time. */
+  readonly isFirstStart: boolean;
+  readonly rootLogger: bunyan;
+}
+
+/** A VM whose services have been wired but not started. */
+export interface ProxyVm {
+  readonly kernel: kernel.Kernel;
+  readonly mesh: mesh.Mesh;
+  readonly publisher: feeds.Publisher;
+  /** Whether the VM should get callers. */
+  readonly isReady: () => boolean;
+}
+
+/** Creates and wires all services. The kernel's owner adds where declarations come from. */
+export function createProxyVm(options: ProxyVmOptions): ProxyVm {
+  const vm = new kernel.Kernel();
+  const metrics = vm.register(kernel.METRICS, new kernel.Metrics());
+  const createLogger = (part: string) => new kernel.PartLogger(options.rootLogger, part);
+  const vmMesh = vm.register(
+    MESH,
+    new mesh.Mesh({
+      self: options.identity,
+      listSeeds: options.listSeeds,
+      logger: createLogger("mesh"),
+    }),
+  );
+  const store = new declarations.DeclarationStore();
+  const directory = new declarations.TargetDirectory();
+  const publisher = new feeds.Publisher(store, directory, vmMesh, createLogger("declarations"));
+  const targets = new knowledge.TargetKnowledge(directory, vmMesh, createLogger("targets"));
+  const shared = vm.register(
+    BUDGETS,
+    new budgets.Budgets(vmMesh, store, options.bounds, options.isFirstStart),
+  );
+  const listener = vm.register(
+    CALLER_LISTENER,
+    new listeners.CallerListener({
+      callerAddress: options.callerAddress,
+      bounds: options.bounds,
+      store,
+      logger: createLogger("callers"),
+      createContext: (isStopping) => ({
+        profile: options.profile,
+        store,
+        knowledge: targets,
+        budgets: shared,
+        connections: new connections.TargetConnections(),
+        log: new log.RequestLog(createLogger("requests")),
+        lines: new Map(),
+        counters: {
+          requests: metrics.createCounter(
+            "hemlockwalk_requests_total",
+            "Requests by how they ended.",
+            ["outcome"],
+          ),
+        },
+        latency: metrics.createLatency(
+          "hemlockwalk_request_seconds",
+          "Time from the arrival of a request to its final answer.",
+        ),
+        getConfirmedAt: () => vmMesh.confirmedAt,
+        isStopping,
+      }),
+    }),
+  );
+  vm.register(
+    kernel.createServiceName<kernel.Service>("housekeeping"),
+    createHousekeeping(targets, directory),
+  );
+  return {
+    kernel: vm,
+    mesh: vmMesh,
+    publisher,
+    isReady: () => vm.state === "running" && !listener.isStopping && store.current !== undefined,
+  };
+}
+
+function createHousekeeping(
+  targets: knowledge.TargetKnowledge,
+  directory: declarations.TargetDirectory,
+): kernel.Service {
+  let timer: NodeJS.Timeout | undefined;
+  return {
+    start() {
+      timer = setInterval(() => {
+        targets.dropGoneVms();
+        directory.discardMarkers();
+      }, HOUSEKEEPING_INTERVAL_MILLISECONDS);
+    },
+    stop() {
+      clearInterval(timer);
+    },
+  };
+}
--- /dev/null
+++ b/packages/proxy/src/target_call.ts
@@ -0,0 +1,233 @@
+/**
+ * One attempt: a request sent to one target, and what came of it.
+ */
+
+import * as http from "node:http";
+import type * as net from "node:net";
+import type * as declarations from "@hemlockwalk/declarations";
+import * as kernel from "@hemlockwalk/kernel";
+import type * as bodies from "./body.ts";
+import * as headers from "./headers.ts";
+import type * as connections from "./target_connections.ts";
+import type * as types from "./types.ts";
+
+/** A new connection takes one round trip; a lost opening packet is sent again only after a second. */
+const CONNECT_TIMEOUT_MILLISECONDS = 250;
+
+/** Answers up to this size are taken whole before the caller gets any of them. */
+const HELD_ANSWER_BYTES = 262_144;
+
+/** A target's answer: taken whole, or its beginning and the rest to come. */
+export interface TargetAnswer {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly chunks: readonly Buffer[];
+  /** The rest of a long answer. */
+  readonly rest: http.IncomingMessage | undefined;
+  readonly isSigned: boolean;
+}
+
+/** How an attempt ended. */
+export type CallResult =
+  | { readonly kind: "answered"; readonly answer: TargetAnswer }
+  /** The target cannot have run the request. */
+  | {
+    readonly kind: "not_run";
+    readonly reason: "unreachable" | "shed" | "other_target";
+    /** Whether the request arrived at a target, which counts as an arrival. */
+    readonly hasArrived: boolean;
+    readonly retryAfter: string | undefined;
+  }
+  /** The target may have run the request. */
+  | {
+    readonly kind: "failed";
+    readonly reason: "reset" | "spoilt" | "cut_short" | "silent" | "cancelled";
+  };
+
+/** What one attempt needs. */
+export interface CallOptions {
+  readonly request: types.AcceptedRequest;
+  readonly target: declarations.TargetEntry;
+  readonly body: bodies.RequestBody;
+  readonly profile: types.HeaderProfile;
+  readonly connections: connections.TargetConnections;
+  /** Ends the attempt. The reason of the signal is `silent` or `cancelled`. */
+  readonly signal: AbortSignal;
+}
+
+/** Sends a request to a target and waits for its answer. */
+export function callTarget(options: CallOptions): Promise<CallResult> {
+  return new Promise((resolve) => new TargetCall(options, resolve));
+}
+
+class TargetCall {
+  readonly #options: CallOptions;
+  readonly #resolve: (result: CallResult) => void;
+  readonly #outgoing: http.ClientRequest;
+  #socket: net.Socket | undefined;
+  #isConnected = false;
+  #isSettled = false;
+  #connectTimer: NodeJS.Timeout | undefined;
+
+  constructor(options: CallOptions, resolve: (result: CallResult) => void) {
+    this.#options = options;
+    this.#resolve = resolve;
+    const { request, target, body } = options;
+    const [host, port] = splitAddress(target.address);
+    options.connections.prepare(host, port, request.route.isIdempotent);
+    this.#outgoing = http.request({
+      agent: options.connections,
+      host,
+      port,
+      method: request.method,
+      path: request.path,
+      headers: this.#createHeaders(),
+      setHost: false,
+    });
+    this.#outgoing.once("socket", (socket) => {
+      this.#socket = socket;
+      if (!socket.connecting) {
+        this.#isConnected = true;
+        return;
+      }
+      socket.setNoDelay(true);
+      this.#connectTimer = setTimeout(() => this.#fail("silent"), CONNECT_TIMEOUT_MILLISECONDS);
+      socket.once("connect", () => {
+        this.#isConnected = true;
+        clearTimeout(this.#connectTimer);
+      });
+    });
+    this.#outgoing.once("response", (incoming) => this.#receive(incoming));
+    this.#outgoing.on("error", (error: NodeJS.ErrnoException) => {
+      this.#fail(error.code?.startsWith("HPE_") === true ? "spoilt" : "reset");
+    });
+    options.signal.addEventListener("abort", this.#onAbort, { once: true });
+    if (options.signal.aborted) {
+      this.#onAbort();
+      return;
+    }
+    body.sendTo(this.#outgoing);
+  }
+
+  readonly #onAbort = (): void => {
+    this.#fail(this.#options.signal.reason === "silent" ? "silent" : "cancelled");
+  };
+
+  #createHeaders(): string[] {
+    const { request, target, body, profile } = this.#options;
+    const left = Math.max(1, Math.floor(request.endsAt - kernel.getMonotonicMilliseconds()));
+    const created = [
+      ...request.headers,
+      profile.deadline,
+      String(left),
+      profile.expectedTarget,
+      target.id,
+    ];
+    if (request.workspace !== undefined) {
+      created.push(profile.workspace, request.workspace.id);
+    }
+    if (body.length !== undefined) {
+      created.push("Content-Length", String(body.length));
+    }
+    return created;
+  }
+
+  #receive(incoming: http.IncomingMessage): void {
+    const { profile, request } = this.#options;
+    const status = incoming.statusCode ?? 0;
+    if (incoming.headers[profile.notRun] !== undefined || status === 421) {
+      incoming.resume();
+      this.#settle({
+        kind: "not_run",
+        reason: status === 421 ? "other_target" : "shed",
+        hasArrived: true,
+        retryAfter: incoming.headers["retry-after"],
+      });
+      return;
+    }
+    const echoed = incoming.headers[profile.requestId.toLowerCase()];
+    const isSigned = incoming.headers[profile.signature] !== undefined;
+    const isForeign = echoed !== request.id || (status >= 200 && status < 300 && !isSigned);
+    if (isForeign) {
+      this.#fail("spoilt");
+      return;
+    }
+    this.#collect(incoming, status, isSigned);
+  }
+
+  #collect(incoming: http.IncomingMessage, status: number, isSigned: boolean): void {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    const createAnswer = (rest: http.IncomingMessage | undefined): CallResult => ({
+      kind: "answered",
+      answer: { status, headers: headers.createAnswerHeaders(incoming), chunks, rest, isSigned },
+    });
+    const onData = (chunk: Buffer) => {
+      chunks.push(chunk);
+      bytes += chunk.length;
+      if (bytes > HELD_ANSWER_BYTES) {
+        incoming.pause();
+        incoming.off("data", onData);
+        incoming.off("end", onEnd);
+        this.#settle(createAnswer(incoming));
+      }
+    };
+    const onEnd = () => {
+      if (!incoming.complete) {
+        this.#fail("cut_short");
+        return;
+      }
+      this.#keepConnection(incoming);
+      this.#settle(createAnswer(undefined));
+    };
+    incoming.on("data", onData);
+    incoming.once("end", onEnd);
+    incoming.once("error", () => this.#fail("cut_short"));
+    incoming.once("aborted", () => this.#fail("cut_short"));
+  }
+
+  #keepConnection(incoming: http.IncomingMessage): void {
+    const { connections, body } = this.#options;
+    const socket = kernel.getDefined(this.#socket, "An answer comes over a connection.");
+    const keepAlive = incoming.headers["keep-alive"];
+    if (body.isSent && this.#outgoing.writableFinished) {
+      connections.noteIdleTime(socket, keepAlive?.toString());
+    } else {
+      // The target may still read a body that is no longer being sent.
+      connections.spoil(socket);
+    }
+  }
+
+  #fail(reason: Extract<CallResult, { kind: "failed" }>["reason"]): void {
+    if (this.#isSettled) {
+      return;
+    }
+    const isConnected = this.#isConnected;
+    if (!isConnected && reason !== "cancelled") {
+      this.#settle({
+        kind: "not_run",
+        reason: "unreachable",
+        hasArrived: false,
+        retryAfter: undefined,
+      });
+    } else {
+      this.#settle({ kind: "failed", reason });
+    }
+    this.#outgoing.destroy();
+  }
+
+  #settle(result: CallResult): void {
+    if (this.#isSettled) {
+      return;
+    }
+    this.#isSettled = true;
+    clearTimeout(this.#connectTimer);
+    this.#options.signal.removeEventListener("abort", this.#onAbort);
+    this.#resolve(result);
+  }
+}
+
+function splitAddress(address: string): [host: string, port: number] {
+  const colon = address.lastIndexOf(":");
+  return [address.slice(0, colon), Number(address.slice(colon + 1))];
+}
--- /dev/null
+++ b/packages/proxy/src/target_knowledge.ts
@@ -0,0 +1,243 @@
+/**
+ * What the fleet knows of the targets: the outcomes of all VMs' calls and the load of all VMs.
+ */
+
+import type * as declarations from "@hemlockwalk/declarations";
+import * as kernel from "@hemlockwalk/kernel";
+import type * as mesh from "@hemlockwalk/mesh";
+import type * as model from "@hemlockwalk/model";
+import * as placement from "@hemlockwalk/placement";
+
+/** A target that could not be reached is avoided for so long, twice as long each time. */
+const MIN_AVOIDANCE_MILLISECONDS = 700;
+const MAX_AVOIDANCE_MILLISECONDS = 4_000;
+
+/** A target that sheds is taken as full for so long. */
+const FULL_MILLISECONDS = 150;
+
+/** Outcomes that other VMs should hear of at once. */
+const URGENT_OUTCOMES: ReadonlySet<placement.Outcome> = new Set(["error", "silent"]);
+
+type OutcomeCounts = Partial<Record<placement.Outcome, number>>;
+
+interface TargetRecord {
+  belief: placement.TargetBelief;
+  ownLoad: number;
+  readonly loadByVm: Map<model.VmId, number>;
+  othersLoad: number;
+  unreachableUntil: number;
+  unreachableTimes: number;
+  fullUntil: number;
+}
+
+/** Beliefs and loads by target. */
+export class TargetKnowledge {
+  readonly #directory: declarations.TargetDirectory;
+  readonly #mesh: mesh.Mesh;
+  readonly #logger: kernel.PartLogger;
+  readonly #records = new Map<model.TargetId, TargetRecord>();
+  #unreportedOutcomes = new Map<model.TargetId, OutcomeCounts>();
+  readonly #unreportedLoads = new Set<model.TargetId>();
+  readonly workTimes = new placement.WorkTimes();
+
+  constructor(
+    directory: declarations.TargetDirectory,
+    vmMesh: mesh.Mesh,
+    logger: kernel.PartLogger,
+  ) {
+    this.#directory = directory;
+    this.#mesh = vmMesh;
+    this.#logger = logger;
+    directory.onChange((change, previous) => this.#forgetOldLife(change, previous));
+    vmMesh.addSection("outcomes", {
+      collect: () => this.#collectOutcomes(),
+      receive: (_from, payload) => this.#receiveOutcomes(payload),
+    });
+    vmMesh.addSection("loads", {
+      collect: () => this.#collectLoads(),
+      receive: (from, payload) => this.#receiveLoads(from.vm, payload),
+    });
+  }
+
+  /** The candidates of a service, but for those already tried. */
+  listCandidates(
+    service: model.ServiceId,
+    excluded: ReadonlySet<model.TargetId>,
+  ): placement.Candidate[] {
+    const now = kernel.getMonotonicMilliseconds();
+    return this.#directory.listServing(service)
+      .filter((entry) => !excluded.has(entry.id))
+      .map((entry) => this.#createCandidate(entry, now));
+  }
+
+  findTarget(target: model.TargetId): declarations.TargetEntry | undefined {
+    return this.#directory.find(target);
+  }
+
+  begin(target: model.TargetId): void {
+    this.#getRecord(target).ownLoad++;
+    this.#unreportedLoads.add(target);
+  }
+
+  end(target: model.TargetId): void {
+    this.#getRecord(target).ownLoad--;
+    this.#unreportedLoads.add(target);
+  }
+
+  /** Takes the outcome of a call of this VM. */
+  observe(target: model.TargetId, outcome: placement.Outcome): void {
+    const record = this.#getRecord(target);
+    const before = record.belief.sickness;
+    record.belief.observe(outcome);
+    record.unreachableTimes = 0;
+    const counts = this.#unreportedOutcomes.get(target) ?? {};
+    counts[outcome] = (counts[outcome] ?? 0) + 1;
+    this.#unreportedOutcomes.set(target, counts);
+    if (URGENT_OUTCOMES.has(outcome)) {
+      this.#mesh.hurry();
+    }
+    this.#logChange(target, before, record.belief.sickness, outcome);
+  }
+
+  markFull(target: model.TargetId): void {
+    this.#getRecord(target).fullUntil = kernel.getMonotonicMilliseconds() + FULL_MILLISECONDS;
+  }
+
+  /** Notes that this VM could not reach a target. Others may, so it is not told. */
+  markUnreachable(target: model.TargetId): void {
+    const record = this.#getRecord(target);
+    const avoidance = Math.min(
+      MIN_AVOIDANCE_MILLISECONDS * 2 ** record.unreachableTimes,
+      MAX_AVOIDANCE_MILLISECONDS,
+    );
+    record.unreachableTimes++;
+    record.unreachableUntil = kernel.getMonotonicMilliseconds() + avoidance;
+    this.#logger.info("A target could not be reached.", { target, avoidedMilliseconds: avoidance });
+  }
+
+  /** Drops the loads of VMs that are gone. */
+  dropGoneVms(): void {
+    const present = new Set(this.#mesh.listOthers().map((member) => member.vm));
+    for (const [target, record] of this.#records) {
+      for (const [vm, load] of record.loadByVm) {
+        if (!present.has(vm)) {
+          record.loadByVm.delete(vm);
+          record.othersLoad -= load;
+        }
+      }
+      const isUnused = this.#directory.find(target) === undefined && record.ownLoad === 0 &&
+        record.loadByVm.size === 0;
+      if (isUnused) {
+        this.#records.delete(target);
+        this.workTimes.forgetTarget(target);
+      }
+    }
+  }
+
+  #createCandidate(entry: declarations.TargetEntry, now: number): placement.Candidate {
+    const record = this.#getRecord(entry.id);
+    const isFull = record.fullUntil > now;
+    const load = record.ownLoad + record.othersLoad;
+    const knownFor = now - (this.#directory.getTakenAt(entry.id) ?? now);
+    return {
+      id: entry.id,
+      slots: entry.slots,
+      load: isFull ? Math.max(load, entry.slots) : load,
+      sickness: record.belief.sickness,
+      unobservedMilliseconds: now - record.belief.observedAt,
+      slowness: this.workTimes.getSlowness(entry.id),
+      isUnreachable: record.unreachableUntil > now,
+      isRemote: entry.dataCentre !== this.#mesh.self.dataCentre,
+      warmUpMilliseconds: Math.max(0, entry.warmUpMilliseconds - knownFor),
+    };
+  }
+
+  #getRecord(target: model.TargetId): TargetRecord {
+    let record = this.#records.get(target);
+    if (record === undefined) {
+      record = {
+        belief: new placement.TargetBelief(),
+        ownLoad: 0,
+        loadByVm: new Map(),
+        othersLoad: 0,
+        unreachableUntil: 0,
+        unreachableTimes: 0,
+        fullUntil: 0,
+      };
+      this.#records.set(target, record);
+    }
+    return record;
+  }
+
+  #forgetOldLife(
+    change: declarations.TargetChange,
+    previous: declarations.TargetEntry | undefined,
+  ): void {
+    const isSameLife = change.entry === undefined || previous === undefined ||
+      (change.entry.startedAt === previous.startedAt && change.entry.address === previous.address);
+    const record = this.#records.get(change.id);
+    if (!isSameLife && record !== undefined) {
+      record.belief = new placement.TargetBelief();
+      record.unreachableUntil = 0;
+      record.unreachableTimes = 0;
+      this.workTimes.forgetTarget(change.id);
+    }
+  }
+
+  #collectOutcomes(): unknown {
+    if (this.#unreportedOutcomes.size === 0) {
+      return undefined;
+    }
+    const outcomes = Object.fromEntries(this.#unreportedOutcomes);
+    this.#unreportedOutcomes = new Map();
+    return outcomes;
+  }
+
+  #receiveOutcomes(payload: unknown): void {
+    for (const [target, counts] of Object.entries(payload as Record<string, OutcomeCounts>)) {
+      const record = this.#getRecord(target as model.TargetId);
+      const before = record.belief.sickness;
+      for (const [outcome, count] of Object.entries(counts)) {
+        record.belief.observe(outcome as placement.Outcome, count);
+      }
+      this.#logChange(target, before, record.belief.sickness, "told");
+    }
+  }
+
+  #collectLoads(): unknown {
+    if (this.#unreportedLoads.size === 0) {
+      return undefined;
+    }
+    const loads: Record<string, number> = {};
+    for (const target of this.#unreportedLoads) {
+      loads[target] = this.#getRecord(target).ownLoad;
+    }
+    this.#unreportedLoads.clear();
+    return loads;
+  }
+
+  #receiveLoads(vm: model.VmId, payload: unknown): void {
+    for (const [target, load] of Object.entries(payload as Record<string, number>)) {
+      const record = this.#getRecord(target as model.TargetId);
+      record.othersLoad += load - (record.loadByVm.get(vm) ?? 0);
+      if (load === 0) {
+        record.loadByVm.delete(vm);
+      } else {
+        record.loadByVm.set(vm, load);
+      }
+    }
+  }
+
+  #logChange(target: string, before: number, after: number, cause: string): void {
+    const wasDoubted = before > 0.5;
+    const isDoubted = after > 0.5;
+    if (wasDoubted !== isDoubted) {
+      this.#logger.info(isDoubted ? "A target is doubted." : "A target is trusted again.", {
+        target,
+        sicknessBefore: Number(before.toFixed(3)),
+        sickness: Number(after.toFixed(3)),
+        cause,
+      });
+    }
+  }
+}
--- a/scripts/steps.mjs
+++ b/scripts/steps.mjs
@@ -37,17 +37,23 @@
   run("npx", ["--no-install", tool, ...toolArguments]);
 }
 
+/** Lists the folders of all packages, relative to the top folder. */
+export function listPackages() {
+  const names = fs.readdirSync(path.join(root, "packages")).sort();
+  return [...names.map((name) => path.join("packages", name)), "platform"];
+}
+
 /** Lists the compiled test files of all packages. */
 export function listTestFiles() {
   const files = [];
-  for (const name of fs.readdirSync(path.join(root, "packages")).sort()) {
-    const folder = path.join(root, "packages", name, "dist", "test");
+  for (const name of listPackages()) {
+    const folder = path.join(root, name, "dist", "test");
     if (!fs.existsSync(folder)) {
       continue;
     }
     for (const file of fs.readdirSync(folder, { recursive: true }).sort()) {
       if (file.endsWith("_test.js")) {
-        files.push(path.join("packages", name, "dist", "test", file));
+        files.push(path.join(name, "dist", "test", file));
       }
     }
   }
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -15,8 +15,8 @@
 
 function cleanOutputs() {
   // Outputs of deleted sources would go on being tested, so every package is built from nothing.
-  for (const name of fs.readdirSync(path.join(steps.root, "packages"))) {
-    fs.rmSync(path.join(steps.root, "packages", name, "dist"), { recursive: true, force: true });
+  for (const name of steps.listPackages()) {
+    fs.rmSync(path.join(steps.root, name, "dist"), { recursive: true, force: true });
   }
 }
 
