--- a/packages/mesh/src/link.ts
+++ b/packages/mesh/src/link.ts
@@ -34,6 +34,8 @@
   role: types.LinkRole = "standby";
   heardAt = kernel.getMonotonicMilliseconds();
   sentAt = kernel.getMonotonicMilliseconds();
+  /** Reports that wait to be sent together. */
+  readonly waiting: types.Report[] = [];
   readonly #socket: ws.WebSocket;
 
   constructor(socket: ws.WebSocket, listener: LinkListener, dialledAddress?: string) {
--- a/packages/mesh/src/member_table.ts
+++ b/packages/mesh/src/member_table.ts
@@ -23,6 +23,7 @@
 export class MemberTable {
   readonly #self: types.MemberIdentity;
   readonly #members = new Map<model.VmId, Member>();
+  readonly #byTag = new Map<number, Member>();
   /** Lives that have ended, so that late reports do not bring them back. */
   readonly #ended = new Map<model.VmId, model.Incarnation>();
 
@@ -41,32 +42,24 @@
     if (known !== undefined && known.identity.incarnation >= identity.incarnation) {
       return false;
     }
-    return this.#add(identity, 0);
+    return this.#add(identity);
   }
 
-  /** Takes a report's sequence number; returns whether the report is new. */
-  hear(identity: types.MemberIdentity, sequence: number): boolean {
-    if (identity.vm === this.#self.vm) {
-      return false;
-    }
-    const known = this.#members.get(identity.vm);
-    if (known === undefined || known.identity.incarnation < identity.incarnation) {
-      return this.#add(identity, sequence);
-    }
-    const isOld = known.identity.incarnation !== identity.incarnation ||
-      known.sequence >= sequence;
-    if (isOld) {
-      return false;
+  /** Takes a report's sequence number; returns whose report it is if it is new. */
+  hear(tag: number, sequence: number): types.MemberIdentity | undefined {
+    const known = this.#byTag.get(tag);
+    if (known === undefined || known.sequence >= sequence) {
+      return undefined;
     }
     known.sequence = sequence;
     known.heardAt = kernel.getMonotonicMilliseconds();
-    return true;
+    return known.identity;
   }
 
   /** Removes a member that said that it leaves. */
   end(identity: types.MemberIdentity): void {
     this.#ended.set(identity.vm, identity.incarnation);
-    this.#members.delete(identity.vm);
+    this.#remove(identity.vm);
   }
 
   markUnreachable(vm: model.VmId): void {
@@ -82,7 +75,7 @@
       reportIntervalMilliseconds * MISSED_INTERVALS;
     for (const [vm, member] of this.#members) {
       if (member.heardAt < oldest) {
-        this.#members.delete(vm);
+        this.#remove(vm);
       }
     }
   }
@@ -114,18 +107,29 @@
     return [...dataCentres].sort();
   }
 
-  #add(identity: types.MemberIdentity, sequence: number): boolean {
+  #remove(vm: model.VmId): void {
+    const member = this.#members.get(vm);
+    if (member !== undefined) {
+      this.#members.delete(vm);
+      this.#byTag.delete(member.identity.tag);
+    }
+  }
+
+  #add(identity: types.MemberIdentity): boolean {
     const ended = this.#ended.get(identity.vm);
     const hasEnded = ended !== undefined && ended >= identity.incarnation;
     if (identity.vm === this.#self.vm || hasEnded) {
       return false;
     }
-    this.#members.set(identity.vm, {
+    this.#remove(identity.vm);
+    const member = {
       identity,
-      sequence,
+      sequence: 0,
       heardAt: kernel.getMonotonicMilliseconds(),
       unreachableUntil: 0,
-    });
+    };
+    this.#members.set(identity.vm, member);
+    this.#byTag.set(identity.tag, member);
     return true;
   }
 }
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -13,6 +13,7 @@
 import * as ws from "ws";
 import * as links from "./link.ts";
 import * as members from "./member_table.ts";
+import * as packed from "./packed_report.ts";
 import type * as types from "./types.ts";
 
 /** Interval in which changes are gathered before they are sent. */
@@ -31,6 +32,9 @@
 const MIN_REPORT_INTERVAL_MILLISECONDS = 1_000;
 const REPORT_INTERVAL_PER_MEMBER_MILLISECONDS = 10;
 
+/** How often a report says whose it is, for VMs that have lost sight of this one. */
+const INTRODUCTION_INTERVAL_MILLISECONDS = 1_000;
+
 /** A link on which nothing was sent for so long carries an empty message. */
 const LINK_KEEPALIVE_MILLISECONDS = 400;
 
@@ -61,13 +65,14 @@
   readonly #sections = new Map<string, types.ReportSection>();
   readonly #feeds = new Map<string, types.Feed>();
   readonly #links = new Set<links.Link>();
-  readonly #outgoing: { report: types.Report; from: links.Link | undefined }[] = [];
   #server: http.Server | undefined;
   #webSockets: ws.WebSocketServer | undefined;
   #tickTimer: NodeJS.Timeout | undefined;
   #urgentTimer: NodeJS.Timeout | undefined;
+  #relayTimer: NodeJS.Timeout | undefined;
   #sequence = 0;
   #reportedAt = Number.NEGATIVE_INFINITY;
+  #introducedAt = Number.NEGATIVE_INFINITY;
   #seedsDialledAt = Number.NEGATIVE_INFINITY;
   #confirmedAt = Number.NEGATIVE_INFINITY;
   #isLeaving = false;
@@ -134,7 +139,11 @@
 
   /** Has the next report sent at once. */
   hurry(): void {
-    this.#sendSoon(URGENT_DELAY_MILLISECONDS);
+    this.#urgentTimer ??= setTimeout(() => {
+      this.#urgentTimer = undefined;
+      this.#report(true);
+      this.#flush();
+    }, URGENT_DELAY_MILLISECONDS);
   }
 
   /** VMs that are believed to be alive, without this one. */
@@ -159,13 +168,14 @@
   drain(): void {
     this.#isLeaving = true;
     this.#reportedAt = Number.NEGATIVE_INFINITY;
-    this.#report();
+    this.#report(true);
     this.#flush();
   }
 
   stop(): void {
     clearInterval(this.#tickTimer);
     clearTimeout(this.#urgentTimer);
+    clearTimeout(this.#relayTimer);
     for (const link of this.#links) {
       link.close();
     }
@@ -220,19 +230,19 @@
   }
 
   #tick(): void {
-    this.#report();
+    this.#report(false);
     this.#flush();
     this.#closeSilentLinks();
     this.#table.expire(this.#getReportInterval());
     this.#maintainLinks();
   }
 
-  #sendSoon(delayMilliseconds: number): void {
-    this.#urgentTimer ??= setTimeout(() => {
-      this.#urgentTimer = undefined;
-      this.#report();
-      this.#flush();
-    }, delayMilliseconds);
+  /** Passes reports on within the data centre. Bridges wait for the tick: their bytes cost. */
+  #relaySoon(): void {
+    this.#relayTimer ??= setTimeout(() => {
+      this.#relayTimer = undefined;
+      this.#flush((link) => link.role !== "bridge");
+    }, RELAY_DELAY_MILLISECONDS);
   }
 
   #getReportInterval(): number {
@@ -243,7 +253,7 @@
   }
 
   /** Queues this VM's own report when it has news or when one is due. */
-  #report(): void {
+  #report(isUrgent: boolean): void {
     const sections: Record<string, unknown> = {};
     let hasNews = false;
     for (const [name, section] of this.#sections) {
@@ -258,30 +268,42 @@
       return;
     }
     this.#reportedAt = now;
-    this.#outgoing.push({
-      report: {
-        origin: this.self,
-        sequence: ++this.#sequence,
-        isLeaving: this.#isLeaving,
-        sections,
-      },
-      from: undefined,
-    });
+    const isIntroduction = now - this.#introducedAt >= INTRODUCTION_INTERVAL_MILLISECONDS;
+    if (isIntroduction) {
+      this.#introducedAt = now;
+    }
+    this.#queue({
+      tag: this.self.tag,
+      sequence: ++this.#sequence,
+      isLeaving: this.#isLeaving,
+      isUrgent,
+      sections,
+      origin: isIntroduction ? this.self : undefined,
+    }, undefined);
+  }
+
+  /** Queues a report for each neighbour that has not sent it itself. */
+  #queue(report: types.Report, from: links.Link | undefined): void {
+    for (const link of this.#links) {
+      if (link !== from && link.peer !== undefined && this.#passesOn(from, link)) {
+        link.waiting.push(report);
+      }
+    }
   }
 
-  /** Sends to each neighbour what it has not sent itself. */
-  #flush(): void {
-    const outgoing = this.#outgoing.splice(0);
+  #flush(isFlushed: (link: links.Link) => boolean = () => true): void {
     const now = kernel.getMonotonicMilliseconds();
     for (const link of this.#links) {
-      if (!link.isOpen || link.peer === undefined) {
+      if (!link.isOpen || link.peer === undefined || !isFlushed(link)) {
         continue;
       }
-      const reports = outgoing
-        .filter(({ from }) => from !== link && this.#passesOn(from, link))
-        .map(({ report }) => report);
+      const reports = link.waiting.splice(0);
       if (reports.length > 0 || now - link.sentAt >= LINK_KEEPALIVE_MILLISECONDS) {
-        link.send(links.encode({ kind: "reports", reports, confirmedAge: this.#getAge(now) }));
+        link.send(links.encode({
+          kind: "reports",
+          reports: reports.map(packed.packReport),
+          confirmedAge: this.#getAge(now),
+        }));
       }
     }
   }
@@ -306,25 +328,33 @@
       const confirmedAt = kernel.getMonotonicMilliseconds() - message.confirmedAge;
       this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
     }
-    for (const report of message.reports) {
-      if (!this.#table.hear(report.origin, report.sequence)) {
-        continue;
-      }
-      for (const [name, payload] of Object.entries(report.sections)) {
-        this.#sections.get(name)?.receive(report.origin, payload);
-      }
-      if (report.isLeaving) {
-        this.#table.end(report.origin);
-      }
-      this.#outgoing.push({ report, from: link });
+    let isUrgent = false;
+    for (const report of message.reports.map(packed.unpackReport)) {
+      this.#receiveReport(report, link);
+      isUrgent ||= report.isUrgent;
     }
-    if (message.reports.length > 0 && this.#hasFollowers(link)) {
-      this.#sendSoon(RELAY_DELAY_MILLISECONDS);
+    if (isUrgent) {
+      this.#flush();
+    } else if (message.reports.length > 0) {
+      this.#relaySoon();
     }
   }
 
-  #hasFollowers(except: links.Link): boolean {
-    return [...this.#links].some((link) => link !== except && link.role !== "standby");
+  #receiveReport(report: types.Report, link: links.Link): void {
+    if (report.origin !== undefined) {
+      this.#table.introduce(report.origin);
+    }
+    const origin = this.#table.hear(report.tag, report.sequence);
+    if (origin === undefined) {
+      return;
+    }
+    for (const [name, payload] of Object.entries(report.sections)) {
+      this.#sections.get(name)?.receive(origin, payload);
+    }
+    if (report.isLeaving) {
+      this.#table.end(origin);
+    }
+    this.#queue(report, link);
   }
 
   #receiveFeed(message: Extract<types.LinkMessage, { kind: "feed" }>, link: links.Link): void {
--- a/packages/mesh/src/types.ts
+++ b/packages/mesh/src/types.ts
@@ -11,18 +11,34 @@
   readonly dataCentre: model.DataCentreId;
   /** IP number and port of its listener for other VMs. */
   readonly address: string;
+  /** Short random number that stands for this life in reports. */
+  readonly tag: number;
 }
 
 /** What one VM tells all others. */
 export interface Report {
-  readonly origin: MemberIdentity;
+  /** Tag of the VM's life. */
+  readonly tag: number;
   /** Rises with each report of one incarnation. */
   readonly sequence: number;
   readonly isLeaving: boolean;
+  /** Whether relays should pass it on without waiting for others. */
+  readonly isUrgent: boolean;
   /** Payloads by the name of the section. */
   readonly sections: Readonly<Record<string, unknown>>;
+  /** Now and then, for those who have not heard of the VM. */
+  readonly origin: MemberIdentity | undefined;
 }
 
+/** A report as it travels: its fields in order, without their names. */
+export type PackedReport = readonly [
+  tag: number,
+  sequence: number,
+  flags: number,
+  sections: Readonly<Record<string, unknown>>,
+  origin?: MemberIdentity | undefined,
+];
+
 /** A part of the reports: this VM's share of it is collected, those of others are received. */
 export interface ReportSection {
   /** What has changed since the last collection; undefined when nothing has. */
@@ -50,7 +66,7 @@
   | { readonly kind: "role"; readonly role: LinkRole }
   | {
     readonly kind: "reports";
-    readonly reports: readonly Report[];
+    readonly reports: readonly PackedReport[];
     /** Age of the store's latest answer to any VM, in milliseconds; undefined without one. */
     readonly confirmedAge: number | undefined;
   }
--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -47,8 +47,8 @@
 /** Cost of full slots, before any wait, in mean work times. Targets slow down when nearly full. */
 const CROWDING_WEIGHT = 0.25;
 
-/** Cost of another data centre, in milliseconds. Its bytes are paid for. */
-const REMOTE_COST_MILLISECONDS = 4;
+/** Cost of another data centre, in objectives. Its bytes are paid for. */
+const REMOTE_IN_OBJECTIVES = 0.06;
 
 /** Cost of a target that this VM could not reach, in objectives. Above every other cost. */
 const UNREACHABLE_IN_OBJECTIVES = 10;
@@ -117,7 +117,7 @@
   const warmUp = candidate.warmUpMilliseconds > 0 ? WARM_UP_WEIGHT * typical : 0;
   return wait + (typical - need.typicalMilliseconds) + fill * fill * CROWDING_WEIGHT * typical +
     candidate.sickness * loss + warmUp +
-    (candidate.isRemote ? REMOTE_COST_MILLISECONDS : 0) +
+    (candidate.isRemote ? REMOTE_IN_OBJECTIVES * need.objectiveMilliseconds : 0) +
     (candidate.isUnreachable ? UNREACHABLE_IN_OBJECTIVES * need.objectiveMilliseconds : 0);
 }
 
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -45,6 +45,7 @@
 /** One VM's view of a bucket. */
 export class SharedBucket {
   #burst: number;
+  #allowance: number;
   #level: number;
   #taken = 0;
   #asked = 0;
@@ -55,9 +56,13 @@
   #fleetDemand = 0;
   #decayedAt = kernel.getMonotonicMilliseconds();
 
-  /** @param level Tokens at the start. A VM that replaces another starts without any. */
-  constructor(burst: number, level: number) {
+  /**
+   * @param level Tokens at the start. A VM that replaces another starts without any.
+   * @param allowance How far below zero the level may be taken: the excess that is tolerated.
+   */
+  constructor(burst: number, level: number, allowance = 0) {
     this.#burst = burst;
+    this.#allowance = allowance;
     this.#level = Math.min(level, burst);
   }
 
@@ -66,11 +71,17 @@
     return this.#level;
   }
 
-  setBurst(burst: number): void {
+  setLimits(burst: number, allowance: number): void {
     this.#burst = burst;
+    this.#allowance = allowance;
     this.#level = Math.min(this.#level, burst);
   }
 
+  /** Takes the level from a VM that has followed the bucket for longer. */
+  adoptLevel(level: number): void {
+    this.#level = Math.min(level, this.#burst);
+  }
+
   /** Adds what has accrued for the whole fleet since the last call. */
   refill(tokens: number, presence: FleetPresence): void {
     const heard = tokens * presence.present / Math.max(presence.expected, 1);
@@ -87,7 +98,7 @@
     this.#addDemand(1, 1);
     const othersDemand = Math.max(0, this.#fleetDemand - this.#ownDemand);
     const unseen = othersDemand * UNSEEN_MILLISECONDS / DEMAND_WINDOW_MILLISECONDS;
-    if (this.#level >= 1 + Math.min(unseen, this.#burst / 2)) {
+    if (this.#level + this.#allowance >= 1 + Math.min(unseen, this.#burst / 2)) {
       this.#spend();
       return true;
     }
@@ -121,7 +132,10 @@
     const taken = counters.taken - (isSameLife ? known.taken : 0);
     const asked = counters.asked - (isSameLife ? known.asked : 0);
     this.#others.set(vm, { incarnation, ...counters });
-    this.#level = Math.max(this.#level - taken, -MAX_DEBT_IN_BURSTS * this.#burst);
+    this.#level = Math.max(
+      this.#level - taken,
+      -MAX_DEBT_IN_BURSTS * this.#burst - this.#allowance,
+    );
     this.#addDemand(0, Math.max(asked, 0));
   }
 
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -14,15 +14,29 @@
 /** Share of the slack for retries that may be spent at once; the rest covers what VMs do unseen. */
 const SHARE_OF_RETRY_SLACK = 0.6;
 
+/** Share of the tolerated excess that is used; the rest covers what VMs do unseen. */
+const SHARE_OF_RATE_EXCESS = 0.4;
+
 /** VMs that were known within this time still count as holders of their share. */
 const EXPECTED_FOR_MILLISECONDS = 20_000;
 
+/** Levels are told by VMs that have lived for so long and taken by those that have lived for less. */
+const KNOWS_LEVELS_AFTER_MILLISECONDS = 3_000;
+
 /** A VM that has just started takes the fleet to be this large until it is linked. */
 const ASSUMED_FLEET_SIZE = 50;
 
 /** After so long without a link a VM takes itself to be alone. */
 const ALONE_AFTER_MILLISECONDS = 2_000;
 
+/** Levels of all buckets, for a VM that has just started. */
+interface LevelTables {
+  /** How long the VM that tells them has lived, in milliseconds. */
+  readonly age: number;
+  readonly rates: Record<string, number>;
+  readonly retries: Record<string, number>;
+}
+
 type CounterTable = Record<string, readonly [taken: number, asked: number]>;
 
 /** The fleet's budgets as seen by one VM. */
@@ -68,6 +82,10 @@
       collect: () => this.#collectRequests(),
       receive: (from, payload) => this.#receiveRequests(from, payload),
     });
+    vmMesh.addFeed("levels", {
+      createSnapshot: () => this.#createLevels(),
+      receive: (payload) => this.#adoptLevels(payload as LevelTables),
+    });
     store.onVersion((view) => this.#adoptRates(view));
   }
 
@@ -112,17 +130,56 @@
     return Math.max(0, this.#getRetries(service).level / this.#getRetryBurst());
   }
 
+  #getLifetime(): number {
+    return kernel.getMonotonicMilliseconds() - this.#startedAt;
+  }
+
+  #createLevels(): LevelTables {
+    const list = (buckets: ReadonlyMap<string, placement.SharedBucket>) =>
+      Object.fromEntries([...buckets].map(([name, bucket]) => [name, bucket.level]));
+    return {
+      age: this.#getLifetime(),
+      rates: list(this.#rates),
+      retries: list(this.#retries),
+    };
+  }
+
+  /** Levels concern only the VM that they were sent to, so they are never passed on. */
+  #adoptLevels(levels: LevelTables): boolean {
+    const isUseful = levels.age >= KNOWS_LEVELS_AFTER_MILLISECONDS &&
+      this.#getLifetime() < KNOWS_LEVELS_AFTER_MILLISECONDS;
+    if (isUseful) {
+      for (const [workspace, level] of Object.entries(levels.rates)) {
+        this.#getRate(workspace)?.adoptLevel(level);
+      }
+      for (const [service, level] of Object.entries(levels.retries)) {
+        this.#getRetries(service).adoptLevel(level);
+      }
+    }
+    return false;
+  }
+
   #getRate(workspace: string): placement.SharedBucket | undefined {
     let bucket = this.#rates.get(workspace);
     const declared = this.#store.current?.getWorkspaceById(workspace as model.WorkspaceId);
     if (bucket === undefined && declared?.ratePerSecond !== undefined) {
       // Of what ran before a restart nothing is known, so a replaced VM starts without tokens.
-      bucket = new placement.SharedBucket(declared.burst, this.#isFirstStart ? declared.burst : 0);
+      bucket = new placement.SharedBucket(
+        declared.burst,
+        this.#isFirstStart ? declared.burst : 0,
+        this.#getRateAllowance(declared),
+      );
       this.#rates.set(workspace, bucket);
     }
     return bucket;
   }
 
+  #getRateAllowance(workspace: declarations.DeclaredWorkspace): number {
+    const { rateWindowSeconds, rateExcess, rateSlack } = this.#bounds;
+    const perWindow = (workspace.ratePerSecond ?? 0) * rateWindowSeconds + workspace.burst;
+    return SHARE_OF_RATE_EXCESS * (perWindow * rateExcess + rateSlack);
+  }
+
   #getRetryBurst(): number {
     return Math.max(1, this.#bounds.retrySlack * SHARE_OF_RETRY_SLACK);
   }
@@ -146,7 +203,10 @@
       if (workspace.ratePerSecond === undefined) {
         this.#rates.delete(workspace.id);
       } else {
-        this.#rates.get(workspace.id)?.setBurst(workspace.burst);
+        this.#rates.get(workspace.id)?.setLimits(
+          workspace.burst,
+          this.#getRateAllowance(workspace),
+        );
       }
     }
   }
@@ -174,9 +234,8 @@
   }
 
   #getPresence(): placement.FleetPresence {
-    const now = kernel.getMonotonicMilliseconds();
     const present = this.#mesh.size;
-    const isUnknown = present === 1 && now - this.#startedAt < ALONE_AFTER_MILLISECONDS;
+    const isUnknown = present === 1 && this.#getLifetime() < ALONE_AFTER_MILLISECONDS;
     const expected = this.#sizes.reduce((most, sample) => Math.max(most, sample.size), present);
     return { present, expected: isUnknown ? ASSUMED_FLEET_SIZE : expected };
   }
--- a/packages/proxy/src/feeds.ts
+++ b/packages/proxy/src/feeds.ts
@@ -41,6 +41,11 @@
     return this.#directory;
   }
 
+  /** Whether this VM has no declarations yet. */
+  get isEmpty(): boolean {
+    return this.#store.current === undefined;
+  }
+
   /** Publishes declarations that this VM has read from the store. */
   publishDeclarations(read: declarations.Declarations): void {
     if (this.#take(read, "store")) {
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -78,6 +78,8 @@
     const startedAt = kernel.getMonotonicMilliseconds();
     const endsAt = startedAt + this.#options.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
     await kernel.sleep(BALANCER_LAG_MILLISECONDS);
+    // Takes no new connections and closes idle ones; those in use close behind their next answer.
+    this.#server.close();
     while (this.#runningCount > 0 && kernel.getMonotonicMilliseconds() < endsAt) {
       await kernel.sleep(DRAIN_POLL_MILLISECONDS);
     }
@@ -85,7 +87,6 @@
   }
 
   stop(): void {
-    this.#server.close();
     this.#server.closeAllConnections();
   }
 
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -491,7 +491,12 @@
   #passOn(answer: calls.TargetAnswer): void {
     const { rest } = answer;
     this.#isAnswered = true;
-    const head = [...answer.headers, ...this.#createConnectionHeader()];
+    const isClosing = !answer.isFramed || this.#context.isStopping();
+    const head = [...answer.headers, ...(isClosing ? ["Connection", "close"] : [])];
+    if (!answer.isFramed) {
+      // Whether such an answer is whole is not known, so it is not framed as if it were.
+      this.#response.useChunkedEncodingByDefault = false;
+    }
     this.#response.writeHead(answer.status, head);
     for (const chunk of answer.chunks) {
       this.#response.write(chunk);
--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -27,7 +27,11 @@
 const MAX_RANK = 8;
 
 /** Time for the mesh to form before a VM takes itself for a reader. */
-const START_DELAY_MILLISECONDS = 400;
+const MIN_START_DELAY_MILLISECONDS = 500;
+const MAX_START_DELAY_MILLISECONDS = 1_500;
+
+/** A VM that replaces another has callers waiting: it reads soon unless its peers were faster. */
+const RESTART_DELAY_MILLISECONDS = 60;
 
 const MIN_BACKOFF_MILLISECONDS = 200;
 const MAX_BACKOFF_MILLISECONDS = 1_500;
@@ -46,9 +50,9 @@
   readonly #mesh: mesh.Mesh;
   readonly #publisher: feeds.Publisher;
   readonly #logger: kernel.PartLogger;
+  readonly #isFirstStart: boolean;
   readonly #stopping = new AbortController();
   readonly #startedAt = kernel.getMonotonicMilliseconds();
-  #task: Promise<void> | undefined;
   #asOf: declarations.StoreRevision | undefined;
   #isAvailable = true;
   #failures = 0;
@@ -60,7 +64,9 @@
     vmMesh: mesh.Mesh,
     publisher: feeds.Publisher,
     logger: kernel.PartLogger,
+    isFirstStart: boolean,
   ) {
+    this.#isFirstStart = isFirstStart;
     this.#store = store;
     this.#mesh = vmMesh;
     this.#publisher = publisher;
@@ -68,17 +74,26 @@
   }
 
   start(): void {
-    this.#task = this.#follow();
+    void this.#follow();
   }
 
-  async stop(): Promise<void> {
+  /** Does not wait for a watch under way: its answer is dropped. */
+  stop(): void {
     this.#stopping.abort();
-    await this.#task;
   }
 
   async #follow(): Promise<void> {
     const { signal } = this.#stopping;
-    await kernel.sleep(START_DELAY_MILLISECONDS, signal);
+    await kernel.sleep(
+      this.#isFirstStart ? MIN_START_DELAY_MILLISECONDS : RESTART_DELAY_MILLISECONDS,
+      signal,
+    );
+    if (!this.#isFirstStart && this.#publisher.isEmpty) {
+      await this.#readOnce();
+    }
+    while (!signal.aborted && !this.#mesh.isLinked && !this.#hasWaitedForLinks()) {
+      await kernel.sleep(IDLE_POLL_MILLISECONDS, signal);
+    }
     while (!signal.aborted) {
       this.#releaseHeldGone();
       if (!this.#mustRead()) {
@@ -94,6 +109,10 @@
     }
   }
 
+  #hasWaitedForLinks(): boolean {
+    return kernel.getMonotonicMilliseconds() - this.#startedAt >= MAX_START_DELAY_MILLISECONDS;
+  }
+
   #mustRead(): boolean {
     const readers = this.#mesh.rankRelays().slice(0, READING_DATA_CENTRES);
     if (readers.some((reader) => reader.vm === this.#mesh.self.vm)) {
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -25,6 +25,8 @@
   /** The rest of a long answer. */
   readonly rest: http.IncomingMessage | undefined;
   readonly isSigned: boolean;
+  /** Whether its end is marked by a length or by chunks, and not by the end of the connection. */
+  readonly isFramed: boolean;
 }
 
 /** How an attempt ended. */
@@ -160,7 +162,14 @@
     let bytes = 0;
     const createAnswer = (rest: http.IncomingMessage | undefined): CallResult => ({
       kind: "answered",
-      answer: { status, headers: headers.createAnswerHeaders(incoming), chunks, rest, isSigned },
+      answer: {
+        status,
+        headers: headers.createAnswerHeaders(incoming),
+        chunks,
+        rest,
+        isSigned,
+        isFramed: isFramed(incoming),
+      },
     });
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
@@ -173,7 +182,7 @@
       }
     };
     const onEnd = () => {
-      if (!incoming.complete) {
+      if (!incoming.complete || this.#isReset(incoming)) {
         this.#fail("cut_short");
         return;
       }
@@ -186,6 +195,11 @@
     incoming.once("aborted", () => this.#fail("cut_short"));
   }
 
+  /** An answer without a length ends with its connection, which a reset does not end properly. */
+  #isReset(incoming: http.IncomingMessage): boolean {
+    return !isFramed(incoming) && (this.#socket?.errored ?? null) !== null;
+  }
+
   #keepConnection(incoming: http.IncomingMessage): void {
     const { connections, body } = this.#options;
     const socket = kernel.getDefined(this.#socket, "An answer comes over a connection.");
@@ -227,6 +241,11 @@
   }
 }
 
+function isFramed(incoming: http.IncomingMessage): boolean {
+  return incoming.headers["content-length"] !== undefined ||
+    incoming.headers["transfer-encoding"] !== undefined;
+}
+
 function splitAddress(address: string): [host: string, port: number] {
   const colon = address.lastIndexOf(":");
   return [address.slice(0, colon), Number(address.slice(colon + 1))];
--- a/packages/proxy/src/target_connections.ts
+++ b/packages/proxy/src/target_connections.ts
@@ -95,7 +95,8 @@
   }
 
   /** Called by the agent when it uses a kept connection. */
-  override reuseSocket(socket: net.Socket): void {
+  override reuseSocket(socket: net.Socket, request: http.ClientRequest): void {
+    super.reuseSocket(socket, request);
     socket.setTimeout(0);
     socket.removeAllListeners("timeout");
   }
--- a/packages/proxy/src/types.ts
+++ b/packages/proxy/src/types.ts
@@ -29,6 +29,12 @@
   readonly retryRatio: number;
   /** Retries beyond that ratio within a window. */
   readonly retrySlack: number;
+  /** Window over which a workspace's rate is judged, in seconds. */
+  readonly rateWindowSeconds: number;
+  /** Tolerated excess over rate and burst within the window, as a share. */
+  readonly rateExcess: number;
+  /** Requests tolerated beyond that. */
+  readonly rateSlack: number;
   /** From the signal to stop to the end of the process, in milliseconds. */
   readonly graceMilliseconds: number;
 }
