--- /dev/null
+++ b/packages/mesh/test/mesh_test.ts
@@ -0,0 +1,173 @@
+/**
+ * Tests of the mesh with several VMs in one process, over loopback.
+ */
+
+import * as assert from "node:assert/strict";
+import * as net from "node:net";
+import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
+import * as mesh from "@hemlockwalk/mesh";
+import * as model from "@hemlockwalk/model";
+
+/** Longest time for news to reach all VMs; a lost relay is noticed within two seconds. */
+const NEWS_MILLISECONDS = 6_000;
+
+const POLL_MILLISECONDS = 20;
+
+interface TestVm {
+  readonly mesh: mesh.Mesh;
+  readonly heard: Map<string, unknown>;
+  readonly taken: Set<string>;
+  value: string | undefined;
+}
+
+async function findPort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = server.address();
+  await new Promise((resolve) => server.close(resolve));
+  return typeof address === "object" && address !== null ? address.port : assert.fail();
+}
+
+async function createVm(
+  name: string,
+  dataCentre: string,
+  port: number,
+  seeds: readonly string[],
+): Promise<TestVm> {
+  const heard = new Map<string, unknown>();
+  const taken = new Set<string>();
+  const vm: TestVm = {
+    heard,
+    taken,
+    value: undefined,
+    mesh: new mesh.Mesh({
+      self: {
+        vm: model.createVmId(name),
+        incarnation: model.createIncarnation(),
+        dataCentre: model.createDataCentreId(dataCentre),
+        address: `127.0.0.1:${port}`,
+        tag: port,
+      },
+      listSeeds: () => seeds,
+      logger: new kernel.PartLogger(kernel.createSilentLogger(), "mesh"),
+    }),
+  };
+  vm.mesh.addSection("values", {
+    collect: () => {
+      const { value } = vm;
+      vm.value = undefined;
+      return value;
+    },
+    receive: (from, payload) => heard.set(from.vm, payload),
+  });
+  vm.mesh.addFeed("words", {
+    createSnapshot: () => [...taken],
+    receive: (payload) => {
+      const words = payload as string[];
+      const isNew = words.some((word) => !taken.has(word));
+      words.forEach((word) => taken.add(word));
+      return isNew;
+    },
+  });
+  await vm.mesh.start();
+  return vm;
+}
+
+async function waitFor(condition: () => boolean, what: string): Promise<void> {
+  const endsAt = performance.now() + NEWS_MILLISECONDS;
+  while (!condition()) {
+    assert.ok(performance.now() < endsAt, `not in time: ${what}`);
+    await kernel.sleep(POLL_MILLISECONDS);
+  }
+}
+
+async function withFleet(
+  run: (fleet: TestVm[]) => Promise<void>,
+  dataCentres = ["north", "north", "north", "south", "south"],
+): Promise<void> {
+  const ports = await Promise.all(dataCentres.map(() => findPort()));
+  // One seed is stale: nobody listens there.
+  const seeds = [`127.0.0.1:${await findPort()}`, `127.0.0.1:${ports[1]}`];
+  const fleet: TestVm[] = [];
+  try {
+    for (const [index, dataCentre] of dataCentres.entries()) {
+      fleet.push(await createVm(`vm-${index}`, dataCentre, ports[index] ?? 0, seeds));
+    }
+    await waitFor(
+      () => fleet.every((vm) => vm.mesh.size === dataCentres.length),
+      "all know of all",
+    );
+    await run(fleet);
+  } finally {
+    fleet.forEach((vm) => vm.mesh.stop());
+  }
+}
+
+async function expectNews(from: TestVm, others: readonly TestVm[], value: string): Promise<void> {
+  await waitFor(() => {
+    // A report is not repeated, so one that is sent while links change may be lost.
+    from.value = value;
+    return others.every((vm) => vm.heard.get(from.mesh.self.vm) === value);
+  }, `the report '${value}' of ${from.mesh.self.vm}`);
+}
+
+test.describe("mesh", { concurrency: false }, () => {
+  test.test("a report of any VM reaches all others, in other data centres too", async () => {
+    await withFleet(async (fleet) => {
+      for (const vm of fleet) {
+        await expectNews(vm, fleet.filter((other) => other !== vm), `from ${vm.mesh.self.vm}`);
+      }
+    });
+  });
+
+  test.test("news reach all after the relays of both data centres are gone", async () => {
+    await withFleet(async (fleet) => {
+      const [firstNorth, , , firstSouth] = fleet;
+      firstNorth?.mesh.stop();
+      firstSouth?.mesh.stop();
+      const left = fleet.filter((vm) => vm !== firstNorth && vm !== firstSouth);
+      await waitFor(() => left.every((vm) => vm.mesh.size === left.length), "the gone are missed");
+      for (const vm of left) {
+        await expectNews(vm, left.filter((other) => other !== vm), `later ${vm.mesh.self.vm}`);
+      }
+    });
+  });
+
+  test.test("a VM that leaves is forgotten at once and not brought back by late reports", async () => {
+    await withFleet(async (fleet) => {
+      const leaving = fleet[2] ?? assert.fail();
+      const left = fleet.filter((vm) => vm !== leaving);
+      leaving.mesh.drain();
+      await waitFor(() => left.every((vm) => vm.mesh.size === left.length), "it is forgotten");
+      leaving.mesh.stop();
+    });
+  });
+
+  test.test("an update reaches all, and a VM that comes later gets everything", async () => {
+    await withFleet(async (fleet) => {
+      const [first, seed] = fleet;
+      first?.taken.add("one");
+      first?.mesh.publish("words", ["one"]);
+      await waitFor(() => fleet.every((vm) => vm.taken.has("one")), "the update");
+      const late = await createVm("vm-late", "south", await findPort(), [
+        seed?.mesh.self.address ?? "",
+      ]);
+      try {
+        await waitFor(() => late.taken.has("one"), "the update at the VM that came later");
+      } finally {
+        late.mesh.stop();
+      }
+    });
+  });
+
+  test.test("the age of the store's latest answer travels", async () => {
+    await withFleet(async (fleet) => {
+      fleet[4]?.mesh.confirm();
+      await waitFor(
+        () => fleet.every((vm) => performance.now() - vm.mesh.confirmedAt < NEWS_MILLISECONDS),
+        "the store's answer",
+      );
+    });
+  });
+});
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -13,6 +13,16 @@
 /** What other VMs may take before this one hears of it, as time. Three ticks of the mesh. */
 const UNSEEN_MILLISECONDS = 300;
 
+/** A VM that has taken this share of the burst unheard should tell the others at once. */
+const UNHEARD_SHARE_OF_BURST = 0.1;
+
+/** Below this share of the burst, what is taken unheard matters. */
+const AMPLE_SHARE_OF_BURST = 0.8;
+
+/** By so much of the burst, and so many tokens, shares may be taken from a level below zero. */
+const SHARE_DEBT_OF_BURST = 0.25;
+const SHARE_DEBT_TOKENS = 2;
+
 /** Time over which demand is averaged. */
 const DEMAND_WINDOW_MILLISECONDS = 2_000;
 
@@ -50,6 +60,7 @@
   #taken = 0;
   #asked = 0;
   #reported = 0;
+  #takenReported = 0;
   readonly #others = new Map<string, OtherVm>();
   #shareLevel = 0;
   #ownDemand = 0;
@@ -98,11 +109,12 @@
     this.#addDemand(1, 1);
     const othersDemand = Math.max(0, this.#fleetDemand - this.#ownDemand);
     const unseen = othersDemand * UNSEEN_MILLISECONDS / DEMAND_WINDOW_MILLISECONDS;
-    if (this.#level + this.#allowance >= 1 + Math.min(unseen, this.#burst / 2)) {
+    if (this.#level + this.#allowance >= 1 + Math.min(unseen, this.#burst)) {
       this.#spend();
       return true;
     }
-    if (this.#shareLevel < 1) {
+    const lowest = -this.#burst * SHARE_DEBT_OF_BURST - SHARE_DEBT_TOKENS - this.#allowance;
+    if (this.#shareLevel < 1 || this.#level < lowest) {
       return false;
     }
     this.#shareLevel -= 1;
@@ -116,12 +128,19 @@
     this.#taken--;
   }
 
+  /** Whether the others should hear of this VM's tokens before the next tick. */
+  get isUrgent(): boolean {
+    return this.#level < this.#burst * AMPLE_SHARE_OF_BURST &&
+      this.#taken - this.#takenReported >= Math.max(2, this.#burst * UNHEARD_SHARE_OF_BURST);
+  }
+
   /** This VM's counters if they have changed since the last collection. */
   collect(): BucketCounters | undefined {
     if (this.#asked === this.#reported) {
       return undefined;
     }
     this.#reported = this.#asked;
+    this.#takenReported = this.#taken;
     return { taken: this.#taken, asked: this.#asked };
   }
 
@@ -129,6 +148,9 @@
   receive(vm: string, incarnation: string, counters: BucketCounters): void {
     const known = this.#others.get(vm);
     const isSameLife = known?.incarnation === incarnation;
+    if (isSameLife && counters.asked < known.asked) {
+      return;
+    }
     const taken = counters.taken - (isSameLife ? known.taken : 0);
     const asked = counters.asked - (isSameLife ? known.asked : 0);
     this.#others.set(vm, { incarnation, ...counters });
--- /dev/null
+++ b/packages/placement/test/belief_test.ts
@@ -0,0 +1,163 @@
+/**
+ * Tests of the belief in targets and of the choice among them, on the load that they answer.
+ */
+
+import * as assert from "node:assert/strict";
+import * as test from "node:test";
+import * as testing from "@hemlockwalk/kernel/testing";
+import * as model from "@hemlockwalk/model";
+import * as placement from "@hemlockwalk/placement";
+
+function createCandidate(
+  id: string,
+  changes: Partial<placement.Candidate> = {},
+): placement.Candidate {
+  return {
+    id: model.createTargetId(id),
+    slots: 4,
+    load: 0,
+    sickness: 0.02,
+    unobservedMilliseconds: 0,
+    slowness: 1,
+    isUnreachable: false,
+    isRemote: false,
+    warmUpMilliseconds: 0,
+    ...changes,
+  };
+}
+
+const WRITE: placement.PlacementNeed = {
+  isIdempotent: false,
+  mayRetry: false,
+  objectiveMilliseconds: 500,
+  typicalMilliseconds: 200,
+  allowedOverflow: 1,
+};
+
+const READ: placement.PlacementNeed = { ...WRITE, isIdempotent: true, mayRetry: true };
+
+function choose(
+  candidates: readonly placement.Candidate[],
+  need: placement.PlacementNeed,
+  random = () => 0.6,
+): string {
+  const choice = placement.chooseTarget(candidates, need, random);
+  return choice.kind === "chosen" ? choice.candidate.id : choice.kind;
+}
+
+test.describe("belief", () => {
+  test.test("one error makes a target doubted, one success trusted again", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const belief = new placement.TargetBelief();
+      belief.observe("success");
+      assert.ok(belief.sickness < 0.1, `after a success: ${belief.sickness}`);
+      await clock.advance(300);
+      belief.observe("error");
+      assert.ok(belief.sickness > 0.6, `after an error: ${belief.sickness}`);
+      await clock.advance(300);
+      belief.observe("success");
+      assert.ok(belief.sickness < 0.4, `after the next success: ${belief.sickness}`);
+    } finally {
+      clock.restore();
+    }
+  });
+
+  test.test("without news a belief drifts back within a few spells", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const stationary = new placement.TargetBelief().sickness;
+      const belief = new placement.TargetBelief();
+      belief.observe("error", 3);
+      await clock.advance(15_000, 500);
+      assert.ok(Math.abs(belief.sickness - stationary) < 0.01);
+    } finally {
+      clock.restore();
+    }
+  });
+
+  test.test("a single lost answer does not condemn a target that serves", () => {
+    const belief = new placement.TargetBelief();
+    belief.observe("success", 5);
+    belief.observe("broken");
+    assert.ok(belief.sickness < 0.5, `after a lost answer: ${belief.sickness}`);
+  });
+});
+
+test.describe("choice of a target", () => {
+  test.test("a request that must not fail goes to the target that proved well", () => {
+    const doubted = createCandidate("doubted", { sickness: 0.4 });
+    const busyButWell = createCandidate("well", { load: 3 });
+    assert.equal(choose([doubted, busyButWell], WRITE), "well");
+  });
+
+  test.test("a repeatable request looks after a doubtful target that nobody looks after", () => {
+    const doubted = createCandidate("doubted", { sickness: 0.4, unobservedMilliseconds: 900 });
+    const well = createCandidate("well");
+    assert.equal(choose([doubted, well], READ, () => 0.1), "doubted");
+    const watched = { ...doubted, load: 1 };
+    assert.equal(choose([watched, well], READ, () => 0.1), "well");
+  });
+
+  test.test("a full target gets nothing", () => {
+    assert.equal(choose([createCandidate("full", { load: 5 })], WRITE), "full");
+    assert.equal(choose([], WRITE), "none");
+  });
+
+  test.test("load spreads before slots run out", () => {
+    const counts = new Map<string, number>();
+    const loads = new Map(["a", "b", "c"].map((id) => [id, 0]));
+    for (let request = 0; request < 9; request++) {
+      const candidates = [...loads].map(([id, load]) => createCandidate(id, { load }));
+      const id = choose(candidates, WRITE);
+      loads.set(id, (loads.get(id) ?? 0) + 1);
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    assert.deepEqual([...counts.values()].sort(), [3, 3, 3]);
+  });
+
+  test.test("a target that cannot be reached from here is the last resort", () => {
+    const cut = createCandidate("cut", { isUnreachable: true });
+    const sick = createCandidate("sick", { sickness: 0.9 });
+    assert.equal(choose([cut, sick], WRITE), "sick");
+    assert.equal(choose([cut], WRITE), "cut");
+  });
+});
+
+test.describe("waiting line", () => {
+  test.test("the most urgent is placed first, whoever waits too long is told", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const line = new placement.WaitingLine();
+      const events: string[] = [];
+      let room = 0;
+      const add = (name: string, priority: number, waitUntil: number) =>
+        line.add({
+          priority,
+          waitUntil,
+          tryPlace: () => {
+            if (room === 0) {
+              return false;
+            }
+            room--;
+            events.push(`${name} placed`);
+            return true;
+          },
+          giveUp: () => events.push(`${name} gave up`),
+        });
+      const now = clock.monotonicMilliseconds;
+      add("late", 2, now + 100);
+      add("read", 2, now + 1_000);
+      add("write", 0, now + 1_000);
+      await clock.advance(200);
+      room = 1;
+      await clock.advance(50);
+      room = 1;
+      await clock.advance(50);
+      assert.deepEqual(events, ["late gave up", "write placed", "read placed"]);
+      assert.equal(line.length, 0);
+    } finally {
+      clock.restore();
+    }
+  });
+});
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -102,7 +102,7 @@
     if (workspace.ratePerSecond === undefined) {
       return true;
     }
-    return this.#getRate(workspace.id)?.take() ?? true;
+    return this.#takeFrom(this.#getRate(workspace.id));
   }
 
   /** Gives back the token of a request that was refused for another reason. */
@@ -118,7 +118,7 @@
 
   /** Takes a retry of a service. */
   takeRetry(service: model.ServiceId): boolean {
-    return this.#getRetries(service).take();
+    return this.#takeFrom(this.#getRetries(service));
   }
 
   returnRetry(service: model.ServiceId): void {
@@ -130,6 +130,17 @@
     return Math.max(0, this.#getRetries(service).level / this.#getRetryBurst());
   }
 
+  #takeFrom(bucket: placement.SharedBucket | undefined): boolean {
+    if (bucket === undefined) {
+      return true;
+    }
+    const isTaken = bucket.take();
+    if (bucket.isUrgent) {
+      this.#mesh.hurry();
+    }
+    return isTaken;
+  }
+
   #getLifetime(): number {
     return kernel.getMonotonicMilliseconds() - this.#startedAt;
   }
--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -84,16 +84,7 @@
 
   async #follow(): Promise<void> {
     const { signal } = this.#stopping;
-    await kernel.sleep(
-      this.#isFirstStart ? MIN_START_DELAY_MILLISECONDS : RESTART_DELAY_MILLISECONDS,
-      signal,
-    );
-    if (!this.#isFirstStart && this.#publisher.isEmpty) {
-      await this.#readOnce();
-    }
-    while (!signal.aborted && !this.#mesh.isLinked && !this.#hasWaitedForLinks()) {
-      await kernel.sleep(IDLE_POLL_MILLISECONDS, signal);
-    }
+    await this.#waitForPeers();
     while (!signal.aborted) {
       this.#releaseHeldGone();
       if (!this.#mustRead()) {
@@ -109,8 +100,22 @@
     }
   }
 
-  #hasWaitedForLinks(): boolean {
-    return kernel.getMonotonicMilliseconds() - this.#startedAt >= MAX_START_DELAY_MILLISECONDS;
+  async #waitForPeers(): Promise<void> {
+    const { signal } = this.#stopping;
+    if (!this.#isFirstStart) {
+      await kernel.sleep(RESTART_DELAY_MILLISECONDS, signal);
+      if (this.#publisher.isEmpty) {
+        await this.#readOnce();
+      }
+      return;
+    }
+    await kernel.sleep(MIN_START_DELAY_MILLISECONDS, signal);
+    const endsAt = this.#startedAt + MAX_START_DELAY_MILLISECONDS;
+    while (
+      !signal.aborted && !this.#mesh.isLinked && kernel.getMonotonicMilliseconds() < endsAt
+    ) {
+      await kernel.sleep(IDLE_POLL_MILLISECONDS, signal);
+    }
   }
 
   #mustRead(): boolean {
--- a/packages/proxy/src/target_knowledge.ts
+++ b/packages/proxy/src/target_knowledge.ts
@@ -18,6 +18,12 @@
 /** Outcomes that other VMs should hear of at once. */
 const URGENT_OUTCOMES: ReadonlySet<placement.Outcome> = new Set(["error", "silent"]);
 
+/** Every so often all loads are told, in case that a report was lost on a change of its path. */
+const FULL_LOADS_INTERVAL_MILLISECONDS = 2_000;
+
+/** Loads of one VM: all that are not zero, or just those that have changed. */
+type LoadPayload = readonly [isFull: boolean, loads: Record<string, number>];
+
 type OutcomeCounts = Partial<Record<placement.Outcome, number>>;
 
 interface TargetRecord {
@@ -37,6 +43,7 @@
   readonly #logger: kernel.PartLogger;
   readonly #records = new Map<model.TargetId, TargetRecord>();
   #unreportedOutcomes = new Map<model.TargetId, OutcomeCounts>();
+  #fullLoadsAt = Number.NEGATIVE_INFINITY;
   readonly #unreportedLoads = new Set<model.TargetId>();
   readonly workTimes = new placement.WorkTimes();
 
@@ -204,28 +211,39 @@
     }
   }
 
-  #collectLoads(): unknown {
+  #collectLoads(): LoadPayload | undefined {
+    const now = kernel.getMonotonicMilliseconds();
     if (this.#unreportedLoads.size === 0) {
       return undefined;
     }
+    const isFull = now - this.#fullLoadsAt >= FULL_LOADS_INTERVAL_MILLISECONDS;
     const loads: Record<string, number> = {};
-    for (const target of this.#unreportedLoads) {
-      loads[target] = this.#getRecord(target).ownLoad;
+    if (isFull) {
+      this.#fullLoadsAt = now;
+      for (const [target, record] of this.#records) {
+        if (record.ownLoad > 0) {
+          loads[target] = record.ownLoad;
+        }
+      }
+    } else {
+      for (const target of this.#unreportedLoads) {
+        loads[target] = this.#getRecord(target).ownLoad;
+      }
     }
     this.#unreportedLoads.clear();
-    return loads;
+    return [isFull, loads];
   }
 
   #receiveLoads(vm: model.VmId, payload: unknown): void {
-    for (const [target, load] of Object.entries(payload as Record<string, number>)) {
-      const record = this.#getRecord(target as model.TargetId);
-      record.othersLoad += load - (record.loadByVm.get(vm) ?? 0);
-      if (load === 0) {
-        record.loadByVm.delete(vm);
-      } else {
-        record.loadByVm.set(vm, load);
+    const [isFull, loads] = payload as LoadPayload;
+    if (isFull) {
+      for (const record of this.#records.values()) {
+        setLoad(record, vm, 0);
       }
     }
+    for (const [target, load] of Object.entries(loads)) {
+      setLoad(this.#getRecord(target as model.TargetId), vm, load);
+    }
   }
 
   #logChange(target: string, before: number, after: number, cause: string): void {
@@ -241,3 +259,12 @@
     }
   }
 }
+
+function setLoad(record: TargetRecord, vm: model.VmId, load: number): void {
+  record.othersLoad += load - (record.loadByVm.get(vm) ?? 0);
+  if (load === 0) {
+    record.loadByVm.delete(vm);
+  } else {
+    record.loadByVm.set(vm, load);
+  }
+}
--- /dev/null
+++ b/packages/proxy/test/harness.ts
@@ -0,0 +1,338 @@
+/**
+ * A whole VM with targets and a store in one process, for tests of the request path.
+ */
+
+import * as assert from "node:assert/strict";
+import * as http from "node:http";
+import * as net from "node:net";
+import * as declarations from "@hemlockwalk/declarations";
+import * as kernel from "@hemlockwalk/kernel";
+import * as model from "@hemlockwalk/model";
+import * as proxy from "@hemlockwalk/proxy";
+import * as neverthrow from "neverthrow";
+
+export const PROFILE: proxy.HeaderProfile = {
+  requestId: "x-request",
+  deadline: "x-deadline",
+  expectedTarget: "x-expected-target",
+  workspace: "x-workspace",
+  notRun: "x-not-run",
+  signature: "x-signature",
+  keyScheme: "Bearer",
+};
+
+const BOUNDS: proxy.ProxyBounds = {
+  retryRatio: 0.2,
+  retrySlack: 50,
+  rateWindowSeconds: 5,
+  rateExcess: 0.25,
+  rateSlack: 20,
+  graceMilliseconds: 5_000,
+};
+
+/** How a target answers. */
+export type Behaviour = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  body: string,
+) => void;
+
+/** Answers as a sound target does. */
+export function answerWell(request: http.IncomingMessage, response: http.ServerResponse): void {
+  response.writeHead(200, createAnswerHeaders(request));
+  response.end("done");
+}
+
+export function createAnswerHeaders(request: http.IncomingMessage): http.OutgoingHttpHeaders {
+  return {
+    [PROFILE.requestId]: request.headers[PROFILE.requestId],
+    [PROFILE.signature]: "signed",
+  };
+}
+
+/** A target that records what reaches it. */
+export class TestTarget {
+  readonly id: model.TargetId;
+  readonly requests: http.IncomingMessage[] = [];
+  readonly #server: http.Server;
+  behaviour: Behaviour = answerWell;
+
+  constructor(id: string) {
+    this.id = model.createTargetId(id);
+    this.#server = http.createServer((request, response) => {
+      let body = "";
+      request.on("data", (chunk: Buffer) => body += chunk.toString());
+      request.on("end", () => {
+        this.requests.push(request);
+        this.behaviour(request, response, body);
+      });
+    });
+  }
+
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === "object" && address !== null ? address.port : assert.fail();
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  createChange(
+    revision: number,
+    changes: Partial<declarations.TargetEntry> = {},
+  ): declarations.TargetChange {
+    return {
+      id: this.id,
+      revision: revision as declarations.StoreRevision,
+      entry: {
+        id: this.id,
+        service: model.createServiceId("desk"),
+        address: `127.0.0.1:${this.port}`,
+        dataCentre: model.createDataCentreId("north"),
+        slots: 4,
+        isDraining: false,
+        warmUpMilliseconds: 0,
+        startedAt: undefined,
+        ...changes,
+      },
+    };
+  }
+}
+
+/** A store in memory. */
+export class MemoryStore implements declarations.PublishedStore {
+  revision = 1;
+  declared: declarations.Declarations | undefined;
+  targets = new Map<model.TargetId, declarations.TargetChange>();
+  isAvailable = true;
+
+  put(change: declarations.TargetChange): void {
+    this.revision = Math.max(this.revision + 1, change.revision);
+    this.targets.set(change.id, change);
+  }
+
+  read(): Promise<neverthrow.Result<declarations.StoreUpdate, declarations.StoreFailure>> {
+    if (!this.isAvailable) {
+      return Promise.resolve(neverthrow.err("unavailable"));
+    }
+    return Promise.resolve(neverthrow.ok({
+      asOf: this.revision as declarations.StoreRevision,
+      declarations: this.declared,
+      changes: [...this.targets.values()],
+    }));
+  }
+
+  async watch(
+    after: declarations.StoreRevision,
+    waitMilliseconds: number,
+  ): Promise<neverthrow.Result<declarations.StoreUpdate, declarations.StoreFailure>> {
+    const endsAt = performance.now() + waitMilliseconds;
+    while (this.isAvailable && this.revision <= after && performance.now() < endsAt) {
+      await kernel.sleep(10);
+    }
+    return await this.read();
+  }
+}
+
+export function createRoute(
+  changes: Partial<declarations.DeclaredRoute> = {},
+): declarations.DeclaredRoute {
+  return {
+    id: model.createRouteId("bookings"),
+    host: "desk.example",
+    pathPrefix: "/bookings/",
+    isIdempotent: false,
+    objectiveMilliseconds: 500,
+    timeoutMilliseconds: 1_000,
+    attempts: 2,
+    priority: 1,
+    isPublic: false,
+    destinations: [{ service: model.createServiceId("desk"), weight: 1 }],
+    ...changes,
+  };
+}
+
+const READS = createRoute({
+  id: model.createRouteId("reads"),
+  pathPrefix: "/reads/",
+  isIdempotent: true,
+});
+
+export function createDeclarations(
+  version: number,
+  changes: Partial<declarations.Declarations> = {},
+): declarations.Declarations {
+  return {
+    version: version as declarations.DeclarationsVersion,
+    limits: {
+      headerBytes: 4_096,
+      bodyBytes: 100_000,
+      headerMilliseconds: 3_000,
+      idleMilliseconds: 15_000,
+    },
+    routes: [createRoute(), READS],
+    services: [],
+    workspaces: [{
+      id: model.createWorkspaceId("city"),
+      keys: ["secret"],
+      priority: undefined,
+      ratePerSecond: undefined,
+      burst: 0,
+    }],
+    ...changes,
+  };
+}
+
+/** An answer as a caller sees it. */
+export interface CallerAnswer {
+  /** 0 when the connection ended without an answer. */
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer was framed and complete. */
+  readonly isComplete: boolean;
+}
+
+/** What a caller sends. */
+export interface CallerRequest {
+  readonly path?: string;
+  readonly method?: string;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+  readonly agent?: http.Agent;
+}
+
+/** One VM in front of some targets. */
+export class TestVm {
+  readonly store = new MemoryStore();
+  readonly targets: TestTarget[] = [];
+  port = 0;
+  #vm: proxy.ProxyVm | undefined;
+  #nextRequest = 1;
+
+  get isReady(): boolean {
+    return this.#vm?.isReady() ?? false;
+  }
+
+  async start(targetCount: number, declared = createDeclarations(1)): Promise<void> {
+    this.store.declared = declared;
+    for (let index = 0; index < targetCount; index++) {
+      const target = new TestTarget(`target-${index}`);
+      await target.start();
+      this.targets.push(target);
+      this.store.put(target.createChange(index + 2));
+    }
+    this.port = await findPort();
+    const peerPort = await findPort();
+    const rootLogger = kernel.createSilentLogger();
+    this.#vm = proxy.createProxyVm({
+      identity: {
+        vm: model.createVmId("vm"),
+        incarnation: model.createIncarnation(),
+        dataCentre: model.createDataCentreId("north"),
+        address: `127.0.0.1:${peerPort}`,
+        tag: 1,
+      },
+      callerAddress: `127.0.0.1:${this.port}`,
+      listSeeds: () => [],
+      profile: PROFILE,
+      bounds: BOUNDS,
+      isFirstStart: true,
+      rootLogger,
+    });
+    const logger = new kernel.PartLogger(rootLogger, "store");
+    this.#vm.kernel.register(
+      kernel.createServiceName<kernel.Service>("store-follower"),
+      // As after a restart, so that the test need not wait for peers.
+      new proxy.StoreFollower(this.store, this.#vm.mesh, this.#vm.publisher, logger, false),
+    );
+    await this.#vm.kernel.start();
+    await waitFor(() => this.isReady, "the VM is ready");
+  }
+
+  async stop(): Promise<void> {
+    await this.#vm?.kernel.stop();
+    this.targets.forEach((target) => target.stop());
+  }
+
+  call(request: CallerRequest = {}): Promise<CallerAnswer> {
+    return new Promise((resolve) => {
+      const outgoing = http.request({
+        agent: request.agent ?? false,
+        host: "127.0.0.1",
+        port: this.port,
+        method: request.method ?? "POST",
+        path: request.path ?? "/bookings/1",
+        ...(request.signal === undefined ? {} : { signal: request.signal }),
+        headers: {
+          Host: "desk.example",
+          Authorization: "Bearer secret",
+          [PROFILE.requestId]: `request-${this.#nextRequest++}`,
+          [PROFILE.deadline]: "3000",
+          ...request.headers,
+        },
+      });
+      const nothing = { status: 0, headers: {}, body: "", isComplete: false };
+      outgoing.on("error", () => resolve(nothing));
+      outgoing.on("response", (incoming) => {
+        let body = "";
+        const finish = () =>
+          resolve({
+            status: incoming.statusCode ?? 0,
+            headers: incoming.headers,
+            body,
+            isComplete: incoming.complete && (
+              incoming.headers["content-length"] !== undefined ||
+              incoming.headers["transfer-encoding"] !== undefined
+            ),
+          });
+        incoming.on("data", (chunk: Buffer) => body += chunk.toString());
+        incoming.on("end", finish);
+        incoming.on("error", finish);
+      });
+      outgoing.end(request.body);
+    });
+  }
+
+  countRequests(): number {
+    return this.targets.reduce((sum, target) => sum + target.requests.length, 0);
+  }
+}
+
+/** Starts a VM, runs a test on it and stops it without waiting for the drain. */
+export async function withVm(
+  targetCount: number,
+  run: (vm: TestVm) => Promise<void>,
+  declared = createDeclarations(1),
+): Promise<void> {
+  const vm = new TestVm();
+  try {
+    await vm.start(targetCount, declared);
+    await run(vm);
+  } finally {
+    await vm.stop();
+  }
+}
+
+export async function waitFor(condition: () => boolean, what: string): Promise<void> {
+  const endsAt = performance.now() + 5_000;
+  while (!condition()) {
+    assert.ok(performance.now() < endsAt, `not in time: ${what}`);
+    await kernel.sleep(10);
+  }
+}
+
+async function findPort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = server.address();
+  await new Promise((resolve) => server.close(resolve));
+  return typeof address === "object" && address !== null ? address.port : assert.fail();
+}
--- /dev/null
+++ b/packages/proxy/test/request_path_test.ts
@@ -0,0 +1,257 @@
+/**
+ * Tests of the request path: one VM, real connections, targets that fail in every way.
+ */
+
+import * as assert from "node:assert/strict";
+import * as http from "node:http";
+import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
+import * as model from "@hemlockwalk/model";
+import * as harness from "./harness.ts";
+
+const { PROFILE } = harness;
+
+function answerError(request: http.IncomingMessage, response: http.ServerResponse): void {
+  response.writeHead(500, harness.createAnswerHeaders(request));
+  response.end("sick");
+}
+
+function setAll(vm: harness.TestVm, behaviour: harness.Behaviour): void {
+  vm.targets.forEach((target) => target.behaviour = behaviour);
+}
+
+test.describe("request path", { concurrency: 4 }, () => {
+  test.test("a request is passed on whole, without the key and for its workspace", async () => {
+    await harness.withVm(1, async (vm) => {
+      const bodies: string[] = [];
+      setAll(vm, (request, response, body) => {
+        bodies.push(body);
+        harness.answerWell(request, response);
+      });
+      const answer = await vm.call({
+        path: "/bookings/7?corner=3",
+        body: "a pitch",
+        headers: { [PROFILE.workspace]: "forged", "X-Other": "kept" },
+      });
+      assert.deepEqual([answer.status, answer.body, answer.isComplete], [200, "done", true]);
+      const request = vm.targets[0]?.requests[0] ?? assert.fail();
+      assert.equal(request.url, "/bookings/7?corner=3");
+      assert.equal(request.headers.authorization, undefined);
+      assert.equal(request.headers[PROFILE.workspace], "city");
+      assert.equal(request.headers[PROFILE.expectedTarget], "target-0");
+      assert.equal(request.headers["x-other"], "kept");
+      assert.ok(Number(request.headers[PROFILE.deadline]) <= 1_000);
+      assert.deepEqual(bodies, ["a pitch"]);
+    });
+  });
+
+  test.test("unknown routes and keys are told apart", async () => {
+    await harness.withVm(1, async (vm) => {
+      assert.equal((await vm.call({ path: "/elsewhere/1" })).status, 404);
+      assert.equal((await vm.call({ headers: { Authorization: "Bearer wrong" } })).status, 401);
+      assert.equal(vm.countRequests(), 0);
+    });
+  });
+
+  test.test("a request that may not run twice is never sent again after it may have run", async () => {
+    await harness.withVm(3, async (vm) => {
+      setAll(vm, answerError);
+      assert.equal((await vm.call()).status, 500);
+      setAll(vm, (request) => request.socket.destroy());
+      assert.equal((await vm.call()).status, 502);
+      assert.equal(vm.countRequests(), 2);
+    });
+  });
+
+  test.test("an idempotent request is sent to another target, at most as often as allowed", async () => {
+    await harness.withVm(3, async (vm) => {
+      let calls = 0;
+      setAll(vm, (request, response) => {
+        calls++;
+        (calls === 1 ? answerError : harness.answerWell)(request, response);
+      });
+      assert.equal((await vm.call({ path: "/reads/1", method: "GET" })).status, 200);
+      assert.equal(calls, 2);
+      setAll(vm, answerError);
+      const before = vm.countRequests();
+      assert.equal((await vm.call({ path: "/reads/1", method: "GET" })).status, 500);
+      assert.equal(vm.countRequests() - before, 2);
+    });
+  });
+
+  test.test("what a target has not run goes elsewhere whatever its kind", async () => {
+    await harness.withVm(2, async (vm) => {
+      let sheds = 0;
+      setAll(vm, (request, response) => {
+        if (sheds++ > 0) {
+          harness.answerWell(request, response);
+          return;
+        }
+        response.writeHead(503, { ...harness.createAnswerHeaders(request), [PROFILE.notRun]: "1" });
+        response.end();
+      });
+      assert.equal((await vm.call()).status, 200);
+      assert.equal(vm.countRequests(), 2);
+    });
+  });
+
+  test.test("a request that no target has run is refused as not run, with a time to return", async () => {
+    await harness.withVm(2, async (vm) => {
+      setAll(vm, (request, response) => {
+        response.writeHead(421, harness.createAnswerHeaders(request));
+        response.end();
+      });
+      const answer = await vm.call();
+      assert.equal(answer.status, 503);
+      assert.ok(Number(answer.headers["retry-after"]) > 0);
+    });
+  });
+
+  test.test("an answer without a length is not framed as whole", async () => {
+    await harness.withVm(1, async (vm) => {
+      setAll(vm, (request) => {
+        request.socket.end(
+          `HTTP/1.1 200 OK\r\n${PROFILE.requestId}: ${
+            String(request.headers[PROFILE.requestId])
+          }\r\n` +
+            `${PROFILE.signature}: signed\r\nConnection: close\r\n\r\nhalf of it`,
+        );
+      });
+      const answer = await vm.call();
+      assert.deepEqual([answer.status, answer.body, answer.isComplete], [200, "half of it", false]);
+    });
+  });
+
+  test.test("a cut, foreign or unsigned answer does not reach the caller", async () => {
+    await harness.withVm(1, async (vm) => {
+      const head = (id: string) =>
+        `HTTP/1.1 200 OK\r\n${PROFILE.requestId}: ${id}\r\n${PROFILE.signature}: s\r\n`;
+      const sends: ((request: http.IncomingMessage) => string)[] = [
+        (request) =>
+          `${head(String(request.headers[PROFILE.requestId]))}Content-Length: 9\r\n\r\n1`,
+        () => `${head("another")}Content-Length: 1\r\n\r\n1`,
+        (request) =>
+          `HTTP/1.1 200 OK\r\n${PROFILE.requestId}: ${
+            String(request.headers[PROFILE.requestId])
+          }\r\nContent-Length: 1\r\n\r\n1`,
+        () => "no answer at all\r\n\r\n",
+      ];
+      for (const send of sends) {
+        setAll(vm, (request) => request.socket.end(send(request)));
+        const answer = await vm.call();
+        assert.equal(answer.status, 502);
+      }
+    });
+  });
+
+  test.test("bytes behind an answer belong to no later request", async () => {
+    await harness.withVm(1, async (vm) => {
+      setAll(vm, (request, response) => {
+        harness.answerWell(request, response);
+        const { socket } = request;
+        setTimeout(() =>
+          socket.write(
+            `HTTP/1.1 200 OK\r\n${PROFILE.requestId}: late\r\n` +
+              `${PROFILE.signature}: s\r\nContent-Length: 4\r\n\r\nlate`,
+          ), 20);
+      });
+      for (let round = 0; round < 5; round++) {
+        const answer = await vm.call({ path: "/reads/1", method: "GET" });
+        assert.deepEqual([answer.status, answer.body], [200, "done"]);
+        await kernel.sleep(40);
+      }
+    });
+  });
+
+  test.test("a request that lasts too long has its final answer at the route's time-out", async () => {
+    await harness.withVm(1, async (vm) => {
+      setAll(vm, () => undefined);
+      const startedAt = performance.now();
+      const answer = await vm.call();
+      const elapsed = performance.now() - startedAt;
+      assert.equal(answer.status, 504);
+      assert.ok(elapsed >= 900 && elapsed < 1_500, `after ${elapsed} ms`);
+    });
+  });
+
+  test.test("work for a caller that has left is cancelled at the target", async () => {
+    await harness.withVm(1, async (vm) => {
+      let isCancelled = false;
+      setAll(vm, (request) => {
+        request.socket.once("close", () => isCancelled = true);
+      });
+      const caller = new AbortController();
+      const call = vm.call({ path: "/reads/1", method: "GET", signal: caller.signal });
+      await harness.waitFor(() => vm.countRequests() === 1, "the request arrives");
+      caller.abort();
+      await call;
+      await harness.waitFor(() => isCancelled, "the target sees the end");
+    });
+  });
+
+  test.test("a withdrawn key stops working and a drained target gets nothing", async () => {
+    await harness.withVm(2, async (vm) => {
+      const [first, second] = vm.targets;
+      assert.ok(first !== undefined && second !== undefined);
+      vm.store.put(first.createChange(50, { isDraining: true }));
+      await kernel.sleep(500);
+      for (let round = 0; round < 6; round++) {
+        assert.equal((await vm.call()).status, 200);
+      }
+      assert.equal(first.requests.length, 0);
+      vm.store.declared = harness.createDeclarations(2, {
+        workspaces: [{
+          id: model.createWorkspaceId("city"),
+          keys: ["new"],
+          priority: undefined,
+          ratePerSecond: undefined,
+          burst: 0,
+        }],
+      });
+      vm.store.revision++;
+      await kernel.sleep(500);
+      assert.equal((await vm.call()).status, 401);
+      assert.equal((await vm.call({ headers: { Authorization: "Bearer new" } })).status, 200);
+    });
+  });
+
+  test.test("bodies and heads beyond the declared limits are refused", async () => {
+    await harness.withVm(1, async (vm) => {
+      assert.equal((await vm.call({ body: "x".repeat(100_001) })).status, 413);
+      assert.equal((await vm.call({ headers: { "X-Long": "x".repeat(5_000) } })).status, 431);
+      assert.equal(vm.countRequests(), 0);
+    });
+  });
+
+  test.test("a planned stop cuts no request, also one taken late on a kept connection", async () => {
+    const vm = new harness.TestVm();
+    await vm.start(1);
+    setAll(vm, (request, response) => {
+      setTimeout(() => harness.answerWell(request, response), 400);
+    });
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    let isStopped = false;
+    const stopped = vm.stop().then(() => isStopped = true);
+    const statuses: number[] = [];
+    while (!isStopped && statuses.length < 40) {
+      const answer = await vm.call({ agent });
+      if (answer.status === 0) {
+        break;
+      }
+      statuses.push(answer.status);
+    }
+    await stopped;
+    agent.destroy();
+    assert.equal(vm.countRequests(), statuses.length);
+    assert.ok(statuses.length >= 5, `${statuses.length} requests`);
+    assert.ok(statuses.every((status) => status === 200), statuses.join(" "));
+  });
+
+  test.test("a slow body of a known length is passed on once", async () => {
+    await harness.withVm(1, async (vm) => {
+      const answer = await vm.call({ body: "y".repeat(90_000) });
+      assert.equal(answer.status, 200);
+      assert.equal(vm.targets[0]?.requests[0]?.headers["content-length"], "90000");
+    });
+  });
+});
