--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -23,7 +23,7 @@
 const URGENT_DELAY_MILLISECONDS = 10;
 
 /** Delay with which a relay passes reports on, so that those of several VMs travel together. */
-const RELAY_DELAY_MILLISECONDS = 30;
+const RELAY_DELAY_MILLISECONDS = 50;
 
 /** Name of the feed that tells of members that have just come. */
 const MEMBER_FEED = "members";
--- a/packages/placement/src/belief.ts
+++ b/packages/placement/src/belief.ts
@@ -6,12 +6,24 @@
  * and its end from one success. A filter with two states does that: spells begin and end at given
  * rates, and each outcome moves the probability by how much more often it occurs in one state than
  * in the other. Between outcomes the probability drifts back to the share of time spent in spells.
+ *
+ * Errors come at once and successes after the whole work, so an outcome speaks of the moment at which
+ * its call began: a success of a call that began before a failure does not speak against it.
  */
 
 import * as kernel from "@hemlockwalk/kernel";
 
 /** How one call to a target ended, as far as it says something about the target. */
-export type Outcome = "success" | "error" | "broken" | "silent" | "shed";
+export type Outcome =
+  | "success"
+  | "error"
+  | "broken"
+  | "silent"
+  | "shed"
+  /** Still running after the time within which errors come. */
+  | "survived"
+  /** Still running long after the time that such work takes. */
+  | "overdue";
 
 /** Rates of the two states. */
 export interface BeliefRates {
@@ -34,8 +46,14 @@
   silent: { well: 0.01, sick: 0.4 },
   // A target may be full without any fault.
   shed: { well: 0.1, sick: 0.4 },
+  // Some spells show only at the end of the work, or never.
+  survived: { well: 0.98, sick: 0.25 },
+  overdue: { well: 0.04, sick: 0.4 },
 };
 
+/** Outcomes that speak for a target. */
+const GOOD_OUTCOMES: ReadonlySet<Outcome> = new Set(["success", "survived"]);
+
 /** No outcome is proof: the odds stay within these bounds, so that the opposite is soon believed. */
 const MIN_PROBABILITY = 0.002;
 const MAX_PROBABILITY = 0.98;
@@ -51,28 +69,42 @@
   constructor(rates: BeliefRates = DEFAULT_RATES) {
     this.#rates = rates;
     this.#probability = this.#getStationary();
-    this.#updatedAt = kernel.getMonotonicMilliseconds();
+    // Nothing is known, so an outcome of any age is news.
+    this.#updatedAt = Number.NEGATIVE_INFINITY;
   }
 
   /** Probability, from 0 to 1, that the target is in a spell now. */
   get sickness(): number {
-    const elapsed = kernel.getMonotonicMilliseconds() - this.#updatedAt;
-    const drift = Math.exp(
-      -elapsed * (1 / this.#rates.wellMilliseconds + 1 / this.#rates.sickMilliseconds),
-    );
-    const stationary = this.#getStationary();
-    return stationary + (this.#probability - stationary) * drift;
+    return this.#getSicknessAt(kernel.getMonotonicMilliseconds());
   }
 
-  /** Takes a number of equal outcomes. */
-  observe(outcome: Outcome, count = 1): void {
-    const prior = this.sickness;
+  /**
+   * Takes a number of equal outcomes.
+   *
+   * @param startedAt Monotonic time at which the latest of the calls began, in milliseconds.
+   */
+  observe(outcome: Outcome, startedAt: number, count = 1): void {
+    const isOld = startedAt < this.#updatedAt;
+    if (GOOD_OUTCOMES.has(outcome) && isOld) {
+      return;
+    }
+    const at = Math.max(startedAt, this.#updatedAt);
+    const prior = this.#getSicknessAt(at);
     const likelihood = LIKELIHOODS[outcome];
     const odds = prior / (1 - prior) * Math.pow(likelihood.sick / likelihood.well, count);
     const posterior = odds / (1 + odds);
     this.#probability = Math.min(Math.max(posterior, MIN_PROBABILITY), MAX_PROBABILITY);
-    this.#updatedAt = kernel.getMonotonicMilliseconds();
-    this.observedAt = this.#updatedAt;
+    this.#updatedAt = at;
+    this.observedAt = kernel.getMonotonicMilliseconds();
+  }
+
+  #getSicknessAt(time: number): number {
+    const elapsed = Math.max(0, time - this.#updatedAt);
+    const drift = Math.exp(
+      -elapsed * (1 / this.#rates.wellMilliseconds + 1 / this.#rates.sickMilliseconds),
+    );
+    const stationary = this.#getStationary();
+    return stationary + (this.#probability - stationary) * drift;
   }
 
   #getStationary(): number {
--- a/packages/placement/test/belief_test.ts
+++ b/packages/placement/test/belief_test.ts
@@ -31,7 +31,8 @@
   mayRetry: false,
   objectiveMilliseconds: 500,
   typicalMilliseconds: 200,
-  allowedOverflow: 1,
+  getOverflow: () => 1,
+  acceptsRisk: false,
 };
 
 const READ: placement.PlacementNeed = { ...WRITE, isIdempotent: true, mayRetry: true };
@@ -50,25 +51,40 @@
     const clock = new testing.TestClock();
     try {
       const belief = new placement.TargetBelief();
-      belief.observe("success");
+      belief.observe("success", clock.monotonicMilliseconds);
       assert.ok(belief.sickness < 0.1, `after a success: ${belief.sickness}`);
       await clock.advance(300);
-      belief.observe("error");
+      belief.observe("error", clock.monotonicMilliseconds);
       assert.ok(belief.sickness > 0.6, `after an error: ${belief.sickness}`);
       await clock.advance(300);
-      belief.observe("success");
+      belief.observe("success", clock.monotonicMilliseconds);
       assert.ok(belief.sickness < 0.4, `after the next success: ${belief.sickness}`);
     } finally {
       clock.restore();
     }
   });
 
+  test.test("a success of a call that began before a failure proves nothing", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const belief = new placement.TargetBelief();
+      const longCallAt = clock.monotonicMilliseconds;
+      await clock.advance(200);
+      belief.observe("error", clock.monotonicMilliseconds);
+      await clock.advance(100);
+      belief.observe("success", longCallAt);
+      assert.ok(belief.sickness > 0.7, `after a late success: ${belief.sickness}`);
+    } finally {
+      clock.restore();
+    }
+  });
+
   test.test("without news a belief drifts back within a few spells", async () => {
     const clock = new testing.TestClock();
     try {
       const stationary = new placement.TargetBelief().sickness;
       const belief = new placement.TargetBelief();
-      belief.observe("error", 3);
+      belief.observe("error", clock.monotonicMilliseconds, 3);
       await clock.advance(15_000, 500);
       assert.ok(Math.abs(belief.sickness - stationary) < 0.01);
     } finally {
@@ -78,8 +94,8 @@
 
   test.test("a single lost answer does not condemn a target that serves", () => {
     const belief = new placement.TargetBelief();
-    belief.observe("success", 5);
-    belief.observe("broken");
+    belief.observe("success", performance.now(), 5);
+    belief.observe("broken", performance.now());
     assert.ok(belief.sickness < 0.5, `after a lost answer: ${belief.sickness}`);
   });
 });
@@ -104,6 +120,16 @@
     assert.equal(choose([], WRITE), "none");
   });
 
+  test.test("a request that must not fail waits rather than go to a doubted target", () => {
+    const full = createCandidate("full", { load: 6 });
+    const sick = createCandidate("sick", { sickness: 0.85 });
+    assert.equal(choose([full, sick], WRITE), "full");
+    assert.equal(choose([full, sick], READ, () => 0.9), "sick");
+    const alsoSick = createCandidate("also sick", { sickness: 0.82 });
+    assert.equal(choose([sick, alsoSick], WRITE), "also sick");
+    assert.equal(choose([full, sick], { ...WRITE, acceptsRisk: true }), "sick");
+  });
+
   test.test("load spreads before slots run out", () => {
     const counts = new Map<string, number>();
     const loads = new Map(["a", "b", "c"].map((id) => [id, 0]));
@@ -124,6 +150,25 @@
   });
 });
 
+test.describe("urgency", () => {
+  test.test("the most urgent may wait at a target, the least urgent leave it some slots", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const urgency = new placement.UrgencyTracker();
+      [0, 1, 2].forEach((priority) => urgency.note(priority));
+      assert.deepEqual([0, 1, 2].map((priority) => urgency.getOverflow(priority, 6)), [2, 0, -2]);
+      assert.equal(urgency.getOverflow(2, 3), -1);
+      assert.equal(urgency.getOverflow(2, 1), 0, "a single slot cannot be left free");
+      await clock.advance(4_000, 500);
+      urgency.note(2);
+      await clock.advance(2_000, 500);
+      assert.equal(urgency.getOverflow(2, 6), 2, "nobody more urgent was seen lately");
+    } finally {
+      clock.restore();
+    }
+  });
+});
+
 test.describe("waiting line", () => {
   test.test("the most urgent is placed first, whoever waits too long is told", async () => {
     const clock = new testing.TestClock();
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -9,7 +9,7 @@
 import * as placement from "@hemlockwalk/placement";
 import type * as types from "./types.ts";
 
-const REFILL_INTERVAL_MILLISECONDS = 50;
+const REFILL_INTERVAL_MILLISECONDS = 100;
 
 /** Share of the slack for retries that may be spent at once; the rest covers what VMs do unseen. */
 const SHARE_OF_RETRY_SLACK = 0.6;
--- a/packages/proxy/src/mod.ts
+++ b/packages/proxy/src/mod.ts
@@ -5,5 +5,7 @@
 export * from "./feeds.ts";
 export * from "./listener.ts";
 export * from "./proxy_vm.ts";
+export * from "./reachability.ts";
+export * from "./request_log.ts";
 export * from "./store_follower.ts";
 export type * from "./types.ts";
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -11,6 +11,7 @@
 import * as feeds from "./feeds.ts";
 import * as listeners from "./listener.ts";
 import * as log from "./request_log.ts";
+import * as queues from "./service_queues.ts";
 import * as connections from "./target_connections.ts";
 import * as knowledge from "./target_knowledge.ts";
 import type * as types from "./types.ts";
@@ -80,7 +81,7 @@
         budgets: shared,
         connections: new connections.TargetConnections(),
         log: new log.RequestLog(createLogger("requests")),
-        lines: new Map(),
+        queues: new queues.ServiceQueues(),
         counters: {
           requests: metrics.createCounter(
             "hemlockwalk_requests_total",
@@ -123,6 +124,7 @@
     },
     stop() {
       clearInterval(timer);
+      targets.reachability.stop();
     },
   };
 }
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -13,6 +13,7 @@
 import * as log from "./request_log.ts";
 import type * as connections from "./target_connections.ts";
 import * as calls from "./target_call.ts";
+import type * as queues from "./service_queues.ts";
 import type * as knowledge from "./target_knowledge.ts";
 import type * as types from "./types.ts";
 
@@ -23,10 +24,7 @@
 const ANSWER_MARGIN_MILLISECONDS = 5;
 
 /** A request waits for a slot for at most this share of its objective. */
-const WAIT_IN_OBJECTIVES = 0.5;
-
-/** Requests that may wait at a target beyond its slots. */
-const ALLOWED_OVERFLOW = 1;
+const WAIT_IN_OBJECTIVES = 0.3;
 
 /** Without an answer of the store for so long, what is unknown here may be known elsewhere. */
 const CONFIRMED_FOR_MILLISECONDS = 3_000;
@@ -34,11 +32,23 @@
 /** An idempotent request may go elsewhere when its target has been silent for so many mean times. */
 const SILENT_AFTER_TYPICAL = 4;
 
+/** Errors of targets in a bad spell mostly come within this time. */
+const SURVIVAL_MILLISECONDS = 60;
+
+/** A call that has lasted for so many mean times is overdue. */
+const OVERDUE_AFTER_TYPICAL = 3;
+
 /** A retry needs at least so much of a mean work time before the end of the request. */
 const MIN_TIME_LEFT_IN_TYPICAL = 0.6;
 
 /** Times to come back that refusals name, in seconds. */
-const RETRY_AFTER_SECONDS = { noDeclarations: 0.5, overRate: 1, noRoom: 0.3, notReached: 0.2 };
+const RETRY_AFTER_SECONDS = {
+  noDeclarations: 0.5,
+  overRate: 1,
+  noRoom: 0.3,
+  // Targets that shed with slots free or were not reached: another one may well take the request.
+  notReached: 0.05,
+};
 
 /** What the request path works with. */
 export interface RequestContext {
@@ -48,7 +58,7 @@
   readonly budgets: budgets.Budgets;
   readonly connections: connections.TargetConnections;
   readonly log: log.RequestLog;
-  readonly lines: Map<model.ServiceId, placement.WaitingLine>;
+  readonly queues: queues.ServiceQueues;
   readonly counters: { readonly requests: { inc(labels: { outcome: string }): void } };
   readonly latency: { record(milliseconds: number): void };
   /** Monotonic time of the latest answer of the store to any VM. */
@@ -77,6 +87,8 @@
   #isAnswered = false;
   #hasArrived = false;
   #mayHaveRun = false;
+  /** Whether the latest refusal of a target was for want of slots. */
+  #isCrowded = true;
 
   constructor(
     context: RequestContext,
@@ -226,6 +238,8 @@
 
   #place(accepted: types.AcceptedRequest): Promise<Placement> {
     const { route, service } = accepted;
+    const queue = this.#context.queues.get(service);
+    queue.urgency.note(accepted.priority);
     const typical = this.#context.knowledge.workTimes.getTypical(
       route.id,
       route.objectiveMilliseconds,
@@ -236,7 +250,8 @@
         this.#context.budgets.getRetryLevel(service) > 0.2,
       objectiveMilliseconds: route.objectiveMilliseconds,
       typicalMilliseconds: typical,
-      allowedOverflow: ALLOWED_OVERFLOW,
+      getOverflow: (slots) => queue.urgency.getOverflow(accepted.priority, slots),
+      acceptsRisk: false,
     };
     const first = this.#choose(service, need);
     if (first.kind === "chosen") {
@@ -268,18 +283,13 @@
 
   #wait(accepted: types.AcceptedRequest, need: placement.PlacementNeed): Promise<Placement> {
     const { service, route } = accepted;
-    let line = this.#context.lines.get(service);
-    if (line === undefined) {
-      line = new placement.WaitingLine();
-      this.#context.lines.set(service, line);
-    }
+    const { line } = this.#context.queues.get(service);
     this.#story.add("waits", { ahead: line.countAhead(accepted.priority) });
     const now = kernel.getMonotonicMilliseconds();
     const waitUntil = Math.min(
       accepted.arrivedAt + route.objectiveMilliseconds * WAIT_IN_OBJECTIVES,
       accepted.endsAt - need.typicalMilliseconds,
     );
-    const own = line;
     return new Promise((resolve) => {
       const waiter: placement.Waiter = {
         priority: accepted.priority,
@@ -294,15 +304,20 @@
         },
         giveUp: () => {
           this.#caller.signal.removeEventListener("abort", onLeave);
-          resolve({ kind: "refused", reason: "no_room" });
+          const last = this.#choose(service, { ...need, acceptsRisk: true });
+          resolve(
+            last.kind === "chosen"
+              ? this.#createPlacement(last)
+              : { kind: "refused", reason: "no_room" },
+          );
         },
       };
       const onLeave = () => {
-        own.remove(waiter);
+        line.remove(waiter);
         resolve({ kind: "refused", reason: "caller_left" });
       };
       this.#caller.signal.addEventListener("abort", onLeave, { once: true });
-      own.add(waiter);
+      line.add(waiter);
     });
   }
 
@@ -327,6 +342,7 @@
     this.#caller.signal.addEventListener("abort", onLeave, { once: true });
     const silence = this.#startSilenceTimer(accepted, attempt);
     const startedAt = kernel.getMonotonicMilliseconds();
+    const stopWatching = this.#watchCall(accepted, target.id, startedAt);
     this.#hasArrived = true;
     known.begin(target.id);
     let result: calls.CallResult;
@@ -337,18 +353,45 @@
         body,
         profile,
         connections: targetConnections,
+        connectTimeoutMilliseconds: known.reachability.getConnectTimeout(target.id),
+        noteConnectTime: (milliseconds) =>
+          known.reachability.noteConnected(target.id, milliseconds),
         signal: attempt.signal,
       });
     } finally {
       clearTimeout(silence);
+      stopWatching();
       this.#caller.signal.removeEventListener("abort", onLeave);
       known.end(target.id);
-      this.#context.lines.get(accepted.service)?.advance();
+      this.#context.queues.get(accepted.service).line.advance();
     }
-    this.#learn(accepted, target.id, result, kernel.getMonotonicMilliseconds() - startedAt);
+    this.#learn(accepted, target.id, result, startedAt);
     return result;
   }
 
+  /** Learns from a call while it runs: work may take long, and errors come at once. */
+  #watchCall(
+    accepted: types.AcceptedRequest,
+    target: model.TargetId,
+    startedAt: number,
+  ): () => void {
+    const { knowledge: known } = this.#context;
+    const { route } = accepted;
+    const typical = known.workTimes.getTypical(route.id, route.objectiveMilliseconds);
+    const survival = setTimeout(
+      () => known.observe(target, "survived", startedAt),
+      SURVIVAL_MILLISECONDS,
+    );
+    const overdue = setTimeout(
+      () => known.observe(target, "overdue", startedAt),
+      Math.max(typical * OVERDUE_AFTER_TYPICAL, SURVIVAL_MILLISECONDS * 2),
+    );
+    return () => {
+      clearTimeout(survival);
+      clearTimeout(overdue);
+    };
+  }
+
   #startSilenceTimer(
     accepted: types.AcceptedRequest,
     attempt: AbortController,
@@ -369,15 +412,16 @@
     accepted: types.AcceptedRequest,
     target: model.TargetId,
     result: calls.CallResult,
-    milliseconds: number,
+    startedAt: number,
   ): void {
+    const milliseconds = kernel.getMonotonicMilliseconds() - startedAt;
     const { knowledge: known } = this.#context;
     const { route } = accepted;
     switch (result.kind) {
       case "answered": {
         const isError = result.answer.status >= 500;
         this.#mayHaveRun = true;
-        known.observe(target, isError ? "error" : "success");
+        known.observe(target, isError ? "error" : "success", startedAt);
         if (!isError) {
           known.workTimes.record(route.id, target, milliseconds, route.objectiveMilliseconds);
         }
@@ -386,17 +430,21 @@
       }
       case "not_run":
         if (result.reason === "shed") {
-          known.observe(target, "shed");
-          known.markFull(target);
+          known.observe(target, "shed", startedAt);
+          this.#isCrowded = known.noteShed(target);
         } else {
-          known.markUnreachable(target);
+          known.markUnreachable(target, result.reason === "unreachable");
         }
         this.#story.add("not_run", { target, reason: result.reason });
         return;
       case "failed":
         this.#mayHaveRun = true;
         if (result.reason !== "cancelled") {
-          known.observe(target, result.reason === "silent" ? "silent" : "broken");
+          known.observe(
+            target,
+            result.reason === "silent" ? "silent" : "broken",
+            startedAt,
+          );
         }
         this.#story.add("failed", { target, reason: result.reason });
         return;
@@ -447,7 +495,9 @@
           this.#refuse({
             status: 503,
             reason: "not_reached",
-            retryAfterSeconds: RETRY_AFTER_SECONDS.notReached,
+            retryAfterSeconds: this.#isCrowded
+              ? RETRY_AFTER_SECONDS.noRoom
+              : RETRY_AFTER_SECONDS.notReached,
           });
         }
         return;
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -11,9 +11,6 @@
 import type * as connections from "./target_connections.ts";
 import type * as types from "./types.ts";
 
-/** A new connection takes one round trip; a lost opening packet is sent again only after a second. */
-const CONNECT_TIMEOUT_MILLISECONDS = 250;
-
 /** Answers up to this size are taken whole before the caller gets any of them. */
 const HELD_ANSWER_BYTES = 262_144;
 
@@ -53,6 +50,10 @@
   readonly body: bodies.RequestBody;
   readonly profile: types.HeaderProfile;
   readonly connections: connections.TargetConnections;
+  /** Longest time for a new connection. */
+  readonly connectTimeoutMilliseconds: number;
+  /** Told how long a new connection took. */
+  readonly noteConnectTime: (milliseconds: number) => void;
   /** Ends the attempt. The reason of the signal is `silent` or `cancelled`. */
   readonly signal: AbortSignal;
 }
@@ -93,9 +94,14 @@
         return;
       }
       socket.setNoDelay(true);
-      this.#connectTimer = setTimeout(() => this.#fail("silent"), CONNECT_TIMEOUT_MILLISECONDS);
+      const startedAt = kernel.getMonotonicMilliseconds();
+      this.#connectTimer = setTimeout(
+        () => this.#fail("silent"),
+        options.connectTimeoutMilliseconds,
+      );
       socket.once("connect", () => {
         this.#isConnected = true;
+        options.noteConnectTime(kernel.getMonotonicMilliseconds() - startedAt);
         clearTimeout(this.#connectTimer);
       });
     });
--- a/packages/proxy/src/target_knowledge.ts
+++ b/packages/proxy/src/target_knowledge.ts
@@ -7,14 +7,17 @@
 import type * as mesh from "@hemlockwalk/mesh";
 import type * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
+import * as reach from "./reachability.ts";
 
-/** A target that could not be reached is avoided for so long, twice as long each time. */
-const MIN_AVOIDANCE_MILLISECONDS = 700;
-const MAX_AVOIDANCE_MILLISECONDS = 4_000;
+/** A target whose address answers for another one is avoided for so long; its entry is old. */
+const MISDIRECTED_MILLISECONDS = 700;
 
 /** A target that sheds is taken as full for so long. */
 const FULL_MILLISECONDS = 150;
 
+/** News of others' calls are on their way for about so long. */
+const NEWS_DELAY_MILLISECONDS = 80;
+
 /** Outcomes that other VMs should hear of at once. */
 const URGENT_OUTCOMES: ReadonlySet<placement.Outcome> = new Set(["error", "silent"]);
 
@@ -24,15 +27,28 @@
 /** Loads of one VM: all that are not zero, or just those that have changed. */
 type LoadPayload = readonly [isFull: boolean, loads: Record<string, number>];
 
-type OutcomeCounts = Partial<Record<placement.Outcome, number>>;
+/** What is told of outcomes of one kind. */
+interface OutcomeSummary {
+  count: number;
+  /** Monotonic time at which the latest of the calls began, in milliseconds. */
+  startedAt: number;
+}
+
+/** A summary as it travels; times of one VM mean nothing to another. */
+type OutcomeNews = readonly [
+  outcome: placement.Outcome,
+  count: number,
+  startedAgoMilliseconds: number,
+];
+
+type OutcomeTable = Map<placement.Outcome, OutcomeSummary>;
 
 interface TargetRecord {
   belief: placement.TargetBelief;
   ownLoad: number;
   readonly loadByVm: Map<model.VmId, number>;
   othersLoad: number;
-  unreachableUntil: number;
-  unreachableTimes: number;
+  avoidedUntil: number;
   fullUntil: number;
 }
 
@@ -42,10 +58,11 @@
   readonly #mesh: mesh.Mesh;
   readonly #logger: kernel.PartLogger;
   readonly #records = new Map<model.TargetId, TargetRecord>();
-  #unreportedOutcomes = new Map<model.TargetId, OutcomeCounts>();
+  #unreportedOutcomes = new Map<model.TargetId, OutcomeTable>();
   #fullLoadsAt = Number.NEGATIVE_INFINITY;
   readonly #unreportedLoads = new Set<model.TargetId>();
   readonly workTimes = new placement.WorkTimes();
+  readonly reachability: reach.Reachability;
 
   constructor(
     directory: declarations.TargetDirectory,
@@ -55,6 +72,10 @@
     this.#directory = directory;
     this.#mesh = vmMesh;
     this.#logger = logger;
+    this.reachability = new reach.Reachability(
+      (target) => directory.find(target)?.address,
+      logger,
+    );
     directory.onChange((change, previous) => this.#forgetOldLife(change, previous));
     vmMesh.addSection("outcomes", {
       collect: () => this.#collectOutcomes(),
@@ -91,35 +112,47 @@
     this.#unreportedLoads.add(target);
   }
 
-  /** Takes the outcome of a call of this VM. */
-  observe(target: model.TargetId, outcome: placement.Outcome): void {
+  /**
+   * Takes the outcome of a call of this VM.
+   *
+   * @param startedAt Monotonic time at which the call began, in milliseconds.
+   */
+  observe(target: model.TargetId, outcome: placement.Outcome, startedAt: number): void {
     const record = this.#getRecord(target);
     const before = record.belief.sickness;
-    record.belief.observe(outcome);
-    record.unreachableTimes = 0;
-    const counts = this.#unreportedOutcomes.get(target) ?? {};
-    counts[outcome] = (counts[outcome] ?? 0) + 1;
-    this.#unreportedOutcomes.set(target, counts);
+    record.belief.observe(outcome, startedAt);
+    const table = this.#unreportedOutcomes.get(target) ?? new Map<never, never>();
+    const known = table.get(outcome);
+    table.set(outcome, {
+      count: (known?.count ?? 0) + 1,
+      startedAt: Math.max(known?.startedAt ?? startedAt, startedAt),
+    });
+    this.#unreportedOutcomes.set(target, table);
     if (URGENT_OUTCOMES.has(outcome)) {
       this.#mesh.hurry();
     }
     this.#logChange(target, before, record.belief.sickness, outcome);
   }
 
-  markFull(target: model.TargetId): void {
-    this.#getRecord(target).fullUntil = kernel.getMonotonicMilliseconds() + FULL_MILLISECONDS;
+  /** Notes that a target has shed a request; returns whether its slots seemed to be taken. */
+  noteShed(target: model.TargetId): boolean {
+    const record = this.#getRecord(target);
+    const slots = this.#directory.find(target)?.slots ?? 0;
+    const isFull = record.ownLoad + record.othersLoad >= slots;
+    if (isFull) {
+      record.fullUntil = kernel.getMonotonicMilliseconds() + FULL_MILLISECONDS;
+    }
+    return isFull;
   }
 
-  /** Notes that this VM could not reach a target. Others may, so it is not told. */
-  markUnreachable(target: model.TargetId): void {
-    const record = this.#getRecord(target);
-    const avoidance = Math.min(
-      MIN_AVOIDANCE_MILLISECONDS * 2 ** record.unreachableTimes,
-      MAX_AVOIDANCE_MILLISECONDS,
-    );
-    record.unreachableTimes++;
-    record.unreachableUntil = kernel.getMonotonicMilliseconds() + avoidance;
-    this.#logger.info("A target could not be reached.", { target, avoidedMilliseconds: avoidance });
+  /** Notes that this VM could not reach a target, or reached another one at its address. */
+  markUnreachable(target: model.TargetId, isCut: boolean): void {
+    if (isCut) {
+      this.reachability.noteUnreachable(target);
+      return;
+    }
+    this.#getRecord(target).avoidedUntil = kernel.getMonotonicMilliseconds() +
+      MISDIRECTED_MILLISECONDS;
   }
 
   /** Drops the loads of VMs that are gone. */
@@ -137,6 +170,7 @@
       if (isUnused) {
         this.#records.delete(target);
         this.workTimes.forgetTarget(target);
+        this.reachability.forget(target);
       }
     }
   }
@@ -153,7 +187,7 @@
       sickness: record.belief.sickness,
       unobservedMilliseconds: now - record.belief.observedAt,
       slowness: this.workTimes.getSlowness(entry.id),
-      isUnreachable: record.unreachableUntil > now,
+      isUnreachable: record.avoidedUntil > now || !this.reachability.isReachable(entry.id),
       isRemote: entry.dataCentre !== this.#mesh.self.dataCentre,
       warmUpMilliseconds: Math.max(0, entry.warmUpMilliseconds - knownFor),
     };
@@ -167,8 +201,7 @@
         ownLoad: 0,
         loadByVm: new Map(),
         othersLoad: 0,
-        unreachableUntil: 0,
-        unreachableTimes: 0,
+        avoidedUntil: 0,
         fullUntil: 0,
       };
       this.#records.set(target, record);
@@ -185,9 +218,9 @@
     const record = this.#records.get(change.id);
     if (!isSameLife && record !== undefined) {
       record.belief = new placement.TargetBelief();
-      record.unreachableUntil = 0;
-      record.unreachableTimes = 0;
+      record.avoidedUntil = 0;
       this.workTimes.forgetTarget(change.id);
+      this.reachability.forget(change.id);
     }
   }
 
@@ -195,17 +228,26 @@
     if (this.#unreportedOutcomes.size === 0) {
       return undefined;
     }
-    const outcomes = Object.fromEntries(this.#unreportedOutcomes);
+    const now = kernel.getMonotonicMilliseconds();
+    const news: Record<string, OutcomeNews[]> = {};
+    for (const [target, table] of this.#unreportedOutcomes) {
+      news[target] = [...table].map(([outcome, { count, startedAt }]) => [
+        outcome,
+        count,
+        Math.round(now - startedAt),
+      ]);
+    }
     this.#unreportedOutcomes = new Map();
-    return outcomes;
+    return news;
   }
 
   #receiveOutcomes(payload: unknown): void {
-    for (const [target, counts] of Object.entries(payload as Record<string, OutcomeCounts>)) {
+    const now = kernel.getMonotonicMilliseconds() - NEWS_DELAY_MILLISECONDS;
+    for (const [target, news] of Object.entries(payload as Record<string, OutcomeNews[]>)) {
       const record = this.#getRecord(target as model.TargetId);
       const before = record.belief.sickness;
-      for (const [outcome, count] of Object.entries(counts)) {
-        record.belief.observe(outcome as placement.Outcome, count);
+      for (const [outcome, count, startedAgo] of news) {
+        record.belief.observe(outcome, now - startedAgo, count);
       }
       this.#logChange(target, before, record.belief.sickness, "told");
     }
--- /dev/null
+++ b/packages/proxy/test/fleet_test.ts
@@ -0,0 +1,110 @@
+/**
+ * Tests of several VMs in one process: what one of them reads, all of them obey.
+ */
+
+import * as assert from "node:assert/strict";
+import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
+import * as model from "@hemlockwalk/model";
+import * as harness from "./harness.ts";
+
+/** Drains and withdrawn keys bind after this time. */
+const BOUND_MILLISECONDS = 2_000;
+
+async function withFleet(
+  run: (reading: harness.TestVm, turnedAway: harness.TestVm) => Promise<void>,
+): Promise<void> {
+  const reading = new harness.TestVm();
+  await reading.start(2);
+  const closedStore = new harness.MemoryStore();
+  closedStore.isAvailable = false;
+  const turnedAway = new harness.TestVm({
+    name: "vm-turned-away",
+    store: closedStore,
+    seeds: [reading.peerAddress],
+  });
+  try {
+    await turnedAway.start(0);
+    await run(reading, turnedAway);
+  } finally {
+    await Promise.all([turnedAway.stop(), reading.stop()]);
+  }
+}
+
+test.describe("fleet", { concurrency: 3 }, () => {
+  test.test("a VM that the store turns away serves, and obeys drains and withdrawn keys", async () => {
+    await withFleet(async (reading, turnedAway) => {
+      assert.equal((await turnedAway.call()).status, 200);
+      const [first] = reading.targets;
+      assert.ok(first !== undefined);
+      reading.store.put(first.createChange(60, { isDraining: true }));
+      reading.store.declared = harness.createDeclarations(5, {
+        workspaces: [{
+          id: model.createWorkspaceId("city"),
+          keys: ["new"],
+          priority: undefined,
+          ratePerSecond: undefined,
+          burst: 0,
+        }],
+      });
+      await kernel.sleep(BOUND_MILLISECONDS);
+      const before = first.requests.length;
+      assert.equal((await turnedAway.call()).status, 401);
+      for (let round = 0; round < 4; round++) {
+        const answer = await turnedAway.call({ headers: { Authorization: "Bearer new" } });
+        assert.equal(answer.status, 200);
+      }
+      assert.equal(first.requests.length, before);
+    });
+  });
+
+  test.test("a rate holds for both VMs together", async () => {
+    const limited = harness.createDeclarations(3, {
+      workspaces: [{
+        id: model.createWorkspaceId("city"),
+        keys: ["secret"],
+        priority: undefined,
+        ratePerSecond: 5,
+        burst: 10,
+      }],
+    });
+    await withFleet(async (reading, turnedAway) => {
+      reading.store.declared = limited;
+      reading.store.revision++;
+      await kernel.sleep(BOUND_MILLISECONDS);
+      let served = 0;
+      const startedAt = performance.now();
+      while (performance.now() - startedAt < 3_000) {
+        const answers = await Promise.all([reading.call(), turnedAway.call()]);
+        served += answers.filter((answer) => answer.status === 200).length;
+        assert.ok(answers.every((answer) => [200, 429].includes(answer.status)));
+        await kernel.sleep(20);
+      }
+      const bound = (5 * 5 + 10) * 1.25 + 20;
+      assert.ok(served <= bound, `${served} served, at most ${bound} are allowed`);
+      assert.ok(served >= 5 * 3, `${served} served`);
+    });
+  });
+
+  test.test("entries that lapse while the store is away stay in use until it is back", async () => {
+    await withFleet(async (reading) => {
+      const { store } = reading;
+      const entries = [...store.targets.values()];
+      store.isAvailable = false;
+      await kernel.sleep(3_500);
+      store.targets.clear();
+      store.revision += 5;
+      store.isAvailable = true;
+      const endsAt = performance.now() + 1_000;
+      while (performance.now() < endsAt) {
+        assert.equal((await reading.call()).status, 200);
+        await kernel.sleep(50);
+      }
+      entries.forEach((entry) =>
+        store.put({ ...entry, revision: store.revision + 1 as typeof entry.revision })
+      );
+      await kernel.sleep(2_500);
+      assert.equal((await reading.call()).status, 200);
+    });
+  });
+});
--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -209,20 +209,36 @@
   readonly agent?: http.Agent;
 }
 
+/** What a test VM shares with others. */
+export interface TestVmOptions {
+  readonly name: string;
+  readonly store: MemoryStore;
+  readonly seeds: readonly string[];
+}
+
 /** One VM in front of some targets. */
 export class TestVm {
-  readonly store = new MemoryStore();
+  readonly store: MemoryStore;
   readonly targets: TestTarget[] = [];
   port = 0;
+  peerAddress = "";
+  readonly #options: TestVmOptions;
   #vm: proxy.ProxyVm | undefined;
   #nextRequest = 1;
 
+  constructor(
+    options: TestVmOptions = { name: "vm", store: new MemoryStore(), seeds: [] },
+  ) {
+    this.#options = options;
+    this.store = options.store;
+  }
+
   get isReady(): boolean {
     return this.#vm?.isReady() ?? false;
   }
 
   async start(targetCount: number, declared = createDeclarations(1)): Promise<void> {
-    this.store.declared = declared;
+    this.store.declared ??= declared;
     for (let index = 0; index < targetCount; index++) {
       const target = new TestTarget(`target-${index}`);
       await target.start();
@@ -230,18 +246,18 @@
       this.store.put(target.createChange(index + 2));
     }
     this.port = await findPort();
-    const peerPort = await findPort();
+    this.peerAddress = `127.0.0.1:${await findPort()}`;
     const rootLogger = kernel.createSilentLogger();
     this.#vm = proxy.createProxyVm({
       identity: {
-        vm: model.createVmId("vm"),
+        vm: model.createVmId(this.#options.name),
         incarnation: model.createIncarnation(),
         dataCentre: model.createDataCentreId("north"),
-        address: `127.0.0.1:${peerPort}`,
-        tag: 1,
+        address: this.peerAddress,
+        tag: this.port,
       },
       callerAddress: `127.0.0.1:${this.port}`,
-      listSeeds: () => [],
+      listSeeds: () => this.#options.seeds,
       profile: PROFILE,
       bounds: BOUNDS,
       isFirstStart: true,
--- /dev/null
+++ b/packages/proxy/test/parts_test.ts
@@ -0,0 +1,61 @@
+/**
+ * Tests of parts of the request path on their own: cut paths, stories and headers.
+ */
+
+import * as assert from "node:assert/strict";
+import * as net from "node:net";
+import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
+import * as model from "@hemlockwalk/model";
+import * as proxy from "@hemlockwalk/proxy";
+import * as harness from "./harness.ts";
+
+const TARGET = model.createTargetId("target");
+
+function createSilentLogger(): kernel.PartLogger {
+  return new kernel.PartLogger(kernel.createSilentLogger(), "test");
+}
+
+test.test("a target that was not reached comes back by a bare connection, not by a request", async () => {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const address = server.address();
+  const port = typeof address === "object" && address !== null ? address.port : assert.fail();
+  await new Promise((resolve) => server.close(resolve));
+  const reachability = new proxy.Reachability(() => `127.0.0.1:${port}`, createSilentLogger());
+  try {
+    reachability.noteUnreachable(TARGET);
+    await kernel.sleep(700);
+    assert.equal(reachability.isReachable(TARGET), false);
+    await new Promise<void>((resolve) => server.listen(port, "127.0.0.1", resolve));
+    await harness.waitFor(() => reachability.isReachable(TARGET), "the target is reached");
+  } finally {
+    reachability.stop();
+    server.close();
+  }
+});
+
+test.test("connections are given up against what they usually take", () => {
+  const reachability = new proxy.Reachability(() => undefined, createSilentLogger());
+  const unknown = reachability.getConnectTimeout(TARGET);
+  for (let connection = 0; connection < 20; connection++) {
+    reachability.noteConnected(TARGET, 3);
+  }
+  assert.ok(reachability.getConnectTimeout(TARGET) < unknown);
+  assert.ok(reachability.getConnectTimeout(TARGET) >= 80);
+});
+
+test.test("a flood of failures writes a bounded number of whole stories and counts the rest", async () => {
+  const lines: string[] = [];
+  const logger = createSilentLogger();
+  logger.info = (sentence, fields) => lines.push(`${sentence} ${JSON.stringify(fields)}`);
+  const log = new proxy.RequestLog(logger);
+  for (let request = 0; request < 1_000; request++) {
+    log.write(new proxy.RequestStory(`request-${request}`), "timeout", 504);
+  }
+  const written = lines.length;
+  assert.ok(written > 10 && written < 100, `${written} lines`);
+  await kernel.sleep(1_050);
+  log.write(new proxy.RequestStory("last"), "timeout", 504);
+  assert.match(lines[written] ?? "", new RegExp(`"count":${1_000 - written}`));
+});
