--- a/packages/placement/src/belief.ts
+++ b/packages/placement/src/belief.ts
@@ -21,9 +21,7 @@
   | "silent"
   | "shed"
   /** Still running after the time within which errors come. */
-  | "survived"
-  /** Still running long after the time that such work takes. */
-  | "overdue";
+  | "survived";
 
 /** Rates of the two states. */
 export interface BeliefRates {
@@ -48,7 +46,6 @@
   shed: { well: 0.1, sick: 0.4 },
   // Some spells show only at the end of the work, or never.
   survived: { well: 0.98, sick: 0.25 },
-  overdue: { well: 0.04, sick: 0.4 },
 };
 
 /** Outcomes that speak for a target. */
--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -37,10 +37,8 @@
   readonly objectiveMilliseconds: number;
   /** Mean work time of such requests, in milliseconds. */
   readonly typicalMilliseconds: number;
-  /** Requests beyond the given slots of a target that this one may be one of. */
-  readonly getOverflow: (slots: number) => number;
-  /** Whether a doubted target is better than none, as when the wait is over. */
-  readonly acceptsRisk: boolean;
+  /** Requests that may wait at a target beyond its slots. */
+  readonly allowedOverflow: number;
 }
 
 /** A failure that cannot be repaired costs this many objectives. */
@@ -59,14 +57,11 @@
 const WARM_UP_WEIGHT = 1;
 
 /** Targets are looked after when nothing was heard of them for so long. */
-const LOOK_AFTER_MILLISECONDS = 300;
+const LOOK_AFTER_MILLISECONDS = 500;
 
 /** Share of repeatable requests that look after such a target where there is one. */
 const LOOK_AFTER_SHARE = 0.5;
 
-/** A request whose failure cannot be repaired rather waits than goes to a target beyond this. */
-const MAX_RISK = 0.6;
-
 /** A target at least this likely in a spell is worth looking after. */
 const DOUBTFUL_SICKNESS = 0.12;
 
@@ -91,14 +86,10 @@
       return { kind: "chosen", candidate: doubtful, isLookAfter: true };
     }
   }
-  const isTooRisky = createRiskFilter(candidates, need);
   let best: Candidate | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
-    if (
-      candidate.load >= candidate.slots + need.getOverflow(candidate.slots) ||
-      isTooRisky(candidate)
-    ) {
+    if (candidate.load >= candidate.slots + need.allowedOverflow) {
       continue;
     }
     // A little noise keeps VMs with equal knowledge from choosing the same target at once.
@@ -114,16 +105,6 @@
     : { kind: "chosen", candidate: best, isLookAfter: false };
 }
 
-/** Where every target is doubted, none is left out. */
-function createRiskFilter(
-  candidates: readonly Candidate[],
-  need: PlacementNeed,
-): (candidate: Candidate) => boolean {
-  const isDoubted = (candidate: Candidate) =>
-    candidate.isUnreachable || candidate.sickness > MAX_RISK;
-  return need.mayRetry || need.acceptsRisk || candidates.every(isDoubted) ? () => false : isDoubted;
-}
-
 /** Cost of a candidate in milliseconds. */
 export function getCost(candidate: Candidate, need: PlacementNeed): number {
   const slots = Math.max(candidate.slots, 1);
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -5,6 +5,5 @@
 export * from "./belief.ts";
 export * from "./chooser.ts";
 export * from "./shared_bucket.ts";
-export * from "./urgency.ts";
 export * from "./waiting_line.ts";
 export * from "./work_times.ts";
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -11,10 +11,10 @@
 import * as feeds from "./feeds.ts";
 import * as listeners from "./listener.ts";
 import * as log from "./request_log.ts";
-import * as queues from "./service_queues.ts";
 import * as connections from "./target_connections.ts";
 import * as knowledge from "./target_knowledge.ts";
 import type * as types from "./types.ts";
+import * as waitingLines from "./waiting_lines.ts";
 
 const HOUSEKEEPING_INTERVAL_MILLISECONDS = 1_000;
 
@@ -81,7 +81,7 @@
         budgets: shared,
         connections: new connections.TargetConnections(),
         log: new log.RequestLog(createLogger("requests")),
-        queues: new queues.ServiceQueues(),
+        lines: new waitingLines.WaitingLines(),
         counters: {
           requests: metrics.createCounter(
             "hemlockwalk_requests_total",
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -13,9 +13,9 @@
 import * as log from "./request_log.ts";
 import type * as connections from "./target_connections.ts";
 import * as calls from "./target_call.ts";
-import type * as queues from "./service_queues.ts";
 import type * as knowledge from "./target_knowledge.ts";
 import type * as types from "./types.ts";
+import type * as waitingLines from "./waiting_lines.ts";
 
 /** A caller that names no deadline is given this time, unless the route has a time-out. */
 const DEFAULT_DEADLINE_MILLISECONDS = 30_000;
@@ -24,7 +24,10 @@
 const ANSWER_MARGIN_MILLISECONDS = 5;
 
 /** A request waits for a slot for at most this share of its objective. */
-const WAIT_IN_OBJECTIVES = 0.3;
+const WAIT_IN_OBJECTIVES = 0.5;
+
+/** Requests that may wait at a target beyond its slots. */
+const ALLOWED_OVERFLOW = 1;
 
 /** Without an answer of the store for so long, what is unknown here may be known elsewhere. */
 const CONFIRMED_FOR_MILLISECONDS = 3_000;
@@ -35,9 +38,6 @@
 /** Errors of targets in a bad spell mostly come within this time. */
 const SURVIVAL_MILLISECONDS = 60;
 
-/** A call that has lasted for so many mean times is overdue. */
-const OVERDUE_AFTER_TYPICAL = 3;
-
 /** A retry needs at least so much of a mean work time before the end of the request. */
 const MIN_TIME_LEFT_IN_TYPICAL = 0.6;
 
@@ -58,7 +58,7 @@
   readonly budgets: budgets.Budgets;
   readonly connections: connections.TargetConnections;
   readonly log: log.RequestLog;
-  readonly queues: queues.ServiceQueues;
+  readonly lines: waitingLines.WaitingLines;
   readonly counters: { readonly requests: { inc(labels: { outcome: string }): void } };
   readonly latency: { record(milliseconds: number): void };
   /** Monotonic time of the latest answer of the store to any VM. */
@@ -238,8 +238,6 @@
 
   #place(accepted: types.AcceptedRequest): Promise<Placement> {
     const { route, service } = accepted;
-    const queue = this.#context.queues.get(service);
-    queue.urgency.note(accepted.priority);
     const typical = this.#context.knowledge.workTimes.getTypical(
       route.id,
       route.objectiveMilliseconds,
@@ -250,8 +248,7 @@
         this.#context.budgets.getRetryLevel(service) > 0.2,
       objectiveMilliseconds: route.objectiveMilliseconds,
       typicalMilliseconds: typical,
-      getOverflow: (slots) => queue.urgency.getOverflow(accepted.priority, slots),
-      acceptsRisk: false,
+      allowedOverflow: ALLOWED_OVERFLOW,
     };
     const first = this.#choose(service, need);
     if (first.kind === "chosen") {
@@ -283,7 +280,7 @@
 
   #wait(accepted: types.AcceptedRequest, need: placement.PlacementNeed): Promise<Placement> {
     const { service, route } = accepted;
-    const { line } = this.#context.queues.get(service);
+    const line = this.#context.lines.get(service);
     this.#story.add("waits", { ahead: line.countAhead(accepted.priority) });
     const now = kernel.getMonotonicMilliseconds();
     const waitUntil = Math.min(
@@ -304,12 +301,7 @@
         },
         giveUp: () => {
           this.#caller.signal.removeEventListener("abort", onLeave);
-          const last = this.#choose(service, { ...need, acceptsRisk: true });
-          resolve(
-            last.kind === "chosen"
-              ? this.#createPlacement(last)
-              : { kind: "refused", reason: "no_room" },
-          );
+          resolve({ kind: "refused", reason: "no_room" });
         },
       };
       const onLeave = () => {
@@ -342,7 +334,7 @@
     this.#caller.signal.addEventListener("abort", onLeave, { once: true });
     const silence = this.#startSilenceTimer(accepted, attempt);
     const startedAt = kernel.getMonotonicMilliseconds();
-    const stopWatching = this.#watchCall(accepted, target.id, startedAt);
+    const stopWatching = this.#watchCall(target.id, startedAt);
     this.#hasArrived = true;
     known.begin(target.id);
     let result: calls.CallResult;
@@ -363,32 +355,21 @@
       stopWatching();
       this.#caller.signal.removeEventListener("abort", onLeave);
       known.end(target.id);
-      this.#context.queues.get(accepted.service).line.advance();
+      this.#context.lines.get(accepted.service).advance();
     }
     this.#learn(accepted, target.id, result, startedAt);
     return result;
   }
 
   /** Learns from a call while it runs: work may take long, and errors come at once. */
-  #watchCall(
-    accepted: types.AcceptedRequest,
-    target: model.TargetId,
-    startedAt: number,
-  ): () => void {
+  #watchCall(target: model.TargetId, startedAt: number): () => void {
     const { knowledge: known } = this.#context;
-    const { route } = accepted;
-    const typical = known.workTimes.getTypical(route.id, route.objectiveMilliseconds);
     const survival = setTimeout(
       () => known.observe(target, "survived", startedAt),
       SURVIVAL_MILLISECONDS,
     );
-    const overdue = setTimeout(
-      () => known.observe(target, "overdue", startedAt),
-      Math.max(typical * OVERDUE_AFTER_TYPICAL, SURVIVAL_MILLISECONDS * 2),
-    );
     return () => {
       clearTimeout(survival);
-      clearTimeout(overdue);
     };
   }
 
