Mesh: no update is lost while a link is being opened or when a peer stops reading

Cause: an update that was published between the hello that a VM had sent and the hello that it had not yet received was not sent over that link, and updates are not repeated, so a drain or a withdrawn key could be missed until the next version. Messages to a peer that had stopped reading were dropped.

Change: updates go over every link that has been introduced; a peer that does not read has to open a new link, which brings it everything. The page of the platform's metrics is checked by the tests of proxy, as strictly as the others.

--- a/packages/mesh/src/link.ts
+++ b/packages/mesh/src/link.ts
@@ -8,7 +8,7 @@
 import type * as ws from "ws";
 import type * as types from "./types.ts";
 
-/** A peer that leaves so many bytes unread gets no further messages. */
+/** A peer that leaves so many bytes unread has to open a new link, over which it gets everything. */
 const MAX_QUEUED_BYTES = 1_048_576;
 
 // Records would make a decoder depend on earlier messages.
@@ -32,6 +32,8 @@
   /** Whom the link leads to, once the other VM has said so. */
   peer: types.MemberIdentity | undefined;
   role: types.LinkRole = "standby";
+  /** Whether the other VM has been sent everything, so that only updates must follow. */
+  isIntroduced = false;
   heardAt = kernel.getMonotonicMilliseconds();
   sentAt = kernel.getMonotonicMilliseconds();
   /** Reports that wait to be sent together. */
@@ -64,7 +66,11 @@
   }
 
   send(encoded: Buffer): void {
-    if (!this.isOpen || this.#socket.bufferedAmount > MAX_QUEUED_BYTES) {
+    if (!this.isOpen) {
+      return;
+    }
+    if (this.#socket.bufferedAmount > MAX_QUEUED_BYTES) {
+      this.close();
       return;
     }
     this.sentAt = kernel.getMonotonicMilliseconds();
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -197,7 +197,7 @@
           this.#receiveFeed({ kind: "feed", feed: name, payload }, link);
         }
         if (link.dialledAddress === undefined) {
-          link.send(this.#createHello());
+          this.#introduce(link);
         }
         this.#maintainLinks();
         return;
@@ -367,24 +367,27 @@
   #forwardFeed(message: types.LinkMessage, from: links.Link | undefined): void {
     const encoded = links.encode(message);
     for (const link of this.#links) {
-      // Updates are rare and matter at once, so they also go over standbys.
-      if (link !== from && link.peer !== undefined) {
+      // Updates are rare and matter at once, so they also go over standbys. A VM whose own hello is
+      // still on its way must not miss what came after the hello that it was sent.
+      if (link !== from && link.isIntroduced) {
         link.send(encoded);
       }
     }
   }
 
-  #createHello(): Buffer {
+  /** Sends everything that this VM knows. */
+  #introduce(link: links.Link): void {
     const feeds: Record<string, unknown> = {};
     for (const [name, feed] of this.#feeds) {
       feeds[name] = feed.createSnapshot();
     }
-    return links.encode({
+    link.isIntroduced = true;
+    link.send(links.encode({
       kind: "hello",
       identity: this.self,
       members: this.#table.list(),
       feeds,
-    });
+    }));
   }
 
   #closeSilentLinks(): void {
@@ -464,7 +467,7 @@
       handshakeTimeout: DIAL_TIMEOUT_MILLISECONDS,
     });
     const link = new links.Link(socket, this, address);
-    socket.once("open", () => link.send(this.#createHello()));
+    socket.once("open", () => this.#introduce(link));
     this.#addLink(link);
   }
 
--- a/packages/mesh/test/mesh_test.ts
+++ b/packages/mesh/test/mesh_test.ts
@@ -161,6 +161,24 @@
     });
   });
 
+  test.test("an update that is published while a link is being opened is not lost", async () => {
+    const listener = await createVm("vm-listener", "north", await findPort(), []);
+    const { address } = listener.mesh.self;
+    const dialling = await createVm("vm-dialling", "north", await findPort(), [address]);
+    try {
+      // The hello of the dialling VM is on its way or not sent yet; in either case the word follows.
+      for (let word = 0; !listener.mesh.isLinked; word++) {
+        dialling.taken.add(`word-${word}`);
+        dialling.mesh.publish("words", [`word-${word}`]);
+        await new Promise(setImmediate);
+      }
+      await waitFor(() => listener.taken.size === dialling.taken.size, "every word");
+    } finally {
+      dialling.mesh.stop();
+      listener.mesh.stop();
+    }
+  });
+
   test.test("the age of the store's latest answer travels", async () => {
     await withFleet(async (fleet) => {
       fleet[4]?.mesh.confirm();
--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -273,6 +273,19 @@
     await waitFor(() => this.isReady, "the VM is ready");
   }
 
+  /** Name, type and labels of every metric. */
+  listMetrics(): string[] {
+    const { registry } = this.#vm?.kernel.get(kernel.METRICS) ?? assert.fail();
+    const metrics = registry.getMetricsAsArray() as unknown as {
+      readonly name: string;
+      readonly type: string;
+      readonly labelNames: readonly string[];
+    }[];
+    return metrics.map(({ name, type, labelNames }) =>
+      `${name} ${type} ${[...labelNames].sort().join(" ")}`
+    );
+  }
+
   async stop(): Promise<void> {
     await this.#vm?.kernel.stop();
     this.targets.forEach((target) => target.stop());
--- a/packages/proxy/test/parts_test.ts
+++ b/packages/proxy/test/parts_test.ts
@@ -3,6 +3,7 @@
  */
 
 import * as assert from "node:assert/strict";
+import * as fs from "node:fs";
 import * as net from "node:net";
 import * as test from "node:test";
 import * as kernel from "@hemlockwalk/kernel";
@@ -35,6 +36,25 @@
   }
 });
 
+test.test("the operators' page lists each metric with its type and labels, and no other", async () => {
+  const page = fs.readFileSync(
+    new URL("../../../../docs/operators/platform.md", import.meta.url),
+    "utf8",
+  );
+  const listed = [...page.matchAll(/^\| `(\w+)` +\| (\w+) +\|([^|]*)\|/gm)]
+    .filter(([, name]) => name?.startsWith("hemlockwalk_"))
+    .map(([, name, type, labels]) => {
+      const names = [...(labels ?? "").matchAll(/`(\w+)`/g)].map((match) => match[1]);
+      return `${name} ${type} ${names.sort().join(" ")}`;
+    });
+  const named = new Set([...page.matchAll(/\bhemlockwalk_\w+/g)].map(([name]) => name));
+  await harness.withVm(0, async (vm) => {
+    const exported = vm.listMetrics();
+    assert.deepEqual(listed.sort(), exported.sort());
+    assert.deepEqual([...named].sort(), exported.map((entry) => entry.split(" ", 1)[0]).sort());
+  });
+});
+
 test.test("connections are given up against what they usually take", () => {
   const reachability = new proxy.Reachability(() => undefined, createSilentLogger());
   const unknown = reachability.getConnectTimeout(TARGET);
--- a/scripts/fuzz.mjs
+++ b/scripts/fuzz.mjs
@@ -30,6 +30,16 @@
     test: "keeps the floor, leaving targets and slots under random histories",
     runs: 25,
   },
+  directory: {
+    file: "packages/declarations/dist/test/declarations_test.js",
+    test: "the order and repetition of changes do not matter",
+    runs: 500,
+  },
+  rates: {
+    file: "packages/placement/dist/test/shared_bucket_test.js",
+    test: "all VMs together keep to rate and burst within the tolerated excess",
+    runs: 40,
+  },
 };
 
 const MILLISECONDS_IN_MINUTE = 60_000;
