--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -2,6 +2,7 @@
  * The micro-kernel: services that find each other by name, time, logs and metrics.
  */
 
+export * from "./address.ts";
 export * from "./assert.ts";
 export * from "./bounded_output.ts";
 export * from "./clock.ts";
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -155,7 +155,7 @@
     this.#server = http.createServer((_request, response) => response.writeHead(404).end());
     this.#webSockets = new ws.WebSocketServer({ server: this.#server, perMessageDeflate: false });
     this.#webSockets.on("connection", (socket) => this.#addLink(new links.Link(socket, this)));
-    const [host, port] = splitAddress(this.self.address);
+    const { host, port } = kernel.splitAddress(this.self.address);
     await new Promise<void>((resolve, reject) => {
       this.#server?.once("error", reject);
       this.#server?.listen(port, host, resolve);
@@ -475,8 +475,3 @@
     this.#links.add(link);
   }
 }
-
-function splitAddress(address: string): [host: string, port: number] {
-  const colon = address.lastIndexOf(":");
-  return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -31,7 +31,6 @@
 
 /** What a request needs of a target. */
 export interface PlacementNeed {
-  readonly isIdempotent: boolean;
   /** Whether a failure may be answered by another try. */
   readonly mayRetry: boolean;
   readonly objectiveMilliseconds: number;
--- a/packages/placement/test/belief_test.ts
+++ b/packages/placement/test/belief_test.ts
@@ -27,14 +27,13 @@
 }
 
 const WRITE: placement.PlacementNeed = {
-  isIdempotent: false,
   mayRetry: false,
   objectiveMilliseconds: 500,
   typicalMilliseconds: 200,
   allowedOverflow: 1,
 };
 
-const READ: placement.PlacementNeed = { ...WRITE, isIdempotent: true, mayRetry: true };
+const READ: placement.PlacementNeed = { ...WRITE, mayRetry: true };
 
 function choose(
   candidates: readonly placement.Candidate[],
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -147,9 +147,9 @@
 }
 
 function listen(server: http.Server, address: string): Promise<void> {
-  const colon = address.lastIndexOf(":");
+  const { host, port } = kernel.splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
-    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), resolve);
+    server.listen(port, host, resolve);
   });
 }
--- a/packages/proxy/src/reachability.ts
+++ b/packages/proxy/src/reachability.ts
@@ -114,8 +114,8 @@
       this.#endTest(target);
       return;
     }
-    const colon = address.lastIndexOf(":");
-    const socket = net.connect(Number(address.slice(colon + 1)), address.slice(0, colon));
+    const { host, port } = kernel.splitAddress(address);
+    const socket = net.connect(port, host);
     const startedAt = kernel.getMonotonicMilliseconds();
     const timer = setTimeout(() => fail(), TEST_TIMEOUT_MILLISECONDS);
     const finish = () => {
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -41,6 +41,9 @@
 /** A retry needs at least so much of a mean work time before the end of the request. */
 const MIN_TIME_LEFT_IN_TYPICAL = 0.6;
 
+/** Below this share of the retries at hand, none is planned for; what is left answers failures. */
+const MIN_RETRY_LEVEL = 0.2;
+
 /** Times to come back that refusals name, in seconds. */
 const RETRY_AFTER_SECONDS = {
   noDeclarations: 0.5,
@@ -73,7 +76,7 @@
 }
 
 type Placement =
-  | { readonly kind: "placed"; readonly target: model.TargetId; readonly isLookAfter: boolean }
+  | { readonly kind: "placed"; readonly target: model.TargetId }
   | { readonly kind: "refused"; readonly reason: types.RefusalReason };
 
 /** Serves one request to its end. */
@@ -243,9 +246,8 @@
       route.objectiveMilliseconds,
     );
     const need: placement.PlacementNeed = {
-      isIdempotent: route.isIdempotent,
       mayRetry: route.isIdempotent && this.#tried.size + 1 < route.attempts &&
-        this.#context.budgets.getRetryLevel(service) > 0.2,
+        this.#context.budgets.getRetryLevel(service) > MIN_RETRY_LEVEL,
       objectiveMilliseconds: route.objectiveMilliseconds,
       typicalMilliseconds: typical,
       allowedOverflow: ALLOWED_OVERFLOW,
@@ -275,7 +277,7 @@
       evidenceAge: Math.round(Math.min(candidate.unobservedMilliseconds, 1e6)),
       lookAfter: choice.isLookAfter,
     });
-    return { kind: "placed", target: candidate.id, isLookAfter: choice.isLookAfter };
+    return { kind: "placed", target: candidate.id };
   }
 
   #wait(accepted: types.AcceptedRequest, need: placement.PlacementNeed): Promise<Placement> {
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -76,7 +76,7 @@
     this.#options = options;
     this.#resolve = resolve;
     const { request, target, body } = options;
-    const [host, port] = splitAddress(target.address);
+    const { host, port } = kernel.splitAddress(target.address);
     options.connections.prepare(host, port, request.route.isIdempotent);
     this.#outgoing = http.request({
       agent: options.connections,
@@ -251,8 +251,3 @@
   return incoming.headers["content-length"] !== undefined ||
     incoming.headers["transfer-encoding"] !== undefined;
 }
-
-function splitAddress(address: string): [host: string, port: number] {
-  const colon = address.lastIndexOf(":");
-  return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
--- a/packages/proxy/test/parts_test.ts
+++ b/packages/proxy/test/parts_test.ts
@@ -48,10 +48,11 @@
       return `${name} ${type} ${names.sort().join(" ")}`;
     });
   const named = new Set([...page.matchAll(/\bhemlockwalk_\w+/g)].map(([name]) => name));
-  await harness.withVm(0, async (vm) => {
+  await harness.withVm(0, (vm) => {
     const exported = vm.listMetrics();
     assert.deepEqual(listed.sort(), exported.sort());
     assert.deepEqual([...named].sort(), exported.map((entry) => entry.split(" ", 1)[0]).sort());
+    return Promise.resolve();
   });
 });
 
