Ports of tests are claimed: a dead address was taken by another test

Cause: the property test of runs failed in one run of the continuous integration with `key_missing` as the answer of a target. Its "dead address" was a port that had been opened and closed again. Test files run side by side as processes, and one of the others was given that port: its gateway answered a forwarded request, whose key had been taken out. Ruled out: mixed answers in the gateway (the answer came from a gateway that the test did not know).

Change: ports come from below the system's own range and are claimed for the life of the process by a listener on 127.0.0.2, so that no other test takes them. One copy of this, and of waiting for a condition, instead of five (gateway, mesh, proxy, daemon twice).

--- a/packages/daemon/test/peers_test.ts
+++ b/packages/daemon/test/peers_test.ts
@@ -4,27 +4,19 @@
 
 import assert from "node:assert/strict";
 import * as fs from "node:fs/promises";
-import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as test from "node:test";
 import * as claims from "@hemlockwalk/claims";
 import * as fleet from "@hemlockwalk/fleet";
 import * as kernel from "@hemlockwalk/kernel";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
 import * as standins from "@hemlockwalk/standins";
 import * as daemon from "../src/mod.ts";
 
 const VMS = 3;
 
-async function findFreePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 async function startFleet(context: test.TestContext): Promise<kernel.Kernel[]> {
   const folder = await fs.mkdtemp(path.join(os.tmpdir(), "hemlockwalk-peers-"));
   const secretFile = path.join(folder, "secret");
@@ -33,7 +25,7 @@
   await platform.start();
   const seeds: { vm: string; address: string; dataCentre: string }[] = [];
   for (let index = 0; index < VMS; index++) {
-    const address = `127.0.0.1:${await findFreePort()}`;
+    const address = `127.0.0.1:${await kernelTesting.claimPort()}`;
     seeds.push({ vm: `vm-${index}`, address, dataCentre: `north-${index}` });
   }
   const vms = seeds.map((seed) => {
--- a/packages/daemon/test/stop_test.ts
+++ b/packages/daemon/test/stop_test.ts
@@ -5,7 +5,6 @@
 import assert from "node:assert/strict";
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
-import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import process from "node:process";
@@ -13,6 +12,7 @@
 import * as url from "node:url";
 import * as configuration from "@hemlockwalk/configuration";
 import * as kernel from "@hemlockwalk/kernel";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as standins from "@hemlockwalk/standins";
 
 const BINARY = url.fileURLToPath(new URL("../src/main.js", import.meta.url));
@@ -36,14 +36,6 @@
   });
 }
 
-async function getFreePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as net.AddressInfo;
-  await new Promise<void>((resolve) => server.close(() => resolve()));
-  return port;
-}
-
 async function waitForStatus(address: string, status: number): Promise<void> {
   for (;;) {
     const seen = await fetch(address).then((answer) => answer.status, () => undefined);
@@ -61,7 +53,7 @@
     await platform.start();
     await target.start();
     platform.publish(configuration.getNoteKey(1), createNote(target.address));
-    const [port, adminPort] = [await getFreePort(), await getFreePort()];
+    const [port, adminPort] = [await kernelTesting.claimPort(), await kernelTesting.claimPort()];
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "hemlockwalk-stop-"));
     const file = path.join(folder, "settings.jsonc");
     fs.writeFileSync(
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -2,13 +2,13 @@
  * A gateway between real sockets, with small fakes of the services that it uses.
  */
 
-import assert from "node:assert/strict";
 import * as http from "node:http";
 import * as net from "node:net";
 import * as claims from "@hemlockwalk/claims";
 import * as configuration from "@hemlockwalk/configuration";
 import * as configurationTesting from "@hemlockwalk/configuration/testing";
 import * as kernel from "@hemlockwalk/kernel";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as limits from "@hemlockwalk/limits";
 import * as model from "@hemlockwalk/model";
 import * as targets from "@hemlockwalk/targets";
@@ -211,13 +211,6 @@
   return listen(net.createServer(onSocket));
 }
 
-/** An address on which nothing listens. */
-export async function getDeadAddress(): Promise<string> {
-  const server = await startRawTarget(() => {});
-  await server.stop();
-  return server.address;
-}
-
 /** What came back on a raw connection. */
 export interface RawAnswer {
   readonly text: string;
@@ -314,14 +307,7 @@
   return (JSON.parse(result.body) as { reason: string }).reason;
 }
 
-/** Ends a wait in vain, so that a failing test does not hold up the others. */
-const LONGEST_WAIT_MILLISECONDS = 30_000;
-
 /** Waits until a condition holds. */
-export async function waitFor(condition: () => boolean | Promise<boolean>): Promise<void> {
-  const until = performance.now() + LONGEST_WAIT_MILLISECONDS;
-  while (!await condition()) {
-    assert.ok(performance.now() < until, `In vain: ${condition.toString()}`);
-    await new Promise((resolve) => setTimeout(resolve, 1));
-  }
+export function waitFor(condition: () => boolean | Promise<boolean>): Promise<void> {
+  return kernelTesting.waitFor(condition, condition.toString());
 }
--- a/packages/gateway/test/idempotency_test.ts
+++ b/packages/gateway/test/idempotency_test.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import type * as http from "node:http";
 import * as test from "node:test";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import type * as claims from "@hemlockwalk/claims";
 import * as harness from "./harness.ts";
 
@@ -152,7 +153,7 @@
 
   test.it("are free again when the request provably did not run", async (context) => {
     const fixture = await startFixture(context);
-    const declaration = { targets: [await harness.getDeadAddress()] };
+    const declaration = { targets: [await kernelTesting.claimDeadAddress()] };
     fixture.vm.configuration.publish(declaration);
     const refused = await fixture.send("/fines");
     assert.equal(refused.headers["hemlockwalk-run"], "no");
--- a/packages/gateway/test/requests_test.ts
+++ b/packages/gateway/test/requests_test.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import * as test from "node:test";
 import * as fc from "fast-check";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as harness from "./harness.ts";
 
 const SEED = 20_260_304;
@@ -245,7 +246,7 @@
 
   test.it("refuses slow senders of headers and bodies", async (context) => {
     const vm = await harness.startVm({
-      targets: [await harness.getDeadAddress()],
+      targets: [await kernelTesting.claimDeadAddress()],
       listener: { headerTimeoutMilliseconds: 100, bodyIdleTimeoutMilliseconds: 100 },
     });
     context.after(() => vm.services.stop());
--- a/packages/gateway/test/retries_test.ts
+++ b/packages/gateway/test/retries_test.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import type * as http from "node:http";
 import * as test from "node:test";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as harness from "./harness.ts";
 
 interface Fixture {
@@ -34,7 +35,7 @@
     });
   });
   const vm = await harness.startVm({
-    targets: [bad?.address ?? await harness.getDeadAddress(), good.address],
+    targets: [bad?.address ?? await kernelTesting.claimDeadAddress(), good.address],
     ...declaration,
   });
   context.after(async () => {
@@ -133,7 +134,7 @@
   });
 
   test.it("does not multiply an outage", async (context) => {
-    const dead = [await harness.getDeadAddress(), await harness.getDeadAddress()];
+    const dead = [await kernelTesting.claimDeadAddress(), await kernelTesting.claimDeadAddress()];
     const vm = await harness.startVm({ targets: dead });
     context.after(() => vm.services.stop());
     const requests = 200;
--- a/packages/gateway/test/runs_test.ts
+++ b/packages/gateway/test/runs_test.ts
@@ -6,6 +6,7 @@
 import type * as http from "node:http";
 import * as test from "node:test";
 import * as fc from "fast-check";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as harness from "./harness.ts";
 
 const SEED = 20_260_303;
@@ -120,7 +121,7 @@
         () => harness.startTarget((request, response) => act(oracle, request, response)),
       ),
     );
-    const dead = await harness.getDeadAddress();
+    const dead = await kernelTesting.claimDeadAddress();
     const route = { timeoutMilliseconds: DEADLINE_MILLISECONDS };
     const service = { notRunSignal: SIGNAL };
     const alive = servers.map(({ address }) => address);
--- a/packages/mesh/test/mesh_test.ts
+++ b/packages/mesh/test/mesh_test.ts
@@ -3,17 +3,15 @@
  */
 
 import * as assert from "node:assert/strict";
-import * as net from "node:net";
 import * as test from "node:test";
 import * as kernel from "@hemlockwalk/kernel";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as mesh from "@hemlockwalk/mesh";
 import * as model from "@hemlockwalk/model";
 
 /** Longest time for news to reach all VMs; a lost relay is noticed within two seconds. */
 const NEWS_MILLISECONDS = 6_000;
 
-const POLL_MILLISECONDS = 20;
-
 interface TestVm {
   readonly mesh: mesh.Mesh;
   readonly heard: Map<string, unknown>;
@@ -21,14 +19,6 @@
   value: string | undefined;
 }
 
-async function findPort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const address = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return typeof address === "object" && address !== null ? address.port : assert.fail();
-}
-
 async function createVm(
   name: string,
   dataCentre: string,
@@ -74,21 +64,17 @@
   return vm;
 }
 
-async function waitFor(condition: () => boolean, what: string): Promise<void> {
-  const endsAt = performance.now() + NEWS_MILLISECONDS;
-  while (!condition()) {
-    assert.ok(performance.now() < endsAt, `not in time: ${what}`);
-    await kernel.sleep(POLL_MILLISECONDS);
-  }
+function waitFor(condition: () => boolean, what: string): Promise<void> {
+  return kernelTesting.waitFor(condition, what, NEWS_MILLISECONDS);
 }
 
 async function withFleet(
   run: (fleet: TestVm[]) => Promise<void>,
   dataCentres = ["north", "north", "north", "south", "south"],
 ): Promise<void> {
-  const ports = await Promise.all(dataCentres.map(() => findPort()));
+  const ports = await Promise.all(dataCentres.map(() => kernelTesting.claimPort()));
   // One seed is stale: nobody listens there.
-  const seeds = [`127.0.0.1:${await findPort()}`, `127.0.0.1:${ports[1]}`];
+  const seeds = [`127.0.0.1:${await kernelTesting.claimPort()}`, `127.0.0.1:${ports[1]}`];
   const fleet: TestVm[] = [];
   try {
     for (const [index, dataCentre] of dataCentres.entries()) {
@@ -150,7 +136,7 @@
       first?.taken.add("one");
       first?.mesh.publish("words", ["one"]);
       await waitFor(() => fleet.every((vm) => vm.taken.has("one")), "the update");
-      const late = await createVm("vm-late", "south", await findPort(), [
+      const late = await createVm("vm-late", "south", await kernelTesting.claimPort(), [
         seed?.mesh.self.address ?? "",
       ]);
       try {
@@ -162,9 +148,11 @@
   });
 
   test.test("an update that is published while a link is being opened is not lost", async () => {
-    const listener = await createVm("vm-listener", "north", await findPort(), []);
+    const listener = await createVm("vm-listener", "north", await kernelTesting.claimPort(), []);
     const { address } = listener.mesh.self;
-    const dialling = await createVm("vm-dialling", "north", await findPort(), [address]);
+    const dialling = await createVm("vm-dialling", "north", await kernelTesting.claimPort(), [
+      address,
+    ]);
     try {
       // The hello of the dialling VM is on its way or not sent yet; in either case the word follows.
       for (let word = 0; !listener.mesh.isLinked; word++) {
--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -4,9 +4,9 @@
 
 import * as assert from "node:assert/strict";
 import * as http from "node:http";
-import * as net from "node:net";
 import * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
 import * as proxy from "@hemlockwalk/proxy";
 import * as neverthrow from "neverthrow";
@@ -30,6 +30,9 @@
   graceMilliseconds: 5_000,
 };
 
+/** Longest time for news to be in force. */
+const NEWS_MILLISECONDS = 5_000;
+
 /** How a target answers. */
 export type Behaviour = (
   request: http.IncomingMessage,
@@ -245,8 +248,8 @@
       this.targets.push(target);
       this.store.put(target.createChange(index + 2));
     }
-    this.port = await findPort();
-    this.peerAddress = `127.0.0.1:${await findPort()}`;
+    this.port = await kernelTesting.claimPort();
+    this.peerAddress = `127.0.0.1:${await kernelTesting.claimPort()}`;
     const rootLogger = kernel.createSilentLogger();
     this.#vm = proxy.createProxyVm({
       identity: {
@@ -350,18 +353,7 @@
   }
 }
 
-export async function waitFor(condition: () => boolean, what: string): Promise<void> {
-  const endsAt = performance.now() + 5_000;
-  while (!condition()) {
-    assert.ok(performance.now() < endsAt, `not in time: ${what}`);
-    await kernel.sleep(10);
-  }
-}
-
-async function findPort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const address = server.address();
-  await new Promise((resolve) => server.close(resolve));
-  return typeof address === "object" && address !== null ? address.port : assert.fail();
+/** Waits until a condition holds, at most for the time that a VM has for any news. */
+export function waitFor(condition: () => boolean, what: string): Promise<void> {
+  return kernelTesting.waitFor(condition, what, NEWS_MILLISECONDS);
 }
--- a/packages/proxy/test/parts_test.ts
+++ b/packages/proxy/test/parts_test.ts
@@ -7,6 +7,7 @@
 import * as net from "node:net";
 import * as test from "node:test";
 import * as kernel from "@hemlockwalk/kernel";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
 import * as proxy from "@hemlockwalk/proxy";
 import * as harness from "./harness.ts";
@@ -19,10 +20,7 @@
 
 test.test("a target that was not reached comes back by a bare connection, not by a request", async () => {
   const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const address = server.address();
-  const port = typeof address === "object" && address !== null ? address.port : assert.fail();
-  await new Promise((resolve) => server.close(resolve));
+  const port = await kernelTesting.claimPort();
   const reachability = new proxy.Reachability(() => `127.0.0.1:${port}`, createSilentLogger());
   try {
     reachability.noteUnreachable(TARGET);
