Explain a failed request from logs: numbered messages, over_rate steps

Change: one numbered table of messages and steps in the kernel with the meaning of each field; loggers take fields only by those names. `hemlockctl explain-request ID [FILES]` prints the steps of a request and what its VM wrote before it about its targets, the store and the declarations. `over_rate` names rate, burst, level, share and the VMs known.

--- a/packages/kernel/src/logging.ts
+++ b/packages/kernel/src/logging.ts
@@ -3,27 +3,30 @@
  */
 
 import bunyan from "bunyan";
-
-/** Levels that settings may name. */
-export type LogLevel = "debug" | "info" | "warn" | "error";
+import type * as messages from "./log_messages.ts";
 
 /** Named values that go beside a sentence. Never a caller's key. */
 export type LogFields = Record<string, string | number | boolean | undefined>;
 
 /** Creates the root logger of one VM, which writes one JSON object a line to standard output. */
-export function createRootLogger(vm: string, level: LogLevel): bunyan {
+export function createRootLogger(vm: string, level: messages.LogLevel): bunyan {
   return bunyan.createLogger({ name: "hemlockwalk", vm, level });
 }
 
 /** Creates the root logger of one VM, which writes one JSON object a line to the given output. */
 export function createOutputLogger(
   vm: string,
-  level: LogLevel,
+  level: messages.LogLevel,
   output: NodeJS.WritableStream,
 ): bunyan {
   return bunyan.createLogger({ name: "hemlockwalk", vm, streams: [{ level, stream: output }] });
 }
 
+/** Values for fields of a message, which the table names. */
+export type MessageFields<Message extends messages.LogMessage> = {
+  readonly [Name in keyof Message["fields"]]?: string | number | boolean | undefined;
+};
+
 /** Creates a root logger that writes nothing, for tests and tools. */
 export function createSilentLogger(): bunyan {
   return bunyan.createLogger({ name: "hemlockwalk", level: bunyan.FATAL + 1 });
@@ -39,6 +42,14 @@
     this.#prefix = `${part}: `;
   }
 
+  /** Writes a message of the table, with its number. */
+  write<Message extends messages.LogMessage>(
+    message: Message,
+    fields: MessageFields<Message> = {},
+  ): void {
+    this.#logger[message.level]({ code: message.code, ...fields }, this.#prefix + message.text);
+  }
+
   debug(sentence: string, fields: LogFields = {}): void {
     this.#logger.debug(fields, this.#prefix + sentence);
   }
--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./bounded_output.ts";
 export * from "./clock.ts";
 export * from "./kernel.ts";
+export * from "./log_messages.ts";
 export * from "./logging.ts";
 export * from "./metrics.ts";
 export * from "./pause_detector.ts";
--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -8,6 +8,7 @@
 import * as compact from "./commands/compact.ts";
 import * as diff from "./commands/diff.ts";
 import * as explain from "./commands/explain.ts";
+import * as explainRequest from "./commands/explain_request.ts";
 import * as keyNew from "./commands/key_new.ts";
 import * as noteNew from "./commands/note_new.ts";
 import * as status from "./commands/status.ts";
@@ -32,6 +33,7 @@
     compact: compact.compactCommand,
     diff: diff.diffCommand,
     explain: explain.explainCommand,
+    "explain-request": explainRequest.explainRequestCommand,
     key: keyCommand,
     note: noteCommand,
     status: status.statusCommand,
--- a/packages/operator/src/output.ts
+++ b/packages/operator/src/output.ts
@@ -12,6 +12,9 @@
 /** Exit code when a VM tells of something that operators must look at. */
 export const EXIT_ALARM = 4;
 
+/** Exit code when what was asked for is not there. */
+export const EXIT_NOT_FOUND = 5;
+
 /** A finding with the file that it is about. */
 export interface FileFinding {
   readonly file: string;
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -82,6 +82,11 @@
     return this.#level;
   }
 
+  /** Tokens saved up from this VM's share, for times when the level is low. */
+  get shareLevel(): number {
+    return this.#shareLevel;
+  }
+
   setLimits(burst: number, allowance: number): void {
     this.#burst = burst;
     this.#allowance = allowance;
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -105,6 +105,19 @@
     return this.#takeFrom(this.#getRate(workspace.id));
   }
 
+  /** What decided on a workspace's latest request, for the log. */
+  describeRate(workspace: declarations.DeclaredWorkspace) {
+    const bucket = this.#rates.get(workspace.id);
+    return {
+      workspace: workspace.id,
+      rate: workspace.ratePerSecond,
+      burst: workspace.burst,
+      level: bucket === undefined ? undefined : roundToTenth(bucket.level),
+      share: bucket === undefined ? undefined : roundToTenth(bucket.shareLevel),
+      vms: this.#mesh.size,
+    };
+  }
+
   /** Gives back the token of a request that was refused for another reason. */
   returnRate(workspace: declarations.DeclaredWorkspace): void {
     this.#rates.get(workspace.id)?.giveBack();
@@ -285,6 +298,10 @@
   }
 }
 
+function roundToTenth(value: number): number {
+  return Math.round(value * 10) / 10;
+}
+
 function collectBuckets(buckets: ReadonlyMap<string, placement.SharedBucket>): unknown {
   const table: Record<string, readonly [number, number]> = {};
   for (const [name, bucket] of buckets) {
--- a/packages/proxy/src/feeds.ts
+++ b/packages/proxy/src/feeds.ts
@@ -3,7 +3,7 @@
  */
 
 import type * as declarations from "@hemlockwalk/declarations";
-import type * as kernel from "@hemlockwalk/kernel";
+import * as kernel from "@hemlockwalk/kernel";
 import type * as mesh from "@hemlockwalk/mesh";
 import type * as model from "@hemlockwalk/model";
 
@@ -73,7 +73,7 @@
     if (read === undefined || read === null || !this.#store.apply(read)) {
       return false;
     }
-    this.#logger.info("Declarations are in force.", { version: read.version, from });
+    this.#logger.write(kernel.LogMessages.versionTaken, { version: read.version, from });
     return true;
   }
 
@@ -84,7 +84,7 @@
         continue;
       }
       hasTaken = true;
-      this.#logger.debug("A target has changed.", {
+      this.#logger.write(kernel.LogMessages.targetChanged, {
         target: change.id,
         state: change.entry === undefined ? "gone" : change.entry.isDraining ? "draining" : "ready",
         revision: change.revision,
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -83,7 +83,7 @@
     while (this.#runningCount > 0 && kernel.getMonotonicMilliseconds() < endsAt) {
       await kernel.sleep(DRAIN_POLL_MILLISECONDS);
     }
-    this.#options.logger.info("Callers are drained.", { running: this.#runningCount });
+    this.#options.logger.write(kernel.LogMessages.drained, { running: this.#runningCount });
   }
 
   stop(): void {
@@ -103,7 +103,7 @@
     this.#running.set(socket, running);
     this.#runningCount++;
     handler.run().catch((error: unknown) => {
-      this.#options.logger.error("A request failed unexpectedly.", {
+      this.#options.logger.write(kernel.LogMessages.requestBroken, {
         error: error instanceof Error ? error.stack : String(error),
       });
       response.destroy();
--- a/packages/proxy/src/reachability.ts
+++ b/packages/proxy/src/reachability.ts
@@ -74,7 +74,7 @@
     }
     const test: Test = { timer: undefined, failures: 0 };
     this.#tests.set(target, test);
-    this.#logger.info("A target cannot be reached.", {
+    this.#logger.write(kernel.LogMessages.targetUnreachable, {
       target,
       timeoutMilliseconds: Math.round(this.getConnectTimeout(target)),
     });
@@ -136,7 +136,7 @@
     socket.once("connect", () => {
       finish();
       if (this.#tests.get(target) === test) {
-        this.#logger.info("A target is reached again.", { target, tests: test.failures + 1 });
+        this.#logger.write(kernel.LogMessages.targetReached, { target, tests: test.failures + 1 });
         this.noteConnected(target, kernel.getMonotonicMilliseconds() - startedAt);
       }
     });
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -163,6 +163,7 @@
       }
     }
     if (workspace !== undefined && !shared.takeRate(workspace)) {
+      this.#story.add("over_rate", shared.describeRate(workspace));
       return {
         status: 429,
         reason: "over_rate",
--- a/packages/proxy/src/request_log.ts
+++ b/packages/proxy/src/request_log.ts
@@ -20,6 +20,17 @@
   readonly [input: string]: string | number | boolean | undefined;
 }
 
+type StepName = keyof typeof kernel.StorySteps;
+
+/** What decided a step, by the names that the operators' page explains. */
+type StepInputs<Name extends StepName> = {
+  readonly [Input in keyof (typeof kernel.StorySteps)[Name]]?:
+    | string
+    | number
+    | boolean
+    | undefined;
+};
+
 /** Collects the decisions on one request. */
 export class RequestStory {
   readonly id: string;
@@ -34,7 +45,7 @@
     return this.#steps;
   }
 
-  add(step: string, inputs: Record<string, string | number | boolean | undefined> = {}): void {
+  add<Name extends StepName>(step: Name, inputs: StepInputs<Name>): void {
     const at = Math.round(kernel.getMonotonicMilliseconds() - this.arrivedAt);
     this.#steps.push({ at, step, ...inputs });
   }
@@ -60,7 +71,7 @@
       this.#leftOut++;
       return;
     }
-    this.#logger.info("A request has ended.", {
+    this.#logger.write(kernel.LogMessages.requestEnded, {
       request: story.id,
       outcome,
       status,
@@ -77,7 +88,7 @@
     this.#failedLeft = FAILED_LINES_PER_SECOND;
     this.#othersLeft = OTHER_LINES_PER_SECOND;
     if (this.#leftOut > 0) {
-      this.#logger.info("Stories of requests were left out.", { count: this.#leftOut });
+      this.#logger.write(kernel.LogMessages.storiesLeftOut, { count: this.#leftOut });
       this.#leftOut = 0;
     }
   }
--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -180,7 +180,7 @@
 
   #noteAnswer(): void {
     if (!this.#isAvailable || this.#getAge() > OUTAGE_MILLISECONDS) {
-      this.#logger.info("The store answers again.", { silentMilliseconds: this.#getAge() });
+      this.#logger.write(kernel.LogMessages.storeAnswers, { silentMilliseconds: this.#getAge() });
     }
     if (this.#getAge() > OUTAGE_MILLISECONDS) {
       this.#returnedAt = kernel.getMonotonicMilliseconds();
@@ -198,7 +198,7 @@
     this.#failures++;
     if (this.#isAvailable) {
       this.#isAvailable = false;
-      this.#logger.warn("The store gives no answer.", { failure, asOf: this.#asOf });
+      this.#logger.write(kernel.LogMessages.storeSilent, { failure, asOf: this.#asOf });
     }
   }
 
--- a/packages/proxy/src/target_knowledge.ts
+++ b/packages/proxy/src/target_knowledge.ts
@@ -292,7 +292,8 @@
     const wasDoubted = before > 0.5;
     const isDoubted = after > 0.5;
     if (wasDoubted !== isDoubted) {
-      this.#logger.info(isDoubted ? "A target is doubted." : "A target is trusted again.", {
+      const { targetDoubted, targetTrusted } = kernel.LogMessages;
+      this.#logger.write(isDoubted ? targetDoubted : targetTrusted, {
         target,
         sicknessBefore: Number(before.toFixed(3)),
         sickness: Number(after.toFixed(3)),
--- /dev/null
+++ b/scripts/pages.mjs
@@ -0,0 +1,11 @@
+/**
+ * Writes the pages that are made from code. Runs after the build.
+ */
+
+import * as fs from "node:fs";
+import * as logPage from "../packages/kernel/dist/src/log_page.js";
+
+fs.writeFileSync(
+  new URL("../docs/operators/log_messages.md", import.meta.url),
+  logPage.formatLogPage(),
+);
