Weak VMs: relays by capacity, less work for reports, no false silence

Ruled out: readers of the store (they had the versions within 30 ms) and lost updates (all VMs got all). Three things cost: whoever was oldest relayed; a relay encoded each report anew for each link; each urgent report was sent on at once, so messages grew by the square of the fleet. And a connection that stood was given up when the process had been held up: overdue timers run before input.

Change: VMs state what they can carry (cores, link) and the largest relays, the oldest among equals; reports are encoded once by their VM and passed on as bytes; urgent reports are gathered at a relay for 0.3 ms a VM, at least 10 ms; news that are not urgent are gathered for 1.5 ms a VM, at least a tick, so that all reports together stay level from 67 VMs on, and the shared buckets are told that time; timers for connections, silence, survival and links let input go first; a waiting line looks for room once for all who take any target; workspaces are found by a map.

--- a/packages/declarations/src/declaration_store.ts
+++ b/packages/declarations/src/declaration_store.ts
@@ -13,11 +13,13 @@
   readonly declarations: types.Declarations;
   readonly #routes: routes.RouteTable;
   readonly #workspaceByKey = new Map<string, types.DeclaredWorkspace>();
+  readonly #workspaceById = new Map<model.WorkspaceId, types.DeclaredWorkspace>();
 
   constructor(declarations: types.Declarations) {
     this.declarations = declarations;
     this.#routes = new routes.RouteTable(declarations.routes);
     for (const workspace of declarations.workspaces) {
+      this.#workspaceById.set(workspace.id, workspace);
       for (const key of workspace.keys) {
         this.#workspaceByKey.set(key, workspace);
       }
@@ -38,7 +40,7 @@
   }
 
   getWorkspaceById(id: model.WorkspaceId): types.DeclaredWorkspace | undefined {
-    return this.declarations.workspaces.find((workspace) => workspace.id === id);
+    return this.#workspaceById.get(id);
   }
 }
 
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -40,3 +40,30 @@
     signal?.addEventListener("abort", onAbort, { once: true });
   });
 }
+
+/** A timer that can be stopped. */
+export interface StoppableTimer {
+  stop(): void;
+}
+
+/**
+ * Starts a timer that waits for input.
+ *
+ * When the process was held up, timers that have become due run before the input that came meanwhile
+ * is handled. This one lets such input be handled first, so that what has arrived is not taken for
+ * missing.
+ *
+ * @param milliseconds From now until the callback, at least.
+ */
+export function startInputTimer(callback: () => void, milliseconds: number): StoppableTimer {
+  let immediate: NodeJS.Immediate | undefined;
+  const timer = setTimeout(() => {
+    immediate = setImmediate(callback);
+  }, milliseconds);
+  return {
+    stop() {
+      clearTimeout(timer);
+      clearImmediate(immediate);
+    },
+  };
+}
--- /dev/null
+++ b/packages/kernel/test/clock_test.ts
@@ -0,0 +1,47 @@
+/**
+ * Tests of timers that wait for input.
+ */
+
+import * as assert from "node:assert/strict";
+import * as net from "node:net";
+import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
+
+function holdUp(milliseconds: number): void {
+  const endsAt = performance.now() + milliseconds;
+  while (performance.now() < endsAt) {
+    // The process does nothing else meanwhile.
+  }
+}
+
+test.test("what came while the process was held up is handled before the timer", async () => {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  const events: string[] = [];
+  const socket = net.connect(port, "127.0.0.1");
+  await new Promise<void>((resolve) => {
+    const plain = setTimeout(() => events.push("plain timer"), 20);
+    const timer = kernel.startInputTimer(() => events.push("input timer"), 20);
+    socket.once("connect", () => {
+      events.push("connected");
+      clearTimeout(plain);
+      timer.stop();
+      resolve();
+    });
+    holdUp(60);
+  });
+  await kernel.sleep(40);
+  // A plain timer fires, though the connection stood long before.
+  assert.deepEqual(events, ["plain timer", "connected"]);
+  socket.destroy();
+  server.close();
+});
+
+test.test("without input the timer fires, and a stopped one does not", async () => {
+  let fired = 0;
+  kernel.startInputTimer(() => fired++, 10);
+  kernel.startInputTimer(() => fired++, 10).stop();
+  await kernel.sleep(60);
+  assert.equal(fired, 1);
+});
--- a/packages/mesh/src/link.ts
+++ b/packages/mesh/src/link.ts
@@ -36,8 +36,8 @@
   isIntroduced = false;
   heardAt = kernel.getMonotonicMilliseconds();
   sentAt = kernel.getMonotonicMilliseconds();
-  /** Reports that wait to be sent together. */
-  readonly waiting: types.Report[] = [];
+  /** Encoded reports that wait to be sent together. */
+  readonly waiting: Uint8Array[] = [];
   readonly #socket: ws.WebSocket;
 
   constructor(socket: ws.WebSocket, listener: LinkListener, dialledAddress?: string) {
--- a/packages/mesh/src/member_table.ts
+++ b/packages/mesh/src/member_table.ts
@@ -85,8 +85,9 @@
   }
 
   /**
-   * Members of a data centre, those that have lived longest first, which every VM ranks alike and
-   * which restarts change least. This VM takes its own place; unreachable ones are left out.
+   * Members of a data centre, those of the largest capacity first and among them those that have
+   * lived longest, which every VM ranks alike and which restarts change least. This VM takes its own
+   * place; unreachable ones are left out.
    */
   rank(dataCentre: model.DataCentreId): types.MemberIdentity[] {
     const now = kernel.getMonotonicMilliseconds();
@@ -96,7 +97,7 @@
         ranked.push(member.identity);
       }
     }
-    return ranked.sort(compareByAge);
+    return ranked.sort(compareRanks);
   }
 
   listDataCentres(): model.DataCentreId[] {
@@ -134,7 +135,10 @@
   }
 }
 
-function compareByAge(left: types.MemberIdentity, right: types.MemberIdentity): number {
+function compareRanks(left: types.MemberIdentity, right: types.MemberIdentity): number {
+  if (left.capacity !== right.capacity) {
+    return right.capacity - left.capacity;
+  }
   if (left.incarnation !== right.incarnation) {
     return left.incarnation < right.incarnation ? -1 : 1;
   }
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -1,7 +1,7 @@
 /**
  * The mesh: what each VM knows reaches all others within a few ticks, with few links.
  *
- * In each data centre the VM that has lived longest relays: all others of the data centre subscribe
+ * In each data centre the VM with the largest capacity relays, the oldest among equals: all others of the data centre subscribe
  * to it, and the relays of the data centres are bridged. Nobody is elected: each VM ranks the
  * members that it knows and follows the first that it reaches. A VM that others subscribe to
  * relays, whatever it thinks of its own rank. Reports carry absolute values and sequence numbers,
@@ -16,15 +16,31 @@
 import * as packed from "./packed_report.ts";
 import type * as types from "./types.ts";
 
-/** Interval in which changes are gathered before they are sent. */
+/** Interval in which links are looked after and changes are sent at most. */
 const TICK_MILLISECONDS = 100;
 
+/**
+ * Interval in which changes that are not urgent are gathered, for each VM of the fleet, so that all
+ * reports together do not grow with the fleet: two thirds of one for each millisecond.
+ */
+const NEWS_INTERVAL_PER_MEMBER_MILLISECONDS = 1.5;
+
+/** News pass two relays and wait for a tick at each, besides the interval of their VM. */
+const NEWS_TICKS = 2;
+
 /** Delay of a report that others should have at once, so that several of them travel together. */
 const URGENT_DELAY_MILLISECONDS = 10;
 
 /** Delay with which a relay passes reports on, so that those of several VMs travel together. */
 const RELAY_DELAY_MILLISECONDS = 50;
 
+/**
+ * Delay with which a relay passes urgent reports on, for each VM of the fleet. Targets that fail are
+ * reported more often the more VMs there are; without it the relay's messages would grow by the
+ * square of the fleet.
+ */
+const URGENT_RELAY_PER_MEMBER_MILLISECONDS = 0.3;
+
 /** Name of the feed that tells of members that have just come. */
 const MEMBER_FEED = "members";
 
@@ -70,6 +86,8 @@
   #tickTimer: NodeJS.Timeout | undefined;
   #urgentTimer: NodeJS.Timeout | undefined;
   #relayTimer: NodeJS.Timeout | undefined;
+  #urgentRelayTimer: NodeJS.Timeout | undefined;
+  #careImmediate: NodeJS.Immediate | undefined;
   #sequence = 0;
   #reportedAt = Number.NEGATIVE_INFINITY;
   #introducedAt = Number.NEGATIVE_INFINITY;
@@ -137,6 +155,11 @@
     this.#forwardFeed({ kind: "feed", feed, payload }, undefined);
   }
 
+  /** Time within which others hear of a change that is not urgent, in milliseconds. */
+  get newsMilliseconds(): number {
+    return this.#getNewsInterval() + NEWS_TICKS * TICK_MILLISECONDS;
+  }
+
   /** Has the next report sent at once. */
   hurry(): void {
     this.#urgentTimer ??= setTimeout(() => {
@@ -174,8 +197,10 @@
 
   stop(): void {
     clearInterval(this.#tickTimer);
+    clearImmediate(this.#careImmediate);
     clearTimeout(this.#urgentTimer);
     clearTimeout(this.#relayTimer);
+    clearTimeout(this.#urgentRelayTimer);
     for (const link of this.#links) {
       link.close();
     }
@@ -222,7 +247,10 @@
       }
       return;
     }
-    this.#options.logger.info("A link was lost.", { peer: link.peer.vm, role: link.role });
+    this.#options.logger.write(kernel.LogMessages.linkLost, {
+      peer: link.peer.vm,
+      role: link.role,
+    });
     if (link.dialledAddress !== undefined) {
       this.#table.markUnreachable(link.peer.vm);
       this.#maintainLinks();
@@ -230,11 +258,23 @@
   }
 
   #tick(): void {
-    this.#report(false);
+    // Half a tick, since a tick may come a little early against the last one.
+    const dueAt = this.#reportedAt + this.#getNewsInterval() - TICK_MILLISECONDS / 2;
+    if (kernel.getMonotonicMilliseconds() >= dueAt) {
+      this.#report(false);
+    }
     this.#flush();
-    this.#closeSilentLinks();
-    this.#table.expire(this.#getReportInterval());
-    this.#maintainLinks();
+    // After the input that came while the process was held up, so that nobody is missed who spoke.
+    this.#careImmediate = setImmediate(() => {
+      this.#closeSilentLinks();
+      this.#table.expire(this.#getReportInterval());
+      this.#maintainLinks();
+    });
+  }
+
+  #getNewsInterval(): number {
+    const byFleet = this.#table.size * NEWS_INTERVAL_PER_MEMBER_MILLISECONDS;
+    return Math.max(TICK_MILLISECONDS, byFleet);
   }
 
   /** Passes reports on within the data centre. Bridges wait for the tick: their bytes cost. */
@@ -245,6 +285,20 @@
     }, RELAY_DELAY_MILLISECONDS);
   }
 
+  /** Passes urgent reports on everywhere, with what else came within the delay. */
+  #relayUrgently(): void {
+    this.#urgentRelayTimer ??= setTimeout(
+      () => {
+        this.#urgentRelayTimer = undefined;
+        this.#flush();
+      },
+      Math.max(
+        URGENT_DELAY_MILLISECONDS,
+        this.#table.size * URGENT_RELAY_PER_MEMBER_MILLISECONDS,
+      ),
+    );
+  }
+
   #getReportInterval(): number {
     return Math.max(
       MIN_REPORT_INTERVAL_MILLISECONDS,
@@ -272,18 +326,19 @@
     if (isIntroduction) {
       this.#introducedAt = now;
     }
-    this.#queue({
+    const report: types.Report = {
       tag: this.self.tag,
       sequence: ++this.#sequence,
       isLeaving: this.#isLeaving,
       isUrgent,
       sections,
       origin: isIntroduction ? this.self : undefined,
-    }, undefined);
+    };
+    this.#queue(packed.encodeReport(report), undefined);
   }
 
   /** Queues a report for each neighbour that has not sent it itself. */
-  #queue(report: types.Report, from: links.Link | undefined): void {
+  #queue(report: Uint8Array, from: links.Link | undefined): void {
     for (const link of this.#links) {
       if (link !== from && link.peer !== undefined && this.#passesOn(from, link)) {
         link.waiting.push(report);
@@ -301,7 +356,7 @@
       if (reports.length > 0 || now - link.sentAt >= LINK_KEEPALIVE_MILLISECONDS) {
         link.send(links.encode({
           kind: "reports",
-          reports: reports.map(packed.packReport),
+          reports,
           confirmedAge: this.#getAge(now),
         }));
       }
@@ -329,18 +384,26 @@
       this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
     }
     let isUrgent = false;
-    for (const report of message.reports.map(packed.unpackReport)) {
-      this.#receiveReport(report, link);
-      isUrgent ||= report.isUrgent;
+    for (const encoded of message.reports) {
+      const report = packed.decodeReport(encoded);
+      if (report.isErr()) {
+        this.#options.logger.write(kernel.LogMessages.reportUnreadable, {
+          peer: link.peer?.vm,
+          error: report.error,
+        });
+        continue;
+      }
+      this.#receiveReport(report.value, encoded, link);
+      isUrgent ||= report.value.isUrgent;
     }
     if (isUrgent) {
-      this.#flush();
+      this.#relayUrgently();
     } else if (message.reports.length > 0) {
       this.#relaySoon();
     }
   }
 
-  #receiveReport(report: types.Report, link: links.Link): void {
+  #receiveReport(report: types.Report, encoded: Uint8Array, link: links.Link): void {
     if (report.origin !== undefined) {
       this.#table.introduce(report.origin);
     }
@@ -354,7 +417,7 @@
     if (report.isLeaving) {
       this.#table.end(origin);
     }
-    this.#queue(report, link);
+    this.#queue(encoded, link);
   }
 
   #receiveFeed(message: Extract<types.LinkMessage, { kind: "feed" }>, link: links.Link): void {
--- a/packages/mesh/src/types.ts
+++ b/packages/mesh/src/types.ts
@@ -13,6 +13,8 @@
   readonly address: string;
   /** Short random number that stands for this life in reports. */
   readonly tag: number;
+  /** What it can carry for others, in tenths of a core; VMs with more of it relay first. */
+  readonly capacity: number;
 }
 
 /** What one VM tells all others. */
@@ -66,7 +68,8 @@
   | { readonly kind: "role"; readonly role: LinkRole }
   | {
     readonly kind: "reports";
-    readonly reports: readonly PackedReport[];
+    /** Reports as their VMs have encoded them; relays pass the bytes on. */
+    readonly reports: readonly Uint8Array[];
     /** Age of the store's latest answer to any VM, in milliseconds; undefined without one. */
     readonly confirmedAge: number | undefined;
   }
--- a/packages/mesh/test/mesh_test.ts
+++ b/packages/mesh/test/mesh_test.ts
@@ -8,10 +8,19 @@
 import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as mesh from "@hemlockwalk/mesh";
 import * as model from "@hemlockwalk/model";
+import * as msgpackr from "msgpackr";
+import * as ws from "ws";
+import type * as types from "../src/types.ts";
 
 /** Longest time for news to reach all VMs; a lost relay is noticed within two seconds. */
 const NEWS_MILLISECONDS = 6_000;
 
+/** How long messages are counted. */
+const COUNTED_MILLISECONDS = 1_000;
+
+/** The mesh gathers urgent reports for so long. */
+const URGENT_DELAY_MILLISECONDS = 10;
+
 interface TestVm {
   readonly mesh: mesh.Mesh;
   readonly heard: Map<string, unknown>;
@@ -24,6 +33,7 @@
   dataCentre: string,
   port: number,
   seeds: readonly string[],
+  capacity = 5,
 ): Promise<TestVm> {
   const heard = new Map<string, unknown>();
   const taken = new Set<string>();
@@ -38,6 +48,7 @@
         dataCentre: model.createDataCentreId(dataCentre),
         address: `127.0.0.1:${port}`,
         tag: port,
+        capacity,
       },
       listSeeds: () => seeds,
       logger: new kernel.PartLogger(kernel.createSilentLogger(), "mesh"),
@@ -167,6 +178,75 @@
     }
   });
 
+  test.test("the VM with the largest capacity relays, though it came last", async () => {
+    await withFleet(async (fleet) => {
+      const [seed] = fleet;
+      const port = await kernelTesting.claimPort();
+      const strong = await createVm("vm-strong", "north", port, [
+        seed?.mesh.self.address ?? "",
+      ], 10);
+      try {
+        const all = [...fleet, strong];
+        const north = all.filter((vm) => vm.mesh.self.dataCentre === "north");
+        await waitFor(
+          () => north.every((vm) => vm.mesh.rankOwnDataCentre()[0]?.vm === "vm-strong"),
+          "all of its data centre follow it",
+        );
+        for (const vm of [...fleet.slice(1, 4), strong]) {
+          await expectNews(vm, all.filter((other) => other !== vm), `past ${vm.mesh.self.vm}`);
+        }
+      } finally {
+        strong.mesh.stop();
+      }
+    });
+  });
+
+  test.test("a relay passes many urgent reports on in few messages", async () => {
+    await withFleet(async (fleet) => {
+      const [relay, ...others] = fleet.slice(0, 3);
+      const socket = new ws.WebSocket(`ws://${relay?.mesh.self.address}`);
+      let messages = 0;
+      let reports = 0;
+      socket.on("message", (data: Buffer) => {
+        const message = msgpackr.unpack(data) as types.LinkMessage;
+        if (message.kind === "reports") {
+          messages++;
+          reports += message.reports.length;
+        }
+      });
+      await new Promise((resolve) => socket.once("open", resolve));
+      const identity = { ...others[0]?.mesh.self, vm: "vm-counts", incarnation: "zz", tag: 1 };
+      socket.send(msgpackr.pack({ kind: "hello", identity, members: [], feeds: {} }));
+      socket.send(msgpackr.pack({ kind: "role", role: "subscription" }));
+      const endsAt = performance.now() + COUNTED_MILLISECONDS;
+      for (let value = 0; performance.now() < endsAt; value++) {
+        for (const vm of others) {
+          vm.value = `urgent ${value}`;
+          vm.mesh.hurry();
+        }
+        await kernel.sleep(2);
+      }
+      socket.terminate();
+      // Each VM sends one report in 10 ms at most; the relay sends all of them once in 10 ms.
+      const most = COUNTED_MILLISECONDS / URGENT_DELAY_MILLISECONDS + COUNTED_MILLISECONDS / 100;
+      assert.ok(reports > messages, `${reports} reports in ${messages} messages`);
+      assert.ok(messages <= most * 1.2, `${messages} messages`);
+    });
+  });
+
+  test.test("bytes that are no report are passed over, and the link stays", async () => {
+    await withFleet(async (fleet) => {
+      const [relay] = fleet;
+      const socket = new ws.WebSocket(`ws://${relay?.mesh.self.address}`);
+      await new Promise((resolve) => socket.once("open", resolve));
+      const reports = [Buffer.from([0xc1]), msgpackr.pack("none"), msgpackr.pack([1, 2, 0, null])];
+      socket.send(msgpackr.pack({ kind: "reports", reports, confirmedAge: undefined }));
+      await kernel.sleep(100);
+      assert.equal(socket.readyState, socket.OPEN);
+      socket.terminate();
+    });
+  });
+
   test.test("the age of the store's latest answer travels", async () => {
     await withFleet(async (fleet) => {
       fleet[4]?.mesh.confirm();
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -10,8 +10,8 @@
 
 import * as kernel from "@hemlockwalk/kernel";
 
-/** What other VMs may take before this one hears of it, as time. Three ticks of the mesh. */
-const UNSEEN_MILLISECONDS = 300;
+/** Assumed until the first refill. */
+const FIRST_NEWS_MILLISECONDS = 300;
 
 /** A VM that has taken this share of the burst unheard should tell the others at once. */
 const UNHEARD_SHARE_OF_BURST = 0.1;
@@ -44,6 +44,8 @@
   readonly present: number;
   /** The most VMs known lately; at least `present`. */
   readonly expected: number;
+  /** Time within which this VM hears what others have taken, in milliseconds. */
+  readonly newsMilliseconds: number;
 }
 
 interface OtherVm {
@@ -63,6 +65,7 @@
   #takenReported = 0;
   readonly #others = new Map<string, OtherVm>();
   #shareLevel = 0;
+  #newsMilliseconds = FIRST_NEWS_MILLISECONDS;
   #ownDemand = 0;
   #fleetDemand = 0;
   #decayedAt = kernel.getMonotonicMilliseconds();
@@ -100,6 +103,7 @@
 
   /** Adds what has accrued for the whole fleet since the last call. */
   refill(tokens: number, presence: FleetPresence): void {
+    this.#newsMilliseconds = presence.newsMilliseconds;
     const heard = tokens * presence.present / Math.max(presence.expected, 1);
     this.#level = Math.min(this.#burst, this.#level + heard);
     const share = this.#fleetDemand > 0
@@ -113,7 +117,7 @@
     this.#asked++;
     this.#addDemand(1, 1);
     const othersDemand = Math.max(0, this.#fleetDemand - this.#ownDemand);
-    const unseen = othersDemand * UNSEEN_MILLISECONDS / DEMAND_WINDOW_MILLISECONDS;
+    const unseen = othersDemand * this.#newsMilliseconds / DEMAND_WINDOW_MILLISECONDS;
     if (this.#level + this.#allowance >= 1 + Math.min(unseen, this.#burst)) {
       this.#spend();
       return true;
--- a/packages/placement/src/waiting_line.ts
+++ b/packages/placement/src/waiting_line.ts
@@ -15,6 +15,8 @@
 export interface Waiter {
   /** Rank, 0 being the most urgent. */
   readonly priority: number;
+  /** Whether any target will do: none has been tried yet. */
+  readonly takesAnyTarget: boolean;
   /** Monotonic time until which waiting is of use, in milliseconds. */
   readonly waitUntil: number;
   /** Places the request if there is room; returns whether it did. */
@@ -54,12 +56,16 @@
   /** Places whoever can be placed and gives up on those whose time is over. */
   advance(): void {
     const now = kernel.getMonotonicMilliseconds();
+    // Where there is no room for a request that takes any target, there is none for those behind it.
+    let isFull = false;
     for (const waiter of [...this.#waiters]) {
       if (now >= waiter.waitUntil) {
         this.remove(waiter);
         waiter.giveUp();
-      } else if (waiter.tryPlace()) {
+      } else if (!isFull && waiter.tryPlace()) {
         this.remove(waiter);
+      } else {
+        isFull ||= waiter.takesAnyTarget;
       }
     }
     this.#stopWhenEmpty();
--- a/packages/placement/test/belief_test.ts
+++ b/packages/placement/test/belief_test.ts
@@ -162,6 +162,7 @@
       const add = (name: string, priority: number, waitUntil: number) =>
         line.add({
           priority,
+          takesAnyTarget: true,
           waitUntil,
           tryPlace: () => {
             if (room === 0) {
@@ -188,4 +189,39 @@
       clock.restore();
     }
   });
+
+  test.test("room is looked for once for all that take any target, and for each other one", () => {
+    const line = new placement.WaitingLine();
+    const looked: string[] = [];
+    const placed = new Set<string>();
+    const add = (name: string, takesAnyTarget: boolean) => {
+      const waiter: placement.Waiter = {
+        priority: 1,
+        takesAnyTarget,
+        waitUntil: Number.POSITIVE_INFINITY,
+        tryPlace: () => {
+          looked.push(name);
+          return placed.has(name);
+        },
+        giveUp: () => assert.fail("it waits without end"),
+      };
+      line.add(waiter);
+      return waiter;
+    };
+    const waiters = [
+      add("tried one", false),
+      add("fresh", true),
+      add("fresh too", true),
+      add("tried another", false),
+    ];
+    line.advance();
+    // Whoever has tried a target may find no room where a fresh request does; not the other way.
+    assert.deepEqual(looked, ["tried one", "fresh"]);
+    placed.add("fresh");
+    looked.length = 0;
+    line.advance();
+    assert.deepEqual(looked, ["tried one", "fresh", "fresh too"]);
+    assert.equal(line.length, 3);
+    waiters.forEach((waiter) => line.remove(waiter));
+  });
 });
--- a/packages/placement/test/shared_bucket_test.ts
+++ b/packages/placement/test/shared_bucket_test.ts
@@ -14,6 +14,9 @@
 const DELAY_STEPS = 4;
 const URGENT_DELAY_STEPS = 1;
 
+/** What the mesh states for it: its interval and two ticks. */
+const NEWS_MILLISECONDS = 300;
+
 interface World {
   readonly vms: number;
   readonly rate: number;
@@ -42,7 +45,11 @@
 /** Plays a fleet on a paused clock; counters travel with a delay. */
 async function play(world: World, clock: testing.TestClock): Promise<Played> {
   const random = createRandom(world.seed);
-  const presence = { present: world.vms, expected: world.vms };
+  const presence = {
+    present: world.vms,
+    expected: world.vms,
+    newsMilliseconds: NEWS_MILLISECONDS,
+  };
   const buckets = Array.from(
     { length: world.vms },
     () => new placement.SharedBucket(world.burst, world.burst, 0),
@@ -156,7 +163,7 @@
   test.test("VMs that are not heard keep their share", () => {
     const cut = new placement.SharedBucket(40, 0, 0);
     for (let step = 0; step < 100; step++) {
-      cut.refill(1, { present: 1, expected: 40 });
+      cut.refill(1, { present: 1, expected: 40, newsMilliseconds: NEWS_MILLISECONDS });
     }
     assert.ok(cut.level <= 2.5 + 1e-9, `level ${cut.level}`);
   });
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -241,11 +241,9 @@
     this.#refilledAt = now;
     this.#noteSize(now);
     const presence = this.#getPresence();
-    for (const workspace of this.#store.current?.declarations.workspaces ?? []) {
-      const bucket = this.#rates.get(workspace.id);
-      if (bucket !== undefined && workspace.ratePerSecond !== undefined) {
-        bucket.refill(workspace.ratePerSecond * seconds, presence);
-      }
+    for (const [workspace, bucket] of this.#rates) {
+      const declared = this.#store.current?.getWorkspaceById(workspace as model.WorkspaceId);
+      bucket.refill((declared?.ratePerSecond ?? 0) * seconds, presence);
     }
   }
 
@@ -261,7 +259,11 @@
     const present = this.#mesh.size;
     const isUnknown = present === 1 && this.#getLifetime() < ALONE_AFTER_MILLISECONDS;
     const expected = this.#sizes.reduce((most, sample) => Math.max(most, sample.size), present);
-    return { present, expected: isUnknown ? ASSUMED_FLEET_SIZE : expected };
+    return {
+      present,
+      expected: isUnknown ? ASSUMED_FLEET_SIZE : expected,
+      newsMilliseconds: this.#mesh.newsMilliseconds,
+    };
   }
 
   #receiveBuckets(
--- a/packages/proxy/src/reachability.ts
+++ b/packages/proxy/src/reachability.ts
@@ -117,9 +117,9 @@
     const { host, port } = kernel.splitAddress(address);
     const socket = net.connect(port, host);
     const startedAt = kernel.getMonotonicMilliseconds();
-    const timer = setTimeout(() => fail(), TEST_TIMEOUT_MILLISECONDS);
+    const timer = kernel.startInputTimer(() => fail(), TEST_TIMEOUT_MILLISECONDS);
     const finish = () => {
-      clearTimeout(timer);
+      timer.stop();
       socket.removeAllListeners();
       // The socket may still fail while it closes, which says nothing new.
       socket.on("error", () => undefined);
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -293,6 +293,7 @@
     return new Promise((resolve) => {
       const waiter: placement.Waiter = {
         priority: accepted.priority,
+        takesAnyTarget: this.#tried.size === 0,
         waitUntil: Math.max(waitUntil, now),
         tryPlace: () => {
           const choice = this.#choose(service, need);
@@ -354,7 +355,7 @@
         signal: attempt.signal,
       });
     } finally {
-      clearTimeout(silence);
+      silence.stop();
       stopWatching();
       this.#caller.signal.removeEventListener("abort", onLeave);
       known.end(target.id);
@@ -367,19 +368,17 @@
   /** Learns from a call while it runs: work may take long, and errors come at once. */
   #watchCall(target: model.TargetId, startedAt: number): () => void {
     const { knowledge: known } = this.#context;
-    const survival = setTimeout(
+    const survival = kernel.startInputTimer(
       () => known.observe(target, "survived", startedAt),
       SURVIVAL_MILLISECONDS,
     );
-    return () => {
-      clearTimeout(survival);
-    };
+    return () => survival.stop();
   }
 
   #startSilenceTimer(
     accepted: types.AcceptedRequest,
     attempt: AbortController,
-  ): NodeJS.Timeout {
+  ): kernel.StoppableTimer {
     const { route } = accepted;
     const now = kernel.getMonotonicMilliseconds();
     const typical = this.#context.knowledge.workTimes.getTypical(
@@ -389,7 +388,7 @@
     const isLast = !route.isIdempotent || this.#tried.size >= route.attempts;
     const left = accepted.endsAt - now;
     const patience = isLast ? left : Math.min(left, typical * SILENT_AFTER_TYPICAL);
-    return setTimeout(() => attempt.abort("silent"), Math.max(0, patience));
+    return kernel.startInputTimer(() => attempt.abort("silent"), Math.max(0, patience));
   }
 
   #learn(
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -70,7 +70,7 @@
   #socket: net.Socket | undefined;
   #isConnected = false;
   #isSettled = false;
-  #connectTimer: NodeJS.Timeout | undefined;
+  #connectTimer: kernel.StoppableTimer | undefined;
 
   constructor(options: CallOptions, resolve: (result: CallResult) => void) {
     this.#options = options;
@@ -95,14 +95,14 @@
       }
       socket.setNoDelay(true);
       const startedAt = kernel.getMonotonicMilliseconds();
-      this.#connectTimer = setTimeout(
+      this.#connectTimer = kernel.startInputTimer(
         () => this.#fail("silent"),
         options.connectTimeoutMilliseconds,
       );
       socket.once("connect", () => {
         this.#isConnected = true;
         options.noteConnectTime(kernel.getMonotonicMilliseconds() - startedAt);
-        clearTimeout(this.#connectTimer);
+        this.#connectTimer?.stop();
       });
     });
     this.#outgoing.once("response", (incoming) => this.#receive(incoming));
@@ -241,7 +241,7 @@
       return;
     }
     this.#isSettled = true;
-    clearTimeout(this.#connectTimer);
+    this.#connectTimer?.stop();
     this.#options.signal.removeEventListener("abort", this.#onAbort);
     this.#resolve(result);
   }
--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -4,6 +4,7 @@
 
 import * as assert from "node:assert/strict";
 import * as http from "node:http";
+import * as stream from "node:stream";
 import * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
 import * as kernelTesting from "@hemlockwalk/kernel/testing";
@@ -212,6 +213,16 @@
   readonly agent?: http.Agent;
 }
 
+/** A line of a VM's log. */
+export interface LogLine {
+  readonly code?: number;
+  readonly request?: string;
+  readonly outcome?: string;
+  readonly status?: number;
+  /** A JSON text. */
+  readonly steps?: string;
+}
+
 /** What a test VM shares with others. */
 export interface TestVmOptions {
   readonly name: string;
@@ -223,6 +234,8 @@
 export class TestVm {
   readonly store: MemoryStore;
   readonly targets: TestTarget[] = [];
+  /** What the VM has written to its log. */
+  readonly log: LogLine[] = [];
   port = 0;
   peerAddress = "";
   readonly #options: TestVmOptions;
@@ -250,7 +263,13 @@
     }
     this.port = await kernelTesting.claimPort();
     this.peerAddress = `127.0.0.1:${await kernelTesting.claimPort()}`;
-    const rootLogger = kernel.createSilentLogger();
+    const output = new stream.Writable({
+      write: (line: Buffer, _encoding, callback) => {
+        this.log.push(JSON.parse(line.toString()) as LogLine);
+        callback();
+      },
+    });
+    const rootLogger = kernel.createOutputLogger(this.#options.name, "info", output);
     this.#vm = proxy.createProxyVm({
       identity: {
         vm: model.createVmId(this.#options.name),
@@ -258,6 +277,7 @@
         dataCentre: model.createDataCentreId("north"),
         address: this.peerAddress,
         tag: this.port,
+        capacity: 5,
       },
       callerAddress: `127.0.0.1:${this.port}`,
       listSeeds: () => this.#options.seeds,
@@ -333,6 +353,15 @@
     });
   }
 
+  /** The story of a request as the log tells it. */
+  getStory(request: string): { line: LogLine; steps: readonly Record<string, unknown>[] } {
+    const line =
+      this.log.find((one) =>
+        one.code === kernel.LogMessages.requestEnded.code && one.request === request
+      ) ?? assert.fail(`no story of ${request}`);
+    return { line, steps: JSON.parse(line.steps ?? "") as Record<string, unknown>[] };
+  }
+
   countRequests(): number {
     return this.targets.reduce((sum, target) => sum + target.requests.length, 0);
   }
--- a/packages/proxy/test/parts_test.ts
+++ b/packages/proxy/test/parts_test.ts
@@ -67,7 +67,7 @@
 test.test("a flood of failures writes a bounded number of whole stories and counts the rest", async () => {
   const lines: string[] = [];
   const logger = createSilentLogger();
-  logger.info = (sentence, fields) => lines.push(`${sentence} ${JSON.stringify(fields)}`);
+  logger.write = (message, fields) => lines.push(`${message.text} ${JSON.stringify(fields)}`);
   const log = new proxy.RequestLog(logger);
   for (let request = 0; request < 1_000; request++) {
     log.write(new proxy.RequestStory(`request-${request}`), "timeout", 504);
--- /dev/null
+++ b/packages/proxy/test/story_test.ts
@@ -0,0 +1,77 @@
+/**
+ * Known causes of failures, found again from the log alone.
+ */
+
+import * as assert from "node:assert/strict";
+import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
+import * as model from "@hemlockwalk/model";
+import * as harness from "./harness.ts";
+
+function callWithId(vm: harness.TestVm, id: string, request: harness.CallerRequest = {}) {
+  return vm.call({ ...request, headers: { [harness.PROFILE.requestId]: id, ...request.headers } });
+}
+
+test.describe("stories", () => {
+  test.it("of a request over its workspace's rate name the rate, the level and the share", async () => {
+    const declared = harness.createDeclarations(1, {
+      workspaces: [{
+        id: model.createWorkspaceId("city"),
+        keys: ["secret"],
+        priority: undefined,
+        ratePerSecond: 0.001,
+        burst: 1,
+      }],
+    });
+    await harness.withVm(1, async (vm) => {
+      let refused: string | undefined;
+      for (let request = 0; refused === undefined; request++) {
+        assert.ok(request < 200, "no request was refused");
+        const answer = await callWithId(vm, `rate-${request}`);
+        refused = answer.status === 429 ? `rate-${request}` : undefined;
+      }
+      const { line, steps } = vm.getStory(refused);
+      assert.equal(line.outcome, "over_rate");
+      assert.equal(steps.length, 1);
+      const [step] = steps;
+      assert.equal(step?.["step"], "over_rate");
+      assert.equal(step?.["workspace"], "city");
+      assert.equal(step?.["rate"], 0.001);
+      assert.ok(Number(step?.["level"]) < 1 && Number(step?.["share"]) < 1, JSON.stringify(step));
+      assert.equal(step?.["vms"], 1);
+    }, declared);
+  });
+
+  test.it("of a request that met a sick target name the target and what was believed", async () => {
+    await harness.withVm(1, async (vm) => {
+      const [target] = vm.targets;
+      assert.ok(target !== undefined);
+      target.behaviour = (request, response) =>
+        response.writeHead(500, harness.createAnswerHeaders(request)).end();
+      assert.equal((await callWithId(vm, "sick")).status, 500);
+      const { line, steps } = vm.getStory("sick");
+      assert.equal(line.outcome, "answered");
+      assert.deepEqual(steps.map((step) => step["step"]), ["accepted", "placed", "answered"]);
+      assert.equal(steps[1]?.["target"], "target-0");
+      assert.equal(typeof steps[1]?.["sickness"], "number");
+      assert.equal(steps[2]?.["status"], 500);
+      const doubts = vm.log.filter(({ code }) => code === kernel.LogMessages.targetDoubted.code);
+      assert.equal(doubts.length, 1, "what the VM believes from then on is there too");
+    });
+  });
+
+  test.it("of a request whose caller left while it waited say so", async () => {
+    await harness.withVm(1, async (vm) => {
+      const [target] = vm.targets;
+      assert.ok(target !== undefined);
+      target.behaviour = () => undefined;
+      const leaving = new AbortController();
+      const answer = callWithId(vm, "left", { signal: leaving.signal });
+      await harness.waitFor(() => vm.countRequests() === 1, "the request arrives");
+      leaving.abort();
+      await answer;
+      await harness.waitFor(() => vm.log.some(({ request }) => request === "left"), "its story");
+      assert.equal(vm.getStory("left").line.outcome, "caller_left");
+    });
+  });
+});
