Sound targets that nobody uses are looked after by writes too

At 30 requests a second the target that proved well last takes all requests that may not be repeated, and a service without repeatable ones looks after nothing. Ruled out: load reports (the targets were idle and known as idle) and reachability.

Change: targets unheard of for 0.9 s come first and with a share of 0.9 among repeatable requests; after 1.2 s half of the requests that may not be repeated look after such a target too, but not after one that is likelier to be in a spell than an unknown one. Tests play ten writes a second over six targets (fails before: one target used), and a target that has failed.

Also: the request handler is split into admission, attempts and the final answer; unused fields are gone.

--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -5,7 +5,8 @@
  * targets in a bad spell at any moment. Every candidate has a cost in milliseconds: the wait for a
  * slot, the risk of a failure in terms of what a failure costs this request, distance and warm-up.
  * Requests that may be repeated also look after targets of which nothing was heard for a while, so
- * that those that may not find targets that have lately proved well.
+ * that those that may not find targets that have lately proved well. Where a service has too few of
+ * the former, some of the latter do so too.
  */
 
 import type * as model from "@hemlockwalk/model";
@@ -61,6 +62,20 @@
 /** Share of repeatable requests that look after such a target where there is one. */
 const LOOK_AFTER_SHARE = 0.5;
 
+/**
+ * Targets of which nobody has heard for so long come first, with a larger share. Most sound targets
+ * of a service are to get a request within two seconds, also where few would do.
+ */
+const OVERDUE_MILLISECONDS = 900;
+const OVERDUE_SHARE = 0.9;
+
+/** After so long, requests that may not be repeated look after a target too, in this share. */
+const NEGLECTED_MILLISECONDS = 1_200;
+const NEGLECTED_SHARE = 0.5;
+
+/** They pass over targets that are likelier to be in a spell than one that nobody knows. */
+const MAX_NEGLECTED_SICKNESS = 0.3;
+
 /** A target at least this likely in a spell is worth looking after. */
 const DOUBTFUL_SICKNESS = 0.12;
 
@@ -79,11 +94,11 @@
   if (candidates.length === 0) {
     return { kind: "none" };
   }
-  if (need.mayRetry && random() < LOOK_AFTER_SHARE) {
-    const doubtful = findDoubtful(candidates, random);
-    if (doubtful !== undefined) {
-      return { kind: "chosen", candidate: doubtful, isLookAfter: true };
-    }
+  const lookedAfter = need.mayRetry
+    ? findDoubtful(candidates, random)
+    : findNeglected(candidates, random);
+  if (lookedAfter !== undefined) {
+    return { kind: "chosen", candidate: lookedAfter, isLookAfter: true };
   }
   let best: Candidate | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
@@ -120,17 +135,41 @@
     (candidate.isUnreachable ? UNREACHABLE_IN_OBJECTIVES * need.objectiveMilliseconds : 0);
 }
 
-/**
- * Draws one of the targets that are worth looking after. An order that all VMs share would send all
- * of them to the same target until the first has told of it.
- */
+/** The target that a repeatable request looks after, if it does. */
 function findDoubtful(
   candidates: readonly Candidate[],
   random: () => number,
 ): Candidate | undefined {
   const doubtful = candidates.filter((candidate) =>
-    candidate.sickness >= DOUBTFUL_SICKNESS && candidate.load === 0 &&
-    !candidate.isUnreachable && candidate.unobservedMilliseconds >= LOOK_AFTER_MILLISECONDS
+    candidate.sickness >= DOUBTFUL_SICKNESS && isUnheard(candidate, LOOK_AFTER_MILLISECONDS)
+  );
+  const overdue = doubtful.filter((candidate) => isUnheard(candidate, OVERDUE_MILLISECONDS));
+  if (overdue.length > 0) {
+    return random() < OVERDUE_SHARE ? draw(overdue, random) : undefined;
+  }
+  return random() < LOOK_AFTER_SHARE ? draw(doubtful, random) : undefined;
+}
+
+/** The target that a request which may not be repeated looks after, if it does. */
+function findNeglected(
+  candidates: readonly Candidate[],
+  random: () => number,
+): Candidate | undefined {
+  if (random() >= NEGLECTED_SHARE) {
+    return undefined;
+  }
+  const neglected = candidates.filter((candidate) =>
+    candidate.sickness <= MAX_NEGLECTED_SICKNESS && isUnheard(candidate, NEGLECTED_MILLISECONDS)
   );
-  return doubtful[Math.floor(random() * doubtful.length)];
+  return draw(neglected, random);
+}
+
+function isUnheard(candidate: Candidate, milliseconds: number): boolean {
+  return candidate.load === 0 && !candidate.isUnreachable &&
+    candidate.unobservedMilliseconds >= milliseconds;
+}
+
+/** An order that all VMs share would send all of them to the same target until one has told of it. */
+function draw(candidates: readonly Candidate[], random: () => number): Candidate | undefined {
+  return candidates[Math.floor(random() * candidates.length)];
 }
--- a/packages/placement/test/belief_test.ts
+++ b/packages/placement/test/belief_test.ts
@@ -156,6 +156,37 @@
     assert.ok(chosenAt.size >= 0.5 * targets.length, `${chosenAt.size} were looked after`);
   });
 
+  test.test("a service that gets few requests, none repeatable, still uses most of its targets", () => {
+    // Ten requests a second over six targets that are well; one would do for all of them.
+    const random = createRandom(3);
+    const heardAt = new Map<string, number>();
+    const chosenAt: { id: string; at: number }[] = [];
+    const targets = Array.from({ length: 6 }, (_, index) => `target-${index}`);
+    for (let at = 0; at < 20_000; at += 100) {
+      const candidates = targets.map((id) => {
+        const unobservedMilliseconds = at - (heardAt.get(id) ?? Number.NEGATIVE_INFINITY);
+        const drift = Math.exp(-unobservedMilliseconds / 1_950);
+        return createCandidate(id, { sickness: 0.28 * (1 - drift), unobservedMilliseconds });
+      });
+      const id = choose(candidates, WRITE, random);
+      heardAt.set(id, at);
+      chosenAt.push({ id, at });
+    }
+    for (let from = 2_000; from <= 18_000; from += 500) {
+      const used = new Set(
+        chosenAt.filter(({ at }) => at >= from && at <= from + 2_000).map(({ id }) => id),
+      );
+      assert.ok(used.size >= 0.7 * targets.length, `${used.size} targets from ${from} on`);
+    }
+  });
+
+  test.test("a request that may not be repeated does not look after a target that has failed", () => {
+    const failed = createCandidate("failed", { sickness: 0.6, unobservedMilliseconds: 5_000 });
+    const unknown = createCandidate("unknown", { sickness: 0.28, unobservedMilliseconds: 5_000 });
+    assert.equal(choose([failed, createCandidate("well")], WRITE, () => 0.1), "well");
+    assert.equal(choose([unknown, createCandidate("well")], WRITE, () => 0.1), "unknown");
+  });
+
   test.test("a full target gets nothing", () => {
     assert.equal(choose([createCandidate("full", { load: 5 })], WRITE), "full");
     assert.equal(choose([], WRITE), "none");
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -6,6 +6,7 @@
 import type * as net from "node:net";
 import type * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
+import type * as contexts from "./request_context.ts";
 import * as handlers from "./request_handler.ts";
 import type * as types from "./types.ts";
 
@@ -30,7 +31,7 @@
   readonly callerAddress: string;
   readonly bounds: types.ProxyBounds;
   readonly store: declarations.DeclarationStore;
-  readonly createContext: (isStopping: () => boolean) => handlers.RequestContext;
+  readonly createContext: (isStopping: () => boolean) => contexts.RequestContext;
   readonly logger: kernel.PartLogger;
 }
 
@@ -91,7 +92,7 @@
   }
 
   #handle(
-    context: handlers.RequestContext,
+    context: contexts.RequestContext,
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -1,27 +1,19 @@
 /**
- * The path of one request: checks, rate, placement, attempts and the final answer.
+ * The path of one request from its admission to its final answer: placement and attempts.
  */
 
 import type * as http from "node:http";
-import type * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
+import * as admission from "./admission.ts";
 import * as bodies from "./body.ts";
-import type * as budgets from "./budgets.ts";
-import * as headers from "./headers.ts";
+import * as answers from "./final_answer.ts";
+import * as refusals from "./refusals.ts";
+import type * as contexts from "./request_context.ts";
 import * as log from "./request_log.ts";
-import type * as connections from "./target_connections.ts";
 import * as calls from "./target_call.ts";
-import type * as knowledge from "./target_knowledge.ts";
 import type * as types from "./types.ts";
-import type * as waitingLines from "./waiting_lines.ts";
-
-/** A caller that names no deadline is given this time, unless the route has a time-out. */
-const DEFAULT_DEADLINE_MILLISECONDS = 30_000;
-
-/** The final answer leaves so long before the caller's deadline, for its way back. */
-const ANSWER_MARGIN_MILLISECONDS = 5;
 
 /** A request waits for a slot for at most this share of its objective. */
 const WAIT_IN_OBJECTIVES = 0.5;
@@ -29,9 +21,6 @@
 /** Requests that may wait at a target beyond its slots. */
 const ALLOWED_OVERFLOW = 1;
 
-/** Without an answer of the store for so long, what is unknown here may be known elsewhere. */
-const CONFIRMED_FOR_MILLISECONDS = 3_000;
-
 /** An idempotent request may go elsewhere when its target has been silent for so many mean times. */
 const SILENT_AFTER_TYPICAL = 4;
 
@@ -44,171 +33,62 @@
 /** Below this share of the retries at hand, none is planned for; what is left answers failures. */
 const MIN_RETRY_LEVEL = 0.2;
 
-/** Times to come back that refusals name, in seconds. */
-const RETRY_AFTER_SECONDS = {
-  noDeclarations: 0.5,
-  overRate: 1,
-  noRoom: 0.3,
-  // Targets that shed with slots free or were not reached: another one may well take the request.
-  notReached: 0.05,
-};
-
-/** What the request path works with. */
-export interface RequestContext {
-  readonly profile: types.HeaderProfile;
-  readonly store: declarations.DeclarationStore;
-  readonly knowledge: knowledge.TargetKnowledge;
-  readonly budgets: budgets.Budgets;
-  readonly connections: connections.TargetConnections;
-  readonly log: log.RequestLog;
-  readonly lines: waitingLines.WaitingLines;
-  readonly counters: { readonly requests: { inc(labels: { outcome: string }): void } };
-  readonly latency: { record(milliseconds: number): void };
-  /** Monotonic time of the latest answer of the store to any VM. */
-  readonly getConfirmedAt: () => number;
-  readonly isStopping: () => boolean;
-}
-
-interface Refusal {
-  readonly status: number;
-  readonly reason: types.RefusalReason;
-  readonly retryAfterSeconds?: number;
-}
-
 type Placement =
   | { readonly kind: "placed"; readonly target: model.TargetId }
   | { readonly kind: "refused"; readonly reason: types.RefusalReason };
 
 /** Serves one request to its end. */
 export class RequestHandler {
-  readonly #context: RequestContext;
+  readonly #context: contexts.RequestContext;
   readonly #request: http.IncomingMessage;
-  readonly #response: http.ServerResponse;
+  readonly #final: answers.FinalAnswer;
   readonly #story: log.RequestStory;
   readonly #caller = new AbortController();
   readonly #tried = new Set<model.TargetId>();
-  #isAnswered = false;
   #hasArrived = false;
   #mayHaveRun = false;
   /** Whether the latest refusal of a target was for want of slots. */
   #isCrowded = true;
 
   constructor(
-    context: RequestContext,
+    context: contexts.RequestContext,
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ) {
     this.#context = context;
     this.#request = request;
-    this.#response = response;
     const id = request.headers[context.profile.requestId];
     this.#story = new log.RequestStory(typeof id === "string" ? id : "");
+    this.#final = new answers.FinalAnswer(context, response, this.#story);
   }
 
   /** Called when the caller's connection has closed. */
   leave(): void {
-    if (!this.#isAnswered) {
+    if (!this.#final.isGiven) {
       this.#caller.abort("cancelled");
     }
   }
 
   async run(): Promise<void> {
-    const accepted = this.#accept();
+    const accepted = admission.acceptRequest(this.#context, this.#request, this.#story);
     if ("status" in accepted) {
-      this.#refuse(accepted);
+      this.#final.refuse(accepted);
       return;
     }
     const limit = this.#context.store.current?.declarations.limits.bodyBytes ?? 0;
     const read = await bodies.readBody(this.#request, limit);
     if (read.kind === "broken_off") {
-      this.#finish("caller_left", 0);
+      this.#final.finish("caller_left", 0);
       return;
     }
     if (read.kind === "too_large") {
-      this.#refuse({ status: 413, reason: "body_too_large" });
+      this.#final.refuse({ status: 413, reason: "body_too_large" });
       return;
     }
     this.#context.budgets.countRequest(accepted.service);
     await this.#serve(accepted, read.body);
   }
 
-  #accept(): types.AcceptedRequest | Refusal {
-    const { profile, store, budgets: shared } = this.#context;
-    const view = store.current;
-    if (view === undefined) {
-      return {
-        status: 503,
-        reason: "no_declarations",
-        retryAfterSeconds: RETRY_AFTER_SECONDS.noDeclarations,
-      };
-    }
-    if (headers.countHeadBytes(this.#request) > view.declarations.limits.headerBytes) {
-      return { status: 431, reason: "head_too_large" };
-    }
-    const path = this.#request.url ?? "/";
-    const query = path.indexOf("?");
-    const route = view.findRoute(
-      this.#request.headers.host ?? "",
-      query < 0 ? path : path.slice(0, query),
-    );
-    if (route === undefined) {
-      return this.#refuseUnknown({ status: 404, reason: "unknown_route" });
-    }
-    let workspace: declarations.DeclaredWorkspace | undefined;
-    if (view.hasKeys && !route.isPublic) {
-      const key = headers.findKey(this.#request, profile);
-      workspace = key === undefined ? undefined : view.findWorkspace(key);
-      if (workspace === undefined) {
-        return this.#refuseUnknown({ status: 401, reason: "unknown_key" });
-      }
-    }
-    if (workspace !== undefined && !shared.takeRate(workspace)) {
-      this.#story.add("over_rate", shared.describeRate(workspace));
-      return {
-        status: 429,
-        reason: "over_rate",
-        retryAfterSeconds: RETRY_AFTER_SECONDS.overRate,
-      };
-    }
-    const service = chooseDestination(route.destinations);
-    const arrivedAt = this.#story.arrivedAt;
-    const stated = headers.parseMilliseconds(this.#request.headers[profile.deadline]);
-    const left = Math.min(
-      stated === undefined ? Infinity : stated - ANSWER_MARGIN_MILLISECONDS,
-      route.timeoutMilliseconds ?? Infinity,
-      stated ?? route.timeoutMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS,
-    );
-    this.#story.add("accepted", {
-      route: route.id,
-      service,
-      workspace: workspace?.id,
-      version: view.declarations.version,
-      confirmedAge: Math.round(arrivedAt - this.#context.getConfirmedAt()),
-    });
-    return {
-      id: this.#story.id,
-      route,
-      workspace,
-      service,
-      priority: workspace?.priority ?? route.priority,
-      arrivedAt,
-      endsAt: arrivedAt + left,
-      method: this.#request.method ?? "GET",
-      path,
-      headers: headers.createForwardedHeaders(this.#request, profile),
-    };
-  }
-
-  /** A VM that may have missed a version does not say that something is unknown. */
-  #refuseUnknown(refusal: Refusal): Refusal {
-    const age = kernel.getMonotonicMilliseconds() - this.#context.getConfirmedAt();
-    return age <= CONFIRMED_FOR_MILLISECONDS ? refusal : {
-      status: 503,
-      reason: "no_declarations",
-      retryAfterSeconds: RETRY_AFTER_SECONDS.noDeclarations,
-    };
-  }
-
   async #serve(accepted: types.AcceptedRequest, body: bodies.RequestBody): Promise<void> {
     const timer = setTimeout(
       () => this.#expire(),
@@ -219,7 +99,7 @@
       let result: calls.CallResult | undefined;
       do {
         const placed = await this.#place(accepted);
-        if (this.#caller.signal.aborted || this.#isAnswered) {
+        if (this.#caller.signal.aborted || this.#final.isGiven) {
           break;
         }
         if (placed.kind === "refused") {
@@ -227,13 +107,13 @@
           return;
         }
         result = await this.#call(accepted, body, placed);
-      } while (!this.#isAnswered && this.#mayRetry(accepted, body, result));
-      if (!this.#isAnswered && result !== undefined && !this.#caller.signal.aborted) {
+      } while (!this.#final.isGiven && this.#mayRetry(accepted, body, result));
+      if (!this.#final.isGiven && result !== undefined && !this.#caller.signal.aborted) {
         this.#answer(result);
       }
-      if (this.#caller.signal.aborted && !this.#isAnswered) {
+      if (this.#caller.signal.aborted && !this.#final.isGiven) {
         this.#returnRate(accepted);
-        this.#finish("caller_left", 0);
+        this.#final.finish("caller_left", 0);
       }
     } finally {
       clearTimeout(timer);
@@ -469,23 +349,23 @@
   #answer(result: calls.CallResult): void {
     switch (result.kind) {
       case "answered":
-        this.#passOn(result.answer);
+        this.#final.passOn(result.answer);
         return;
       case "not_run":
         if (this.#mayHaveRun) {
-          this.#refuse({ status: 502, reason: "target_failed" });
+          this.#final.refuse({ status: 502, reason: "target_failed" });
         } else {
-          this.#refuse({
+          this.#final.refuse({
             status: 503,
             reason: "not_reached",
             retryAfterSeconds: this.#isCrowded
-              ? RETRY_AFTER_SECONDS.noRoom
-              : RETRY_AFTER_SECONDS.notReached,
+              ? refusals.RETRY_AFTER_SECONDS.noRoom
+              : refusals.RETRY_AFTER_SECONDS.notReached,
           });
         }
         return;
       case "failed":
-        this.#refuse(
+        this.#final.refuse(
           result.reason === "silent"
             ? { status: 504, reason: "timeout" }
             : { status: 502, reason: "target_failed" },
@@ -500,17 +380,23 @@
       this.#answer(result);
       return;
     }
-    this.#refuse({ status: 503, reason, retryAfterSeconds: RETRY_AFTER_SECONDS.noRoom });
+    this.#final.refuse({
+      status: 503,
+      reason,
+      retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.noRoom,
+    });
   }
 
   #expire(): void {
-    if (this.#isAnswered) {
+    if (this.#final.isGiven) {
       return;
     }
-    this.#refuse(
-      this.#hasArrived
-        ? { status: 504, reason: "timeout" }
-        : { status: 503, reason: "no_room", retryAfterSeconds: RETRY_AFTER_SECONDS.noRoom },
+    this.#final.refuse(
+      this.#hasArrived ? { status: 504, reason: "timeout" } : {
+        status: 503,
+        reason: "no_room",
+        retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.noRoom,
+      },
     );
     this.#caller.abort("cancelled");
   }
@@ -520,75 +406,4 @@
       this.#context.budgets.returnRate(accepted.workspace);
     }
   }
-
-  #passOn(answer: calls.TargetAnswer): void {
-    const { rest } = answer;
-    this.#isAnswered = true;
-    const isClosing = !answer.isFramed || this.#context.isStopping();
-    const head = [...answer.headers, ...(isClosing ? ["Connection", "close"] : [])];
-    if (!answer.isFramed) {
-      // Whether such an answer is whole is not known, so it is not framed as if it were.
-      this.#response.useChunkedEncodingByDefault = false;
-    }
-    this.#response.writeHead(answer.status, head);
-    for (const chunk of answer.chunks) {
-      this.#response.write(chunk);
-    }
-    if (rest === undefined) {
-      this.#response.end();
-      this.#finish("answered", answer.status);
-      return;
-    }
-    rest.pipe(this.#response);
-    // An answer that ends early must not look complete, so the caller's connection is cut with it.
-    rest.once("close", () => {
-      if (!rest.complete) {
-        this.#response.destroy();
-      }
-      this.#finish(rest.complete ? "answered" : "target_failed", answer.status);
-    });
-  }
-
-  #refuse(refusal: Refusal): void {
-    if (this.#isAnswered) {
-      return;
-    }
-    this.#isAnswered = true;
-    const head: string[] = ["Content-Type", "application/problem+json"];
-    if (this.#story.id !== "") {
-      head.push(this.#context.profile.requestId, this.#story.id);
-    }
-    if (refusal.retryAfterSeconds !== undefined) {
-      head.push("Retry-After", String(refusal.retryAfterSeconds));
-    }
-    const body = JSON.stringify({ title: refusal.reason, status: refusal.status });
-    head.push("Content-Length", String(body.length), ...this.#createConnectionHeader());
-    this.#response.writeHead(refusal.status, head);
-    this.#response.end(body);
-    this.#finish(refusal.reason, refusal.status);
-  }
-
-  #createConnectionHeader(): string[] {
-    return this.#context.isStopping() ? ["Connection", "close"] : [];
-  }
-
-  #finish(outcome: string, status: number): void {
-    this.#isAnswered = true;
-    this.#context.counters.requests.inc({ outcome });
-    this.#context.latency.record(kernel.getMonotonicMilliseconds() - this.#story.arrivedAt);
-    this.#context.log.write(this.#story, outcome, status);
-  }
-}
-
-/** Draws one of a route's services by their weights. */
-function chooseDestination(destinations: readonly declarations.Destination[]): model.ServiceId {
-  const total = destinations.reduce((sum, destination) => sum + destination.weight, 0);
-  let left = Math.random() * total;
-  for (const destination of destinations) {
-    left -= destination.weight;
-    if (left < 0) {
-      return destination.service;
-    }
-  }
-  return kernel.getDefined(destinations.at(-1), "A route has a destination.").service;
 }
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -21,7 +21,6 @@
   readonly chunks: readonly Buffer[];
   /** The rest of a long answer. */
   readonly rest: http.IncomingMessage | undefined;
-  readonly isSigned: boolean;
   /** Whether its end is marked by a length or by chunks, and not by the end of the connection. */
   readonly isFramed: boolean;
 }
@@ -35,7 +34,6 @@
     readonly reason: "unreachable" | "shed" | "other_target";
     /** Whether the request arrived at a target, which counts as an arrival. */
     readonly hasArrived: boolean;
-    readonly retryAfter: string | undefined;
   }
   /** The target may have run the request. */
   | {
@@ -149,7 +147,6 @@
         kind: "not_run",
         reason: status === 421 ? "other_target" : "shed",
         hasArrived: true,
-        retryAfter: incoming.headers["retry-after"],
       });
       return;
     }
@@ -160,10 +157,10 @@
       this.#fail("spoilt");
       return;
     }
-    this.#collect(incoming, status, isSigned);
+    this.#collect(incoming, status);
   }
 
-  #collect(incoming: http.IncomingMessage, status: number, isSigned: boolean): void {
+  #collect(incoming: http.IncomingMessage, status: number): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
     const createAnswer = (rest: http.IncomingMessage | undefined): CallResult => ({
@@ -173,7 +170,6 @@
         headers: headers.createAnswerHeaders(incoming),
         chunks,
         rest,
-        isSigned,
         isFramed: isFramed(incoming),
       },
     });
@@ -228,7 +224,6 @@
         kind: "not_run",
         reason: "unreachable",
         hasArrived: false,
-        retryAfter: undefined,
       });
     } else {
       this.#settle({ kind: "failed", reason });
