Stories of unknown keys and routes name the version that did not know them

Change: one step `unknown` with what was not found, the version in force and the age of the store's latest answer. Test from the log alone.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -199,6 +199,13 @@
     version: "Version of the declarations in force.",
     confirmedAge: "Milliseconds since any VM had an answer of the store.",
   },
+  unknown: {
+    finding: "What was not found in the declarations in force.",
+    version: "Version of these; absent when there are none yet.",
+    confirmedAge:
+      "Milliseconds since any VM had an answer of the store. After 3 s the request is " +
+      "refused for want of declarations, since what is unknown here may be known elsewhere.",
+  },
   over_rate: {
     workspace: "Workspace of the caller's key.",
     rate: "Its declared rate, requests a second.",
--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -30,11 +30,7 @@
   const { profile, store, budgets: shared } = context;
   const view = store.current;
   if (view === undefined) {
-    return {
-      status: 503,
-      reason: "no_declarations",
-      retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.noDeclarations,
-    };
+    return refuseUnknown(context, story, { status: 503, reason: "no_declarations" });
   }
   if (headers.countHeadBytes(request) > view.declarations.limits.headerBytes) {
     return { status: 431, reason: "head_too_large" };
@@ -46,14 +42,14 @@
     query < 0 ? path : path.slice(0, query),
   );
   if (route === undefined) {
-    return refuseUnknown(context, { status: 404, reason: "unknown_route" });
+    return refuseUnknown(context, story, { status: 404, reason: "unknown_route" });
   }
   let workspace: declarations.DeclaredWorkspace | undefined;
   if (view.hasKeys && !route.isPublic) {
     const key = headers.findKey(request, profile);
     workspace = key === undefined ? undefined : view.findWorkspace(key);
     if (workspace === undefined) {
-      return refuseUnknown(context, { status: 401, reason: "unknown_key" });
+      return refuseUnknown(context, story, { status: 401, reason: "unknown_key" });
     }
   }
   if (workspace !== undefined && !shared.takeRate(workspace)) {
@@ -96,10 +92,18 @@
 /** A VM that may have missed a version does not say that something is unknown. */
 function refuseUnknown(
   context: contexts.RequestContext,
+  story: log.RequestStory,
   refusal: refusals.Refusal,
 ): refusals.Refusal {
+  const view = context.store.current;
   const age = kernel.getMonotonicMilliseconds() - context.getConfirmedAt();
-  return age <= CONFIRMED_FOR_MILLISECONDS ? refusal : {
+  story.add("unknown", {
+    finding: refusal.reason,
+    version: view?.declarations.version,
+    confirmedAge: Number.isFinite(age) ? Math.round(age) : undefined,
+  });
+  const isCurrent = view !== undefined && age <= CONFIRMED_FOR_MILLISECONDS;
+  return isCurrent ? refusal : {
     status: 503,
     reason: "no_declarations",
     retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.noDeclarations,
--- a/packages/proxy/test/story_test.ts
+++ b/packages/proxy/test/story_test.ts
@@ -42,6 +42,22 @@
     }, declared);
   });
 
+  test.it("of a request with an unknown key or route name the version that did not know it", async () => {
+    await harness.withVm(1, async (vm) => {
+      const answer = await callWithId(vm, "key", { headers: { Authorization: "Bearer other" } });
+      assert.equal(answer.status, 401);
+      assert.equal((await callWithId(vm, "route", { path: "/nowhere/1" })).status, 404);
+      for (const [id, finding] of [["key", "unknown_key"], ["route", "unknown_route"]] as const) {
+        const { line, steps } = vm.getStory(id);
+        assert.equal(line.outcome, finding);
+        assert.equal(steps[0]?.["finding"], finding);
+        assert.equal(steps[0]?.["version"], 1);
+        assert.ok(Number(steps[0]?.["confirmedAge"]) < 3_000);
+      }
+      assert.ok(!JSON.stringify(vm.log).includes("other"), "a key never appears");
+    });
+  });
+
   test.it("of a request that met a sick target name the target and what was believed", async () => {
     await harness.withVm(1, async (vm) => {
       const [target] = vm.targets;
