--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -197,6 +197,7 @@
     service: "Service that was drawn by the route's weights.",
     workspace: "Workspace of the caller's key.",
     version: "Version of the declarations in force.",
+    left: "Milliseconds until the final answer: the caller's deadline or the route's time-out.",
     confirmedAge: "Milliseconds since any VM had an answer of the store.",
   },
   unknown: {
--- a/packages/operator/src/request_stories.ts
+++ b/packages/operator/src/request_stories.ts
@@ -6,6 +6,7 @@
  * compared within one VM only, and its lines stay in the order in which it wrote them.
  */
 
+import * as kernel from "@hemlockwalk/kernel";
 import * as zod from "zod";
 
 /** Lines of the same VM that lie this close to the end of a request may explain it. */
@@ -42,6 +43,8 @@
   "v",
 ]);
 
+const STORIES_LEFT_OUT = kernel.LogMessages.storiesLeftOut.text;
+
 /** One line of a log. */
 type LogLine = zod.infer<typeof lineSchema>;
 
@@ -94,7 +97,7 @@
 export function explainMissing(extract: LogExtract): string[] {
   const stories = [...extract.linesByVm.values()].flat();
   const leftOut = stories
-    .filter((line) => line.msg.endsWith("Stories of requests were left out."))
+    .filter((line) => line.msg.endsWith(STORIES_LEFT_OUT))
     .reduce((sum, line) => sum + (line.count ?? 0), 0);
   return [
     `read: ${extract.lineCount} lines, ${extract.tornCount} of them torn, ` +
@@ -150,7 +153,7 @@
 /** Lines about the request's targets, and those about the VM as a whole. */
 function isRelated(line: LogLine, targets: ReadonlySet<unknown>, endsAt: number): boolean {
   const isClose = Math.abs(endsAt - Date.parse(line.time)) <= SURROUNDINGS_MILLISECONDS;
-  const isStory = line.request !== undefined;
+  const isStory = line.request !== undefined || line.msg.endsWith(STORIES_LEFT_OUT);
   return isClose && !isStory && (line.target === undefined || targets.has(line.target));
 }
 
--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -73,6 +73,7 @@
     service,
     workspace: workspace?.id,
     version: view.declarations.version,
+    left: Math.round(left),
     confirmedAge: Math.round(arrivedAt - context.getConfirmedAt()),
   });
   return {
