Page of log messages as the formatter keeps it

Cause: a generated line was longer than the formatter allows, so the page and its check could not both hold. Change: a shorter text of the field confirmedAge of the step unknown. No behaviour changes; format check and the page's test pass.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -203,9 +203,7 @@
   unknown: {
     finding: "What was not found in the declarations in force.",
     version: "Version of these; absent when there are none yet.",
-    confirmedAge:
-      "Milliseconds since any VM had an answer of the store. After 3 s the request is " +
-      "refused for want of declarations, since what is unknown here may be known elsewhere.",
+    confirmedAge: "As above; beyond 3,000 the answer is 503, since others may know more.",
   },
   over_rate: {
     workspace: "Workspace of the caller's key.",
