Large state is sent once, to a VM that asks, by its own data centre

Change: VMs state marks of declarations and targets when they meet, and ask one of those that hold more, in their own data centre where one is met within 40 ms, another one after 1.2 s without an answer. A VM that was restarted and has asked waits up to 0.8 s before it reads the store.

Tests: a VM that comes later is sent the state once and by its own data centre; another VM is asked when the first is silent.

--- a/packages/declarations/src/target_directory.ts
+++ b/packages/declarations/src/target_directory.ts
@@ -13,6 +13,9 @@
 /** How long a marker of a target that is gone is kept. Outlives any message under way. */
 const MARKER_RETENTION_MILLISECONDS = 60_000;
 
+/** Of the Fowler-Noll-Vo hash with 32 bits. */
+const FNV_PRIME = 16_777_619;
+
 /** Called with each change that was taken. */
 export type TargetChangeListener = (
   change: types.TargetChange,
@@ -70,6 +73,20 @@
     return [...this.#slots.values()].map((slot) => slot.change);
   }
 
+  /** A number that is the same on VMs that know the same changes; 0 without any. */
+  getMark(): number {
+    let mark = 0;
+    for (const { change } of this.#slots.values()) {
+      let hash = change.revision >>> 0;
+      for (let index = 0; index < change.id.length; index++) {
+        hash = Math.imul(hash ^ change.id.charCodeAt(index), FNV_PRIME);
+      }
+      // A sum, since the order of the changes differs.
+      mark = (mark + (hash >>> 0)) % 2 ** 32;
+    }
+    return this.#slots.size === 0 ? 0 : Math.max(mark, 1);
+  }
+
   /** Entries that the store no longer has, given the identifiers it has as of a revision. */
   listMissing(
     present: ReadonlySet<model.TargetId>,
--- a/packages/mesh/src/link.ts
+++ b/packages/mesh/src/link.ts
@@ -34,6 +34,8 @@
   role: types.LinkRole = "standby";
   /** Whether the other VM has been sent everything, so that only updates must follow. */
   isIntroduced = false;
+  /** Marks of feeds that the other VM has stated and that were not yet compared. */
+  readonly marks = new Map<string, number>();
   heardAt = kernel.getMonotonicMilliseconds();
   sentAt = kernel.getMonotonicMilliseconds();
   /** Encoded reports that wait to be sent together. */
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -13,6 +13,7 @@
 import * as ws from "ws";
 import * as links from "./link.ts";
 import * as members from "./member_table.ts";
+import * as requests from "./feed_requests.ts";
 import * as packed from "./packed_report.ts";
 import type * as types from "./types.ts";
 
@@ -81,6 +82,7 @@
   readonly #sections = new Map<string, types.ReportSection>();
   readonly #feeds = new Map<string, types.Feed>();
   readonly #links = new Set<links.Link>();
+  readonly #requests: requests.FeedRequests;
   #server: http.Server | undefined;
   #webSockets: ws.WebSocketServer | undefined;
   #tickTimer: NodeJS.Timeout | undefined;
@@ -99,6 +101,7 @@
     this.#options = options;
     this.self = options.self;
     this.#table = new members.MemberTable(options.self);
+    this.#requests = new requests.FeedRequests(this.#feeds, this.#links, this.self.dataCentre);
     this.addFeed(MEMBER_FEED, {
       createSnapshot: () => [],
       receive: (payload) => {
@@ -125,6 +128,11 @@
     return [...this.#links].some((link) => link.isOpen && link.peer !== undefined);
   }
 
+  /** Whether another VM was asked for something that has not come yet. */
+  get isAwaitingFeeds(): boolean {
+    return this.#requests.isPending;
+  }
+
   /** Members of this data centre, the relay first. */
   rankOwnDataCentre(): types.MemberIdentity[] {
     return this.#table.rank(this.self.dataCentre);
@@ -198,6 +206,7 @@
   stop(): void {
     clearInterval(this.#tickTimer);
     clearImmediate(this.#careImmediate);
+    this.#requests.stop();
     clearTimeout(this.#urgentTimer);
     clearTimeout(this.#relayTimer);
     clearTimeout(this.#urgentRelayTimer);
@@ -221,9 +230,13 @@
         for (const [name, payload] of Object.entries(message.feeds)) {
           this.#receiveFeed({ kind: "feed", feed: name, payload }, link);
         }
+        for (const [name, mark] of Object.entries(message.marks ?? {})) {
+          link.marks.set(name, mark);
+        }
         if (link.dialledAddress === undefined) {
           this.#introduce(link);
         }
+        this.#requests.advance();
         this.#maintainLinks();
         return;
       case "role":
@@ -232,14 +245,21 @@
       case "reports":
         this.#receiveReports(message, link);
         return;
+      case "request":
+        this.#sendWhole(message.feeds, link);
+        return;
       case "feed":
         this.#receiveFeed(message, link);
+        if (message.isWhole === true) {
+          this.#requests.end(link, message.feed);
+        }
         return;
     }
   }
 
   onClose(link: links.Link): void {
     this.#links.delete(link);
+    this.#requests.drop(link);
     if (link.peer === undefined) {
       const member = this.#table.list().find((known) => known.address === link.dialledAddress);
       if (member !== undefined) {
@@ -267,6 +287,7 @@
     // After the input that came while the process was held up, so that nobody is missed who spoke.
     this.#careImmediate = setImmediate(() => {
       this.#closeSilentLinks();
+      this.#requests.advance();
       this.#table.expire(this.#getReportInterval());
       this.#maintainLinks();
     });
@@ -438,11 +459,26 @@
     }
   }
 
-  /** Sends everything that this VM knows. */
+  #sendWhole(feeds: readonly string[], link: links.Link): void {
+    for (const name of feeds) {
+      const feed = this.#feeds.get(name);
+      if (feed !== undefined) {
+        const payload = feed.createSnapshot();
+        link.send(links.encode({ kind: "feed", feed: name, payload, isWhole: true }));
+      }
+    }
+  }
+
+  /** Sends what this VM knows, or by what marks it can be compared. */
   #introduce(link: links.Link): void {
     const feeds: Record<string, unknown> = {};
+    const marks: Record<string, number> = {};
     for (const [name, feed] of this.#feeds) {
-      feeds[name] = feed.createSnapshot();
+      if (feed.marks === undefined) {
+        feeds[name] = feed.createSnapshot();
+      } else {
+        marks[name] = feed.marks.get();
+      }
     }
     link.isIntroduced = true;
     link.send(links.encode({
@@ -450,6 +486,7 @@
       identity: this.self,
       members: this.#table.list(),
       feeds,
+      marks,
     }));
   }
 
--- a/packages/mesh/src/types.ts
+++ b/packages/mesh/src/types.ts
@@ -49,8 +49,18 @@
   receive(from: MemberIdentity, payload: unknown): void;
 }
 
+/** Stands for the state of a feed, so that two VMs can tell whether they hold the same. */
+export interface FeedMarks {
+  /** 0 while nothing is held. */
+  get(): number;
+  /** Whether a VM with another mark holds something that this one does not. */
+  isBehind(other: number): boolean;
+}
+
 /** State that all VMs hold alike and that any of them may bring up to date. */
 export interface Feed {
+  /** With marks, everything is sent only to a VM that asks; without, to each VM that is met. */
+  readonly marks?: FeedMarks;
   /** Everything that a VM without knowledge needs. */
   createSnapshot(): unknown;
   /** Takes an update; returns whether any of it was new, so that it is passed on. */
@@ -63,8 +73,13 @@
     readonly kind: "hello";
     readonly identity: MemberIdentity;
     readonly members: readonly MemberIdentity[];
+    /** Everything of the feeds without marks. */
     readonly feeds: Readonly<Record<string, unknown>>;
+    /** Marks of the other feeds. */
+    readonly marks: Readonly<Record<string, number>>;
   }
+  /** Asks for everything of some feeds. */
+  | { readonly kind: "request"; readonly feeds: readonly string[] }
   | { readonly kind: "role"; readonly role: LinkRole }
   | {
     readonly kind: "reports";
@@ -73,7 +88,13 @@
     /** Age of the store's latest answer to any VM, in milliseconds; undefined without one. */
     readonly confirmedAge: number | undefined;
   }
-  | { readonly kind: "feed"; readonly feed: string; readonly payload: unknown };
+  | {
+    readonly kind: "feed";
+    readonly feed: string;
+    readonly payload: unknown;
+    /** Whether it is everything, as was asked for, and not an update. */
+    readonly isWhole?: boolean;
+  };
 
 /** What the dialling VM uses a link for. */
 export type LinkRole = "standby" | "subscription" | "bridge";
--- a/packages/mesh/test/mesh_test.ts
+++ b/packages/mesh/test/mesh_test.ts
@@ -22,6 +22,8 @@
 const URGENT_DELAY_MILLISECONDS = 10;
 
 interface TestVm {
+  /** A version that all are to have; compared by its number. */
+  readonly versions: { latest: number; sentWhole: number };
   readonly mesh: mesh.Mesh;
   readonly heard: Map<string, unknown>;
   readonly taken: Set<string>;
@@ -37,7 +39,9 @@
 ): Promise<TestVm> {
   const heard = new Map<string, unknown>();
   const taken = new Set<string>();
+  const versions = { latest: 0, sentWhole: 0 };
   const vm: TestVm = {
+    versions,
     heard,
     taken,
     value: undefined,
@@ -71,6 +75,18 @@
       return isNew;
     },
   });
+  vm.mesh.addFeed("versions", {
+    marks: { get: () => versions.latest, isBehind: (other) => other > versions.latest },
+    createSnapshot: () => {
+      versions.sentWhole++;
+      return versions.latest;
+    },
+    receive: (payload) => {
+      const isNew = Number(payload) > versions.latest;
+      versions.latest = Math.max(versions.latest, Number(payload));
+      return isNew;
+    },
+  });
   await vm.mesh.start();
   return vm;
 }
@@ -158,6 +174,64 @@
     });
   });
 
+  test.test("a VM that comes later is sent a large state once, by its own data centre", async () => {
+    await withFleet(async (fleet) => {
+      const [first] = fleet;
+      assert.ok(first !== undefined);
+      first.versions.latest = 7;
+      first.mesh.publish("versions", 7);
+      await waitFor(() => fleet.every((vm) => vm.versions.latest === 7), "the version");
+      const seeds = fleet.slice(0, 4).map((vm) => vm.mesh.self.address);
+      const port = await kernelTesting.claimPort();
+      const before = fleet.reduce((sum, vm) => sum + vm.versions.sentWhole, 0);
+      const late = await createVm("vm-late", "south", port, seeds);
+      try {
+        await waitFor(() => late.versions.latest === 7, "the version at the VM that came later");
+        assert.equal(late.mesh.isAwaitingFeeds, false);
+        // Long enough for any other VM to be asked too.
+        await kernel.sleep(500);
+        const senders = fleet.filter((vm) => vm.versions.sentWhole > 0);
+        const sent = fleet.reduce((sum, vm) => sum + vm.versions.sentWhole, 0) - before;
+        assert.equal(sent, 1);
+        assert.deepEqual(senders.map((vm) => vm.mesh.self.dataCentre), ["south"]);
+      } finally {
+        late.mesh.stop();
+      }
+    });
+  });
+
+  test.test("another VM is asked when the first does not answer", async () => {
+    const silentPort = await kernelTesting.claimPort();
+    const silent = new ws.WebSocketServer({ host: "127.0.0.1", port: silentPort });
+    silent.on("connection", (socket) => {
+      const identity = {
+        vm: "vm-silent",
+        incarnation: "zz",
+        dataCentre: "north",
+        address: `127.0.0.1:${silentPort}`,
+        tag: 1,
+        capacity: 9,
+      };
+      const hello = { kind: "hello", identity, members: [], feeds: {}, marks: { versions: 9 } };
+      socket.send(msgpackr.pack(hello));
+    });
+    const port = await kernelTesting.claimPort();
+    const holder = await createVm("vm-holder", "south", port, []);
+    holder.versions.latest = 9;
+    const late = await createVm("vm-late", "north", await kernelTesting.claimPort(), [
+      `127.0.0.1:${silentPort}`,
+      holder.mesh.self.address,
+    ]);
+    try {
+      await waitFor(() => late.versions.latest === 9, "the version by the second VM");
+    } finally {
+      late.mesh.stop();
+      holder.mesh.stop();
+      silent.close();
+      silent.clients.forEach((client) => client.terminate());
+    }
+  });
+
   test.test("an update that is published while a link is being opened is not lost", async () => {
     const listener = await createVm("vm-listener", "north", await kernelTesting.claimPort(), []);
     const { address } = listener.mesh.self;
--- a/packages/proxy/src/feeds.ts
+++ b/packages/proxy/src/feeds.ts
@@ -28,10 +28,19 @@
     this.#mesh = vmMesh;
     this.#logger = logger;
     vmMesh.addFeed(DECLARATIONS_FEED, {
+      marks: {
+        get: () => store.current?.declarations.version ?? 0,
+        isBehind: (other) => other > (store.current?.declarations.version ?? 0),
+      },
       createSnapshot: () => store.current?.declarations,
       receive: (payload) => this.#take(payload as declarations.Declarations | undefined, "peer"),
     });
     vmMesh.addFeed(TARGETS_FEED, {
+      marks: {
+        get: () => directory.getMark(),
+        // What the other holds may be older than what is held here; then nothing of it is taken.
+        isBehind: (other) => other !== 0 && other !== directory.getMark(),
+      },
       createSnapshot: () => directory.listChanges(),
       receive: (payload) => this.#takeChanges(payload as declarations.TargetChange[], "peer"),
     });
--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -33,6 +33,10 @@
 /** A VM that replaces another has callers waiting: it reads soon unless its peers were faster. */
 const RESTART_DELAY_MILLISECONDS = 60;
 
+/** Beyond that, it reads also when a peer was asked. A small link takes half a second for a lot. */
+const MAX_ANSWER_MILLISECONDS = 800;
+const ANSWER_POLL_MILLISECONDS = 20;
+
 const MIN_BACKOFF_MILLISECONDS = 200;
 const MAX_BACKOFF_MILLISECONDS = 1_500;
 
@@ -104,6 +108,7 @@
     const { signal } = this.#stopping;
     if (!this.#isFirstStart) {
       await kernel.sleep(RESTART_DELAY_MILLISECONDS, signal);
+      await this.#waitForAnswer();
       if (this.#publisher.isEmpty) {
         await this.#readOnce();
       }
@@ -118,6 +123,17 @@
     }
   }
 
+  /** Waits for declarations that a peer was asked for, which may be large. */
+  async #waitForAnswer(): Promise<void> {
+    const endsAt = kernel.getMonotonicMilliseconds() + MAX_ANSWER_MILLISECONDS;
+    while (
+      this.#publisher.isEmpty && this.#mesh.isAwaitingFeeds && !this.#stopping.signal.aborted &&
+      kernel.getMonotonicMilliseconds() < endsAt
+    ) {
+      await kernel.sleep(ANSWER_POLL_MILLISECONDS, this.#stopping.signal);
+    }
+  }
+
   #mustRead(): boolean {
     const readers = this.#mesh.rankRelays().slice(0, READING_DATA_CENTRES);
     if (readers.some((reader) => reader.vm === this.#mesh.self.vm)) {
