What was asked for is not passed on; others are told by marks

Cause: everything of a feed that came to a VM as news was passed on to all its links, as updates are. A restarted VM so sent a megabyte of declarations on to each VM that had it already, as before by greetings.

Change: after everything of a feed has come, other links get its mark and ask if they lack it. Test: a VM joins with newer state, all get it, and it is sent no more than twice for each of them.

--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -160,7 +160,7 @@
 
   /** Sends an update of a feed to all VMs. */
   publish(feed: string, payload: unknown): void {
-    this.#forwardFeed({ kind: "feed", feed, payload }, undefined);
+    this.#forward({ kind: "feed", feed, payload }, undefined);
   }
 
   /** Time within which others hear of a change that is not urgent, in milliseconds. */
@@ -230,13 +230,10 @@
         for (const [name, payload] of Object.entries(message.feeds)) {
           this.#receiveFeed({ kind: "feed", feed: name, payload }, link);
         }
-        for (const [name, mark] of Object.entries(message.marks ?? {})) {
-          link.marks.set(name, mark);
-        }
         if (link.dialledAddress === undefined) {
           this.#introduce(link);
         }
-        this.#requests.advance();
+        this.#compareMarks(message.marks, link);
         this.#maintainLinks();
         return;
       case "role":
@@ -245,6 +242,9 @@
       case "reports":
         this.#receiveReports(message, link);
         return;
+      case "marks":
+        this.#compareMarks(message.marks, link);
+        return;
       case "request":
         this.#sendWhole(message.feeds, link);
         return;
@@ -442,13 +442,27 @@
   }
 
   #receiveFeed(message: Extract<types.LinkMessage, { kind: "feed" }>, link: links.Link): void {
-    const isNew = this.#feeds.get(message.feed)?.receive(message.payload) ?? false;
-    if (isNew) {
-      this.#forwardFeed(message, link);
+    const feed = this.#feeds.get(message.feed);
+    const isNew = feed?.receive(message.payload) ?? false;
+    if (!isNew) {
+      return;
+    }
+    if (message.isWhole === true && feed?.marks !== undefined) {
+      // Most others hold it already, so they are not sent all of it.
+      this.#forward({ kind: "marks", marks: { [message.feed]: feed.marks.get() } }, link);
+    } else {
+      this.#forward(message, link);
+    }
+  }
+
+  #compareMarks(marks: Readonly<Record<string, number>>, link: links.Link): void {
+    for (const [name, mark] of Object.entries(marks)) {
+      link.marks.set(name, mark);
     }
+    this.#requests.advance();
   }
 
-  #forwardFeed(message: types.LinkMessage, from: links.Link | undefined): void {
+  #forward(message: types.LinkMessage, from: links.Link | undefined): void {
     const encoded = links.encode(message);
     for (const link of this.#links) {
       // Updates are rare and matter at once, so they also go over standbys. A VM whose own hello is
--- a/packages/mesh/src/types.ts
+++ b/packages/mesh/src/types.ts
@@ -78,6 +78,8 @@
     /** Marks of the other feeds. */
     readonly marks: Readonly<Record<string, number>>;
   }
+  /** Says that the state of feeds has changed by something large; whoever lacks it may ask. */
+  | { readonly kind: "marks"; readonly marks: Readonly<Record<string, number>> }
   /** Asks for everything of some feeds. */
   | { readonly kind: "request"; readonly feeds: readonly string[] }
   | { readonly kind: "role"; readonly role: LinkRole }
--- a/packages/mesh/test/mesh_test.ts
+++ b/packages/mesh/test/mesh_test.ts
@@ -200,6 +200,25 @@
     });
   });
 
+  test.test("what a VM that joins holds reaches all, and is not passed on to those who have it", async () => {
+    await withFleet(async (fleet) => {
+      const port = await kernelTesting.claimPort();
+      const joining = await createVm("vm-joining", "south", port, [
+        fleet[0]?.mesh.self.address ?? "",
+      ]);
+      joining.versions.latest = 8;
+      try {
+        await waitFor(() => fleet.every((vm) => vm.versions.latest === 8), "the version");
+        await kernel.sleep(300);
+        const sent = [...fleet, joining].reduce((sum, vm) => sum + vm.versions.sentWhole, 0);
+        // Each VM that lacked it asked for it once, or twice while another was still answering.
+        assert.ok(sent >= fleet.length && sent <= 2 * fleet.length, `sent ${sent} times`);
+      } finally {
+        joining.mesh.stop();
+      }
+    });
+  });
+
   test.test("another VM is asked when the first does not answer", async () => {
     const silentPort = await kernelTesting.claimPort();
     const silent = new ws.WebSocketServer({ host: "127.0.0.1", port: silentPort });
@@ -290,7 +309,7 @@
       });
       await new Promise((resolve) => socket.once("open", resolve));
       const identity = { ...others[0]?.mesh.self, vm: "vm-counts", incarnation: "zz", tag: 1 };
-      socket.send(msgpackr.pack({ kind: "hello", identity, members: [], feeds: {} }));
+      socket.send(msgpackr.pack({ kind: "hello", identity, members: [], feeds: {}, marks: {} }));
       socket.send(msgpackr.pack({ kind: "role", role: "subscription" }));
       const endsAt = performance.now() + COUNTED_MILLISECONDS;
       for (let value = 0; performance.now() < endsAt; value++) {
