--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,8 +1,10 @@
 /**
- * Bundles the program for the platform into one file under target/.
+ * `node scripts/bundle.mjs [FILE]`: bundles the program for the platform into one file, under target/
+ * unless another one is named.
  */
 
 import * as path from "node:path";
+import process from "node:process";
 import * as esbuild from "esbuild";
 import * as steps from "./steps.mjs";
 
@@ -29,7 +31,7 @@
 
 await esbuild.build({
   entryPoints: [path.join(steps.root, "platform/src/main.ts")],
-  outfile: path.join(steps.root, "target/hemlockwalk.mjs"),
+  outfile: process.argv[2] ?? path.join(steps.root, "target/hemlockwalk.mjs"),
   bundle: true,
   minify: true,
   keepNames: true,
