--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -1,11 +1,11 @@
 /**
  * The mesh: what each VM knows reaches all others within a few ticks, with few links.
  *
- * In each data centre the VM with the largest capacity relays, the oldest among equals: all others of the data centre subscribe
- * to it, and the relays of the data centres are bridged. Nobody is elected: each VM ranks the
- * members that it knows and follows the first that it reaches. A VM that others subscribe to
- * relays, whatever it thinks of its own rank. Reports carry absolute values and sequence numbers,
- * so that loss, repetition and loops do no harm.
+ * In each data centre the VM with the largest capacity relays, the oldest among equals: all others
+ * of the data centre subscribe to it, and the relays of the data centres are bridged. Nobody is
+ * elected: each VM ranks the members that it knows and follows the first that it reaches. A VM that
+ * others subscribe to relays, whatever it thinks of its own rank. Reports carry absolute values and
+ * sequence numbers, so that loss, repetition and loops do no harm.
  */
 
 import * as http from "node:http";
