--- a/packages/daemon/test/whole_path_test.ts
+++ b/packages/daemon/test/whole_path_test.ts
@@ -7,6 +7,7 @@
 import * as configuration from "@hemlockwalk/configuration";
 import * as gateway from "@hemlockwalk/gateway";
 import * as kernel from "@hemlockwalk/kernel";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
 import * as standins from "@hemlockwalk/standins";
 import * as daemon from "../src/mod.ts";
@@ -45,12 +46,6 @@
   return settings._unsafeUnwrap();
 }
 
-async function waitFor(condition: () => boolean): Promise<void> {
-  while (!condition()) {
-    await kernel.sleep(5);
-  }
-}
-
 test.describe("whole path", () => {
   test.it("serves a keyed request and refuses an unknown key", async (context) => {
     const platform = new standins.PlatformStandin();
@@ -68,7 +63,10 @@
       await target.stop();
     });
     platform.publish(configuration.getNoteKey(1), createFirstNote(target.address));
-    await waitFor(() => services.get(configuration.CONFIGURATION).isReady());
+    await kernelTesting.waitFor(
+      () => services.get(configuration.CONFIGURATION).isReady(),
+      "the first note is in force",
+    );
     // A new VM starts without tokens, so the first request waits for some to accrue.
     await kernel.sleep(20);
 
--- a/packages/declarations/test/fixtures.ts
+++ b/packages/declarations/src/testing/mod.ts
@@ -1,9 +1,9 @@
 /**
- * Declarations and targets for tests.
+ * Declarations and targets for tests, of other packages too.
  */
 
-import type * as declarations from "@hemlockwalk/declarations";
 import * as model from "@hemlockwalk/model";
+import type * as declarations from "../mod.ts";
 
 export function createRoute(
   changes: Partial<declarations.DeclaredRoute> = {},
--- a/packages/declarations/test/declarations_test.ts
+++ b/packages/declarations/test/declarations_test.ts
@@ -8,7 +8,7 @@
 import * as testing from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
 import * as fc from "fast-check";
-import * as fixtures from "./fixtures.ts";
+import * as fixtures from "@hemlockwalk/declarations/testing";
 
 const DESK = model.createServiceId("desk");
 
--- a/packages/kernel/src/logging.ts
+++ b/packages/kernel/src/logging.ts
@@ -2,6 +2,7 @@
  * Structured logs. Each part of the daemon writes short sentences behind its own fixed prefix.
  */
 
+import process from "node:process";
 import bunyan from "bunyan";
 import type * as messages from "./log_messages.ts";
 
@@ -10,7 +11,7 @@
 
 /** Creates the root logger of one VM, which writes one JSON object a line to standard output. */
 export function createRootLogger(vm: string, level: messages.LogLevel): bunyan {
-  return bunyan.createLogger({ name: "hemlockwalk", vm, level });
+  return createOutputLogger(vm, level, process.stdout);
 }
 
 /** Creates the root logger of one VM, which writes one JSON object a line to the given output. */
--- a/packages/placement/test/belief_test.ts
+++ b/packages/placement/test/belief_test.ts
@@ -7,6 +7,7 @@
 import * as testing from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
+import * as randoms from "./random.ts";
 
 function createCandidate(
   id: string,
@@ -112,14 +113,6 @@
   });
 });
 
-function createRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 test.describe("choice of a target", () => {
   test.test("a request that must not fail goes to the target that proved well", () => {
     const doubted = createCandidate("doubted", { sickness: 0.4 });
@@ -137,7 +130,7 @@
 
   test.test("a fleet that nobody has told anything looks after most targets within two seconds", () => {
     // 62 repeatable requests a second over 70 targets; a choice is known to the other VMs 300 ms later.
-    const random = createRandom(7);
+    const random = randoms.createRandom(7);
     const chosenAt = new Map<string, number>();
     const targets = Array.from({ length: 70 }, (_, index) => `target-${index}`);
     for (let request = 0; request < 124; request++) {
@@ -158,7 +151,7 @@
 
   test.test("a service that gets few requests, none repeatable, still uses most of its targets", () => {
     // Ten requests a second over six targets that are well; one would do for all of them.
-    const random = createRandom(3);
+    const random = randoms.createRandom(3);
     const heardAt = new Map<string, number>();
     const chosenAt: { id: string; at: number }[] = [];
     const targets = Array.from({ length: 6 }, (_, index) => `target-${index}`);
@@ -182,7 +175,7 @@
 
   test.test("few repeatable requests look after each of seven doubtful targets in time", () => {
     // Seven a second; a choice is known to the others 300 ms later.
-    const random = createRandom(11);
+    const random = randoms.createRandom(11);
     const chosenAt = new Map<string, number>();
     let passedOver = 0;
     for (let request = 0; request < 700; request++) {
--- /dev/null
+++ b/packages/placement/test/random.ts
@@ -0,0 +1,11 @@
+/**
+ * Numbers from 0 to 1 that depend on a seed only.
+ */
+
+export function createRandom(seed: number): () => number {
+  let state = seed >>> 0;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
--- a/packages/placement/test/shared_bucket_test.ts
+++ b/packages/placement/test/shared_bucket_test.ts
@@ -7,6 +7,7 @@
 import * as testing from "@hemlockwalk/kernel/testing";
 import * as placement from "@hemlockwalk/placement";
 import * as fc from "fast-check";
+import * as randoms from "./random.ts";
 
 const STEP_MILLISECONDS = 50;
 
@@ -29,14 +30,6 @@
   readonly seed: number;
 }
 
-function createRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
-}
-
 interface Played {
   readonly admittedAt: readonly number[];
   readonly asked: number;
@@ -44,7 +37,7 @@
 
 /** Plays a fleet on a paused clock; counters travel with a delay. */
 async function play(world: World, clock: testing.TestClock): Promise<Played> {
-  const random = createRandom(world.seed);
+  const random = randoms.createRandom(world.seed);
   const presence = {
     present: world.vms,
     expected: world.vms,
--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -6,6 +6,7 @@
 import * as http from "node:http";
 import * as stream from "node:stream";
 import * as declarations from "@hemlockwalk/declarations";
+import * as fixtures from "@hemlockwalk/declarations/testing";
 import * as kernel from "@hemlockwalk/kernel";
 import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
@@ -91,21 +92,8 @@
     revision: number,
     changes: Partial<declarations.TargetEntry> = {},
   ): declarations.TargetChange {
-    return {
-      id: this.id,
-      revision: revision as declarations.StoreRevision,
-      entry: {
-        id: this.id,
-        service: model.createServiceId("desk"),
-        address: `127.0.0.1:${this.port}`,
-        dataCentre: model.createDataCentreId("north"),
-        slots: 4,
-        isDraining: false,
-        warmUpMilliseconds: 0,
-        startedAt: undefined,
-        ...changes,
-      },
-    };
+    const address = `127.0.0.1:${this.port}`;
+    return fixtures.createChange(this.id, revision, { address, ...changes });
   }
 }
 
@@ -147,19 +135,7 @@
 export function createRoute(
   changes: Partial<declarations.DeclaredRoute> = {},
 ): declarations.DeclaredRoute {
-  return {
-    id: model.createRouteId("bookings"),
-    host: "desk.example",
-    pathPrefix: "/bookings/",
-    isIdempotent: false,
-    objectiveMilliseconds: 500,
-    timeoutMilliseconds: 1_000,
-    attempts: 2,
-    priority: 1,
-    isPublic: false,
-    destinations: [{ service: model.createServiceId("desk"), weight: 1 }],
-    ...changes,
-  };
+  return fixtures.createRoute({ timeoutMilliseconds: 1_000, ...changes });
 }
 
 const READS = createRoute({
@@ -172,8 +148,7 @@
   version: number,
   changes: Partial<declarations.Declarations> = {},
 ): declarations.Declarations {
-  return {
-    version: version as declarations.DeclarationsVersion,
+  return fixtures.createDeclarations(version, {
     limits: {
       headerBytes: 4_096,
       bodyBytes: 100_000,
@@ -190,7 +165,7 @@
       burst: 0,
     }],
     ...changes,
-  };
+  });
 }
 
 /** An answer as a caller sees it. */
