Tokens that others took before a VM started are not debited again

Cause: counters of other VMs rise through their whole life. A VM that was replaced heard each of them for the first time and debited all that had ever been taken, down to the lowest level allowed. For seconds after its start it refused callers within their rate, and it took the fleet's retries for spent. The same holds after a partition: what the other side took was debited from a level to which its share of the rate had not been credited.

Change: news of counters say how long their VM has lived, and of counters heard for the first time only the part counts that this VM has lived too. What accrues for VMs that are not heard is kept aside and pays for what they turn out to have taken. A bucket made late on a replaced VM holds what has accrued since its start.

VMs that are replaced under ten times the rate keep to the bound.

--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -32,6 +32,15 @@
 /** The level may fall so many bursts below zero; older debts are forgotten. */
 const MAX_DEBT_IN_BURSTS = 2;
 
+/** Counters after so long a silence tell what a VM took while it was not heard. */
+const RETURN_AFTER_MILLISECONDS = 2_000;
+
+/**
+ * Once all VMs are heard again, what nobody claims is given up at this share of the rate. VMs with
+ * few requests tell seconds later what they have taken.
+ */
+const WITHHELD_DRAIN = 0.25;
+
 /** What one VM has taken and was asked for since it started. */
 export interface BucketCounters {
   readonly taken: number;
@@ -52,6 +61,8 @@
   incarnation: string;
   taken: number;
   asked: number;
+  /** Monotonic time of its latest counters, in milliseconds. */
+  heardAt: number;
 }
 
 /** One VM's view of a bucket. */
@@ -66,6 +77,8 @@
   readonly #others = new Map<string, OtherVm>();
   #shareLevel = 0;
   #newsMilliseconds = FIRST_NEWS_MILLISECONDS;
+  /** What has accrued for VMs that were not heard; it pays for what they turn out to have taken. */
+  #withheld = 0;
   #ownDemand = 0;
   #fleetDemand = 0;
   #decayedAt = kernel.getMonotonicMilliseconds();
@@ -106,6 +119,9 @@
     this.#newsMilliseconds = presence.newsMilliseconds;
     const heard = tokens * presence.present / Math.max(presence.expected, 1);
     this.#level = Math.min(this.#burst, this.#level + heard);
+    this.#withheld = presence.present < presence.expected
+      ? this.#withheld + tokens - heard
+      : Math.max(0, this.#withheld - tokens * WITHHELD_DRAIN);
     const share = this.#fleetDemand > 0
       ? Math.min(1, this.#ownDemand / this.#fleetDemand)
       : 1 / Math.max(presence.expected, 1);
@@ -153,18 +169,27 @@
     return { taken: this.#taken, asked: this.#asked };
   }
 
-  /** Takes the counters of another VM. */
-  receive(vm: string, incarnation: string, counters: BucketCounters): void {
+  /**
+   * Takes the counters of another VM.
+   *
+   * @param followed Share of that VM's life, from 0 to 1, that this VM has followed the bucket. What
+   *   was taken before is part of the level that this VM began with.
+   */
+  receive(vm: string, incarnation: string, counters: BucketCounters, followed: number): void {
     const known = this.#others.get(vm);
     const isSameLife = known?.incarnation === incarnation;
     if (isSameLife && counters.asked < known.asked) {
       return;
     }
-    const taken = counters.taken - (isSameLife ? known.taken : 0);
-    const asked = counters.asked - (isSameLife ? known.asked : 0);
-    this.#others.set(vm, { incarnation, ...counters });
+    const taken = isSameLife ? counters.taken - known.taken : counters.taken * followed;
+    const asked = isSameLife ? counters.asked - known.asked : counters.asked * followed;
+    const now = kernel.getMonotonicMilliseconds();
+    const isReturning = isSameLife && now - known.heardAt > RETURN_AFTER_MILLISECONDS;
+    const paid = isReturning ? Math.min(Math.max(taken, 0), this.#withheld) : 0;
+    this.#withheld -= paid;
+    this.#others.set(vm, { incarnation, ...counters, heardAt: now });
     this.#level = Math.max(
-      this.#level - taken,
+      this.#level - taken + paid,
       -MAX_DEBT_IN_BURSTS * this.#burst - this.#allowance,
     );
     this.#addDemand(0, Math.max(asked, 0));
--- a/packages/placement/test/shared_bucket_test.ts
+++ b/packages/placement/test/shared_bucket_test.ts
@@ -28,6 +28,17 @@
   /** Share of the demand that enters the first VM. */
   readonly skew: number;
   readonly seed: number;
+  /** One VM after the other is replaced in this interval; none without it. */
+  readonly replaceMilliseconds?: number;
+  /** Between these times the first half of the fleet hears nothing of the second half. */
+  readonly cutMilliseconds?: readonly [from: number, to: number];
+}
+
+/** One VM of the played fleet. */
+interface PlayedVm {
+  bucket: placement.SharedBucket;
+  life: number;
+  startedAtStep: number;
 }
 
 interface Played {
@@ -38,48 +49,55 @@
 /** Plays a fleet on a paused clock; counters travel with a delay. */
 async function play(world: World, clock: testing.TestClock): Promise<Played> {
   const random = randoms.createRandom(world.seed);
-  const presence = {
-    present: world.vms,
-    expected: world.vms,
-    newsMilliseconds: NEWS_MILLISECONDS,
-  };
-  const buckets = Array.from(
-    { length: world.vms },
-    () => new placement.SharedBucket(world.burst, world.burst, 0),
-  );
-  const underWay: { at: number; from: number; counters: placement.BucketCounters }[] = [];
+  const fleet = Array.from({ length: world.vms }, (): PlayedVm => ({
+    bucket: new placement.SharedBucket(world.burst, world.burst, 0),
+    life: 1,
+    startedAtStep: 0,
+  }));
+  let underWay: { at: number; from: number; life: number; counters: placement.BucketCounters }[] =
+    [];
   const admittedAt: number[] = [];
   let asked = 0;
   const steps = world.seconds * 1_000 / STEP_MILLISECONDS;
-  const send = (bucket: placement.SharedBucket, from: number, at: number) => {
+  const send = ({ bucket, life }: PlayedVm, from: number, at: number) => {
     const counters = bucket.collect();
     if (counters !== undefined) {
-      underWay.push({ at, from, counters });
+      underWay.push({ at, from, life, counters });
     }
   };
   for (let step = 0; step < steps; step++) {
     await clock.advance(STEP_MILLISECONDS, STEP_MILLISECONDS);
-    buckets.forEach((bucket) => bucket.refill(world.rate * STEP_MILLISECONDS / 1_000, presence));
+    const isCut = isCutAt(world, step);
+    const presence = {
+      present: isCut ? world.vms / 2 : world.vms,
+      expected: world.vms,
+      newsMilliseconds: NEWS_MILLISECONDS,
+    };
+    replaceOne(fleet, world, step);
+    fleet.forEach(({ bucket }) => bucket.refill(world.rate * STEP_MILLISECONDS / 1_000, presence));
     const expected = world.demand * STEP_MILLISECONDS / 1_000;
     const arrivals = Math.floor(expected) + (random() < expected % 1 ? 1 : 0);
     for (let arrival = 0; arrival < arrivals; arrival++) {
       const index = random() < world.skew ? 0 : Math.floor(random() * world.vms);
       asked++;
-      const bucket = buckets[index] ?? assert.fail();
-      if (bucket.take()) {
+      const vm = fleet[index] ?? assert.fail();
+      if (vm.bucket.take()) {
         admittedAt.push(step * STEP_MILLISECONDS);
       }
-      if (bucket.isUrgent) {
-        send(bucket, index, step + URGENT_DELAY_STEPS);
+      if (vm.bucket.isUrgent) {
+        send(vm, index, step + URGENT_DELAY_STEPS);
       }
     }
-    buckets.forEach((bucket, from) => send(bucket, from, step + DELAY_STEPS));
+    fleet.forEach((vm, from) => send(vm, from, step + DELAY_STEPS));
     const due = underWay.filter((message) => message.at <= step);
-    underWay.splice(0, underWay.length, ...underWay.filter((message) => message.at > step));
-    for (const { from, counters } of due) {
-      buckets.forEach((bucket, to) => {
-        if (to !== from) {
-          bucket.receive(`vm-${from}`, "1", counters);
+    underWay = underWay.filter((message) => message.at > step);
+    for (const { from, life, counters } of due) {
+      fleet.forEach((vm, to) => {
+        const isBetweenHalves = (from < world.vms / 2) !== (to < world.vms / 2);
+        if (to !== from && !(isCut && isBetweenHalves)) {
+          const age = step - (fleet[from]?.startedAtStep ?? 0);
+          const followed = Math.min(1, (step - vm.startedAtStep) / Math.max(age, 1));
+          vm.bucket.receive(`vm-${from}`, String(life), counters, followed);
         }
       });
     }
@@ -87,6 +105,26 @@
   return { admittedAt, asked };
 }
 
+function isCutAt(world: World, step: number): boolean {
+  const [from, to] = world.cutMilliseconds ?? [0, 0];
+  return step * STEP_MILLISECONDS >= from && step * STEP_MILLISECONDS < to;
+}
+
+/** Replaces the VM whose turn it is by one that takes the level from its neighbour. */
+function replaceOne(fleet: readonly PlayedVm[], world: World, step: number): void {
+  const at = step * STEP_MILLISECONDS;
+  if (world.replaceMilliseconds === undefined || step === 0 || at % world.replaceMilliseconds > 0) {
+    return;
+  }
+  const index = at / world.replaceMilliseconds % world.vms;
+  const vm = fleet[index] ?? assert.fail();
+  const neighbour = fleet[(index + 1) % world.vms] ?? assert.fail();
+  vm.bucket = new placement.SharedBucket(world.burst, 0, 0);
+  vm.bucket.adoptLevel(neighbour.bucket.level);
+  vm.life++;
+  vm.startedAtStep = step;
+}
+
 /** The most admissions within any window. */
 function countBusiestWindow(admittedAt: readonly number[], windowMilliseconds: number): number {
   let most = 0;
@@ -153,6 +191,35 @@
     });
   });
 
+  test.test("a workspace well within its rate is not refused while VMs are replaced", async () => {
+    await withClock(async (clock) => {
+      const world = { vms: 32, rate: 67, burst: 67, demand: 40, seconds: 30, skew: 0, seed: 8 };
+      const { admittedAt, asked } = await play({ ...world, replaceMilliseconds: 1_000 }, clock);
+      assert.equal(asked - admittedAt.length, 0);
+    });
+  });
+
+  test.test("VMs that are replaced keep a workspace far beyond its rate to it", async () => {
+    await withClock(async (clock) => {
+      const world = { vms: 32, rate: 20, burst: 20, demand: 200, seconds: 20, skew: 0, seed: 9 };
+      const { admittedAt } = await play({ ...world, replaceMilliseconds: 500 }, clock);
+      const bound = (world.rate * 5 + world.burst) * 1.25 + 20;
+      const most = countBusiestWindow(admittedAt, 5_000);
+      assert.ok(most <= bound, `${most} admitted in 5 s, at most ${bound} are allowed`);
+    });
+  });
+
+  test.test("a workspace well within its rate is not refused when a partition heals", async () => {
+    await withClock(async (clock) => {
+      const world = { vms: 32, rate: 40, burst: 40, demand: 30, seconds: 20, skew: 0, seed: 10 };
+      const { admittedAt, asked } = await play(
+        { ...world, cutMilliseconds: [4_000, 14_000] },
+        clock,
+      );
+      assert.equal(asked - admittedAt.length, 0);
+    });
+  });
+
   test.test("VMs that are not heard keep their share", () => {
     const cut = new placement.SharedBucket(40, 0, 0);
     for (let step = 0; step < 100; step++) {
@@ -163,9 +230,9 @@
 
   test.test("a VM's new life begins to count anew", () => {
     const bucket = new placement.SharedBucket(100, 100, 0);
-    bucket.receive("vm", "1", { taken: 30, asked: 30 });
-    bucket.receive("vm", "1", { taken: 40, asked: 40 });
-    bucket.receive("vm", "2", { taken: 5, asked: 5 });
+    bucket.receive("vm", "1", { taken: 30, asked: 30 }, 1);
+    bucket.receive("vm", "1", { taken: 40, asked: 40 }, 1);
+    bucket.receive("vm", "2", { taken: 5, asked: 5 }, 1);
     assert.equal(bucket.level, 55);
   });
 });
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -37,7 +37,14 @@
   readonly retries: Record<string, number>;
 }
 
-type CounterTable = Record<string, readonly [taken: number, asked: number]>;
+/** Counters as they travel. */
+interface CounterNews<T> {
+  /** How long the VM that tells them has lived, in milliseconds. */
+  readonly age: number;
+  readonly counters: Record<string, T>;
+}
+
+type BucketNews = CounterNews<readonly [taken: number, asked: number]>;
 
 /** The fleet's budgets as seen by one VM. */
 export class Budgets implements kernel.Service {
@@ -69,12 +76,12 @@
     this.#bounds = bounds;
     this.#isFirstStart = isFirstStart;
     vmMesh.addSection("rates", {
-      collect: () => collectBuckets(this.#rates),
+      collect: () => this.#collectBuckets(this.#rates),
       receive: (from, payload) =>
         this.#receiveBuckets(from, payload, (workspace) => this.#getRate(workspace)),
     });
     vmMesh.addSection("retries", {
-      collect: () => collectBuckets(this.#retries),
+      collect: () => this.#collectBuckets(this.#retries),
       receive: (from, payload) =>
         this.#receiveBuckets(from, payload, (service) => this.#getRetries(service)),
     });
@@ -188,9 +195,10 @@
     const declared = this.#store.current?.getWorkspaceById(workspace as model.WorkspaceId);
     if (bucket === undefined && declared?.ratePerSecond !== undefined) {
       // Of what ran before a restart nothing is known, so a replaced VM starts without tokens.
+      const accrued = declared.ratePerSecond * this.#getLifetime() / 1_000;
       bucket = new placement.SharedBucket(
         declared.burst,
-        this.#isFirstStart ? declared.burst : 0,
+        this.#isFirstStart ? declared.burst : accrued,
         this.#getRateAllowance(declared),
       );
       this.#rates.set(workspace, bucket);
@@ -271,12 +279,36 @@
     payload: unknown,
     find: (name: string) => placement.SharedBucket | undefined,
   ): void {
-    for (const [name, [taken, asked]] of Object.entries(payload as CounterTable)) {
-      find(name)?.receive(from.vm, from.incarnation, { taken, asked });
+    const { age, counters } = payload as BucketNews;
+    const followed = this.#getFollowedShare(age);
+    for (const [name, [taken, asked]] of Object.entries(counters)) {
+      find(name)?.receive(from.vm, from.incarnation, { taken, asked }, followed);
+    }
+  }
+
+  /** Share of another VM's life that this VM has lived too. */
+  #getFollowedShare(age: number): number {
+    return Math.min(1, this.#getLifetime() / Math.max(age, 1));
+  }
+
+  #collectBuckets(buckets: ReadonlyMap<string, placement.SharedBucket>): BucketNews | undefined {
+    const counters: Record<string, readonly [number, number]> = {};
+    for (const [name, bucket] of buckets) {
+      const collected = bucket.collect();
+      if (collected !== undefined) {
+        counters[name] = [collected.taken, collected.asked];
+      }
     }
+    return this.#createNews(counters);
+  }
+
+  #createNews<T>(counters: Record<string, T>): CounterNews<T> | undefined {
+    return Object.keys(counters).length === 0
+      ? undefined
+      : { age: Math.round(this.#getLifetime()), counters };
   }
 
-  #collectRequests(): unknown {
+  #collectRequests(): CounterNews<number> | undefined {
     const counts: Record<string, number> = {};
     for (const [service, count] of this.#requests) {
       if (this.#requestsReported.get(service) !== count) {
@@ -284,17 +316,20 @@
         this.#requestsReported.set(service, count);
       }
     }
-    return Object.keys(counts).length === 0 ? undefined : counts;
+    return this.#createNews(counts);
   }
 
   #receiveRequests(from: mesh.MemberIdentity, payload: unknown): void {
+    const { age, counters } = payload as CounterNews<number>;
     let known = this.#requestsOfOthers.get(from.vm);
     if (known?.incarnation !== from.incarnation) {
       known = { incarnation: from.incarnation, counts: new Map() };
       this.#requestsOfOthers.set(from.vm, known);
     }
-    for (const [service, count] of Object.entries(payload as Record<string, number>)) {
-      this.#growRetries(service, Math.max(0, count - (known.counts.get(service) ?? 0)));
+    for (const [service, count] of Object.entries(counters)) {
+      const before = known.counts.get(service);
+      const grown = before === undefined ? count * this.#getFollowedShare(age) : count - before;
+      this.#growRetries(service, Math.max(0, grown));
       known.counts.set(service, count);
     }
   }
@@ -303,14 +338,3 @@
 function roundToTenth(value: number): number {
   return Math.round(value * 10) / 10;
 }
-
-function collectBuckets(buckets: ReadonlyMap<string, placement.SharedBucket>): unknown {
-  const table: Record<string, readonly [number, number]> = {};
-  for (const [name, bucket] of buckets) {
-    const counters = bucket.collect();
-    if (counters !== undefined) {
-      table[name] = [counters.taken, counters.asked];
-    }
-  }
-  return Object.keys(table).length === 0 ? undefined : table;
-}
