Targets busy with long work are looked after; long bodies are bounded

Change: the age of what is known counts from the start of the call that showed it; a target with free slots of which nothing is known for 1.2 s is looked after also while a call is under way there. A play of long reads over 14 targets used 8 of them within two seconds before (10 are asked for).

Also: a body of unknown length that grows beyond the declared limit after its beginning was passed on is refused with 413 and the attempt is ended; before it was passed on whole (the test got 200). Two unused functions are gone.

--- a/packages/mesh/src/link.ts
+++ b/packages/mesh/src/link.ts
@@ -3,7 +3,6 @@
  */
 
 import * as kernel from "@hemlockwalk/kernel";
-import type * as model from "@hemlockwalk/model";
 import * as msgpackr from "msgpackr";
 import type * as ws from "ws";
 import type * as types from "./types.ts";
@@ -63,10 +62,6 @@
     return this.#socket.readyState === this.#socket.OPEN;
   }
 
-  get vm(): model.VmId | undefined {
-    return this.peer?.vm;
-  }
-
   send(encoded: Buffer): void {
     if (!this.isOpen) {
       return;
--- a/packages/placement/src/belief.ts
+++ b/packages/placement/src/belief.ts
@@ -60,7 +60,10 @@
   readonly #rates: BeliefRates;
   #probability: number;
   #updatedAt: number;
-  /** Monotonic time of the latest outcome, in milliseconds; minus infinity before the first. */
+  /**
+   * Monotonic time of which the latest outcome speaks, in milliseconds; minus infinity before the
+   * first. The end of a long call is no news of the present.
+   */
   observedAt = Number.NEGATIVE_INFINITY;
 
   constructor(rates: BeliefRates = DEFAULT_RATES) {
@@ -92,7 +95,7 @@
     const posterior = odds / (1 + odds);
     this.#probability = Math.min(Math.max(posterior, MIN_PROBABILITY), MAX_PROBABILITY);
     this.#updatedAt = at;
-    this.observedAt = kernel.getMonotonicMilliseconds();
+    this.observedAt = at;
   }
 
   #getSicknessAt(time: number): number {
--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -19,7 +19,7 @@
   readonly load: number;
   /** Probability that it is in a bad spell. */
   readonly sickness: number;
-  /** Time since the latest outcome of any VM, in milliseconds. */
+  /** Time since the moment of which the latest outcome of any VM speaks, in milliseconds. */
   readonly unobservedMilliseconds: number;
   /** Work time there against the service's mean. */
   readonly slowness: number;
@@ -165,8 +165,10 @@
 }
 
 function isUnheard(candidate: Candidate, milliseconds: number): boolean {
-  return candidate.load === 0 && !candidate.isUnreachable &&
-    candidate.unobservedMilliseconds >= milliseconds;
+  // A call that began long ago says nothing of the present; a later one may just not have been told.
+  const isIdle = candidate.load === 0 || (candidate.load < candidate.slots &&
+    candidate.unobservedMilliseconds >= NEGLECTED_MILLISECONDS);
+  return isIdle && !candidate.isUnreachable && candidate.unobservedMilliseconds >= milliseconds;
 }
 
 /**
--- a/packages/placement/test/belief_test.ts
+++ b/packages/placement/test/belief_test.ts
@@ -92,6 +92,21 @@
     }
   });
 
+  test.test("the end of a long call is no news of the present", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const belief = new placement.TargetBelief();
+      const startedAt = clock.monotonicMilliseconds;
+      await clock.advance(60);
+      belief.observe("survived", startedAt);
+      await clock.advance(2_000, 500);
+      belief.observe("success", startedAt);
+      assert.equal(belief.observedAt, startedAt);
+    } finally {
+      clock.restore();
+    }
+  });
+
   test.test("without news a belief drifts back within a few spells", async () => {
     const clock = new testing.TestClock();
     try {
@@ -126,6 +141,8 @@
     assert.equal(choose([doubted, well], READ, () => 0.1), "doubted");
     const watched = { ...doubted, load: 1 };
     assert.equal(choose([watched, well], READ, () => 0.1), "well");
+    const busyForLong = { ...watched, unobservedMilliseconds: 1_300 };
+    assert.equal(choose([busyForLong, well], READ, () => 0.1), "doubted");
   });
 
   test.test("a fleet that nobody has told anything looks after most targets within two seconds", () => {
@@ -192,6 +209,39 @@
     assert.ok(passedOver < 0.02 * 7 * 700, `${passedOver} times passed over for 2.5 s`);
   });
 
+  test.test("targets that are busy with long work are looked after like others", () => {
+    // Twenty reads of one to three seconds over 14 targets each second, heard of 150 ms later.
+    const random = randoms.createRandom(5);
+    const calls: { readonly id: string; readonly at: number; readonly endsAt: number }[] = [];
+    const targets = Array.from({ length: 14 }, (_, index) => `target-${index}`);
+    for (let at = 0; at < 20_000; at += 50) {
+      const heard = calls.filter((call) => call.at <= at - 150);
+      const candidates = targets.map((id) => {
+        const known = heard.filter((call) => call.id === id);
+        const unobservedMilliseconds = Math.min(...known.map((call) => at - call.at));
+        return createCandidate(id, {
+          slots: 12,
+          load: known.filter((call) => call.endsAt > at - 150).length,
+          sickness: 0.28 * (1 - Math.exp(-unobservedMilliseconds / 1_950)),
+          unobservedMilliseconds,
+        });
+      });
+      // The rest goes to the targets of its own data centre, the first four.
+      const id = choose(
+        candidates.map((candidate, index) => ({ ...candidate, isRemote: index >= 4 })),
+        READ,
+        random,
+      );
+      calls.push({ id, at, endsAt: at + 1_000 + 2_000 * random() });
+    }
+    for (let from = 2_000; from <= 18_000; from += 250) {
+      const used = new Set(
+        calls.filter(({ at }) => at >= from && at < from + 2_000).map(({ id }) => id),
+      );
+      assert.ok(used.size >= 0.7 * targets.length, `${used.size} targets from ${from} on`);
+    }
+  });
+
   test.test("a request that may not be repeated does not look after a target that has failed", () => {
     const failed = createCandidate("failed", { sickness: 0.6, unobservedMilliseconds: 5_000 });
     const unknown = createCandidate("unknown", { sickness: 0.28, unobservedMilliseconds: 5_000 });
--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -15,16 +15,24 @@
   readonly #statedLength: number | undefined;
   #isSent = false;
 
+  /**
+   * @param rest What is still to come of a long body.
+   * @param tooLarge Aborted once a body of unknown length has grown beyond the limit.
+   */
   constructor(
     chunks: readonly Buffer[],
-    rest: http.IncomingMessage | undefined,
     statedLength: number | undefined,
+    rest?: http.IncomingMessage,
+    tooLarge?: AbortSignal,
   ) {
     this.#chunks = chunks;
-    this.#rest = rest;
     this.#statedLength = statedLength;
+    this.#rest = rest;
+    this.tooLarge = tooLarge;
   }
 
+  readonly tooLarge: AbortSignal | undefined;
+
   /** Whether it can be sent more than once. */
   get isHeld(): boolean {
     return this.#rest === undefined;
@@ -54,10 +62,12 @@
       this.#isSent = true;
       return;
     }
-    this.#rest.once("end", () => {
+    const rest = this.#rest;
+    rest.once("end", () => {
       this.#isSent = true;
     });
-    this.#rest.pipe(outgoing);
+    this.tooLarge?.addEventListener("abort", () => rest.unpipe(outgoing), { once: true });
+    rest.pipe(outgoing);
   }
 }
 
@@ -78,7 +88,7 @@
   const hasBody = statedLength !== undefined || request.headers["transfer-encoding"] !== undefined;
   if (!hasBody) {
     request.resume();
-    return Promise.resolve({ kind: "read", body: new RequestBody([], undefined, undefined) });
+    return Promise.resolve({ kind: "read", body: new RequestBody([], undefined) });
   }
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -96,14 +106,32 @@
         settle({ kind: "too_large" });
       } else if (bytes > HELD_BODY_BYTES) {
         request.pause();
-        settle({ kind: "read", body: new RequestBody(chunks, request, statedLength) });
+        const tooLarge = watchLength(request, limitBytes - bytes);
+        settle({ kind: "read", body: new RequestBody(chunks, statedLength, request, tooLarge) });
       }
     };
-    const onEnd = () =>
-      settle({ kind: "read", body: new RequestBody(chunks, undefined, statedLength) });
+    const onEnd = () => settle({ kind: "read", body: new RequestBody(chunks, statedLength) });
     const onClose = () => settle({ kind: "broken_off" });
     request.on("data", onData);
     request.once("end", onEnd);
     request.once("close", onClose);
   });
 }
+
+/** Watches the rest of a body; the signal is aborted once it is longer than allowed. */
+function watchLength(rest: http.IncomingMessage, allowedBytes: number): AbortSignal {
+  const tooLarge = new AbortController();
+  let bytes = 0;
+  const onData = (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > allowedBytes) {
+      rest.off("data", onData);
+      tooLarge.abort();
+      // What follows is read and dropped, so that the caller gets to read its answer.
+      rest.resume();
+    }
+  };
+  // Does not start the stream, which was paused before and flows once it is piped.
+  rest.on("data", onData);
+  return tooLarge.signal;
+}
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -141,10 +141,6 @@
     return this.#takeFrom(this.#getRetries(service));
   }
 
-  returnRetry(service: model.ServiceId): void {
-    this.#getRetries(service).giveBack();
-  }
-
   /** Share of the retries at hand that is left, from 0 to 1. */
   getRetryLevel(service: model.ServiceId): number {
     return Math.max(0, this.#getRetries(service).level / this.#getRetryBurst());
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -85,6 +85,7 @@
       this.#final.refuse({ status: 413, reason: "body_too_large" });
       return;
     }
+    read.body.tooLarge?.addEventListener("abort", () => this.#refuseLongBody(), { once: true });
     this.#context.budgets.countRequest(accepted.service);
     await this.#serve(accepted, read.body);
   }
@@ -211,7 +212,8 @@
     const attempt = new AbortController();
     const onLeave = () => {
       // A request that may not run twice is let run to its end: its caller may ask what came of it.
-      if (accepted.route.isIdempotent || !this.#hasArrived) {
+      const canRun = this.#hasArrived && body.tooLarge?.aborted !== true;
+      if (accepted.route.isIdempotent || !canRun) {
         attempt.abort("cancelled");
       }
     };
@@ -401,6 +403,12 @@
     this.#caller.abort("cancelled");
   }
 
+  /** Ends a request whose body has turned out too long after its beginning was sent. */
+  #refuseLongBody(): void {
+    this.#final.refuse({ status: 413, reason: "body_too_large" });
+    this.#caller.abort("cancelled");
+  }
+
   #returnRate(accepted: types.AcceptedRequest): void {
     if (accepted.workspace !== undefined && !this.#hasArrived) {
       this.#context.budgets.returnRate(accepted.workspace);
--- a/packages/proxy/test/request_path_test.ts
+++ b/packages/proxy/test/request_path_test.ts
@@ -223,6 +223,24 @@
     });
   });
 
+  test.test("a long body of unknown length is refused once it is beyond the limit", async () => {
+    const limits = { ...harness.createDeclarations(1).limits, bodyBytes: 400_000 };
+    await harness.withVm(1, async (vm) => {
+      const lengths: number[] = [];
+      setAll(vm, (request, response, body) => {
+        lengths.push(body.length);
+        harness.answerWell(request, response);
+      });
+      const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+      const send = (bytes: number) =>
+        vm.call({ agent, body: "x".repeat(bytes), headers: { "Transfer-Encoding": "chunked" } });
+      assert.equal((await send(500_000)).status, 413);
+      assert.equal((await send(400_000)).status, 200);
+      agent.destroy();
+      assert.deepEqual(lengths, [400_000]);
+    }, harness.createDeclarations(1, { limits }));
+  });
+
   test.test("a planned stop cuts no request, also one taken late on a kept connection", async () => {
     const vm = new harness.TestVm();
     await vm.start(1);
