A VM that fails to start ends its test; test files that do not end fail

The first VM was started outside the guarded part of the test, so a failed start left its sockets open and the process never ended, and the failure itself was never printed. Why the start failed is not known; the next time it is printed.

Change: the start stands inside the guarded part; the runner gives each test 150 s.

--- a/packages/proxy/test/fleet_test.ts
+++ b/packages/proxy/test/fleet_test.ts
@@ -15,19 +15,21 @@
   run: (reading: harness.TestVm, turnedAway: harness.TestVm) => Promise<void>,
 ): Promise<void> {
   const reading = new harness.TestVm();
-  await reading.start(2);
   const closedStore = new harness.MemoryStore();
   closedStore.isAvailable = false;
-  const turnedAway = new harness.TestVm({
-    name: "vm-turned-away",
-    store: closedStore,
-    seeds: [reading.peerAddress],
-  });
+  let turnedAway: harness.TestVm | undefined;
   try {
+    await reading.start(2);
+    turnedAway = new harness.TestVm({
+      name: "vm-turned-away",
+      store: closedStore,
+      seeds: [reading.peerAddress],
+    });
     await turnedAway.start(0);
     await run(reading, turnedAway);
   } finally {
-    await Promise.all([turnedAway.stop(), reading.stop()]);
+    // A VM that has failed to start is stopped too, or its sockets would keep the process alive.
+    await Promise.all([turnedAway?.stop(), reading.stop()]);
   }
 }
 
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -13,6 +13,9 @@
 /** Test files that run at once. Fixed, so that the load does not depend on the machine. */
 const TEST_CONCURRENCY = 4;
 
+/** A test file that has not ended by then counts as failed. The longest takes half a minute. */
+const TEST_TIMEOUT_MILLISECONDS = 150_000;
+
 function cleanOutputs() {
   // Outputs of deleted sources would go on being tested, so every package is built from nothing.
   for (const name of steps.listPackages()) {
@@ -32,6 +35,7 @@
   const result = childProcess.spawnSync(process.execPath, [
     "--test",
     `--test-concurrency=${TEST_CONCURRENCY}`,
+    `--test-timeout=${TEST_TIMEOUT_MILLISECONDS}`,
     "--test-reporter=spec",
     "--test-reporter-destination=stdout",
     "--test-reporter=./scripts/failures_reporter.mjs",
