--- a/packages/mesh/test/feed_requests_test.ts
+++ b/packages/mesh/test/feed_requests_test.ts
@@ -81,7 +81,7 @@
   });
 
   test.test("another VM is asked in place of one whose link has closed", async () => {
-    await withRequests(async (requests, open) => {
+    await withRequests((requests, open) => {
       const [first, second] = [createLink("south"), createLink("south")];
       open.add(first.link).add(second.link);
       requests.advance();
