--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -14,11 +14,10 @@
   readonly #rest: http.IncomingMessage | undefined;
   readonly #statedLength: number | undefined;
   #isSent = false;
+  /** Aborted once a body of unknown length has grown beyond the limit. */
+  readonly tooLarge: AbortSignal | undefined;
 
-  /**
-   * @param rest What is still to come of a long body.
-   * @param tooLarge Aborted once a body of unknown length has grown beyond the limit.
-   */
+  /** @param rest What is still to come of a long body, with `tooLarge` to watch it. */
   constructor(
     chunks: readonly Buffer[],
     statedLength: number | undefined,
@@ -31,8 +30,6 @@
     this.tooLarge = tooLarge;
   }
 
-  readonly tooLarge: AbortSignal | undefined;
-
   /** Whether it can be sent more than once. */
   get isHeld(): boolean {
     return this.#rest === undefined;
