Only repeatable requests look after targets whose evidence is old

The age of what is known counted from the start of calls for all requests, so those that may not be repeated looked after targets in the middle of a long call too.

Change: both times are kept. Requests that may not be repeated go by the time at which an outcome was heard of, as before; repeatable ones also look after targets whose latest outcome speaks of a moment over 1.2 s ago.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -219,7 +219,7 @@
     load: "Requests of all VMs there, as far as known.",
     slots: "Requests that the target works on at once.",
     sickness: "Believed probability of a bad spell.",
-    evidenceAge: "Milliseconds since the latest outcome of any VM there.",
+    evidenceAge: "Milliseconds since the call began that last showed how the target is, on any VM.",
     lookAfter: "Whether it was chosen to learn how the target is.",
   },
   answered: { target: "The target.", status: "Status of its answer." },
--- a/packages/placement/src/belief.ts
+++ b/packages/placement/src/belief.ts
@@ -60,11 +60,13 @@
   readonly #rates: BeliefRates;
   #probability: number;
   #updatedAt: number;
+  /** Monotonic time at which the latest outcome was heard of, in milliseconds. */
+  observedAt = Number.NEGATIVE_INFINITY;
   /**
-   * Monotonic time of which the latest outcome speaks, in milliseconds; minus infinity before the
-   * first. The end of a long call is no news of the present.
+   * Monotonic time of which the latest outcome speaks, in milliseconds: the end of a long call is no
+   * news of the present.
    */
-  observedAt = Number.NEGATIVE_INFINITY;
+  speaksOf = Number.NEGATIVE_INFINITY;
 
   constructor(rates: BeliefRates = DEFAULT_RATES) {
     this.#rates = rates;
@@ -95,7 +97,8 @@
     const posterior = odds / (1 + odds);
     this.#probability = Math.min(Math.max(posterior, MIN_PROBABILITY), MAX_PROBABILITY);
     this.#updatedAt = at;
-    this.observedAt = at;
+    this.observedAt = kernel.getMonotonicMilliseconds();
+    this.speaksOf = at;
   }
 
   #getSicknessAt(time: number): number {
--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -19,8 +19,10 @@
   readonly load: number;
   /** Probability that it is in a bad spell. */
   readonly sickness: number;
-  /** Time since the moment of which the latest outcome of any VM speaks, in milliseconds. */
+  /** Time since the latest outcome of any VM was heard of, in milliseconds. */
   readonly unobservedMilliseconds: number;
+  /** Time since the moment of which that outcome speaks, in milliseconds. At least the former. */
+  readonly evidenceAgeMilliseconds: number;
   /** Work time there against the service's mean. */
   readonly slowness: number;
   /** Whether this VM failed to reach it lately. */
@@ -69,6 +71,9 @@
 const OVERDUE_MILLISECONDS = 900;
 const OVERDUE_SHARE = 0.9;
 
+/** So do those whose latest outcome speaks of a moment so long ago, idle or not. */
+const OUTDATED_MILLISECONDS = 1_200;
+
 /** After so long, requests that may not be repeated look after a target too, in this share. */
 const NEGLECTED_MILLISECONDS = 1_200;
 const NEGLECTED_SHARE = 0.5;
@@ -143,7 +148,7 @@
   const doubtful = candidates.filter((candidate) =>
     candidate.sickness >= DOUBTFUL_SICKNESS && isUnheard(candidate, LOOK_AFTER_MILLISECONDS)
   );
-  const overdue = doubtful.filter((candidate) => isUnheard(candidate, OVERDUE_MILLISECONDS));
+  const overdue = candidates.filter(isOverdue);
   if (overdue.length > 0) {
     return random() < OVERDUE_SHARE ? draw(overdue, random) : undefined;
   }
@@ -165,10 +170,16 @@
 }
 
 function isUnheard(candidate: Candidate, milliseconds: number): boolean {
-  // A call that began long ago says nothing of the present; a later one may just not have been told.
-  const isIdle = candidate.load === 0 || (candidate.load < candidate.slots &&
-    candidate.unobservedMilliseconds >= NEGLECTED_MILLISECONDS);
-  return isIdle && !candidate.isUnreachable && candidate.unobservedMilliseconds >= milliseconds;
+  return candidate.load === 0 && !candidate.isUnreachable &&
+    candidate.unobservedMilliseconds >= milliseconds;
+}
+
+/** A call that began long ago says nothing of the present, also while it runs or has just ended. */
+function isOverdue(candidate: Candidate): boolean {
+  const isOutdated = candidate.evidenceAgeMilliseconds >= OUTDATED_MILLISECONDS &&
+    candidate.load < candidate.slots && !candidate.isUnreachable;
+  return candidate.sickness >= DOUBTFUL_SICKNESS &&
+    (isOutdated || isUnheard(candidate, OVERDUE_MILLISECONDS));
 }
 
 /**
--- a/packages/placement/test/belief_test.ts
+++ b/packages/placement/test/belief_test.ts
@@ -19,6 +19,7 @@
     load: 0,
     sickness: 0.02,
     unobservedMilliseconds: 0,
+    evidenceAgeMilliseconds: changes.unobservedMilliseconds ?? 0,
     slowness: 1,
     isUnreachable: false,
     isRemote: false,
@@ -101,7 +102,7 @@
       belief.observe("survived", startedAt);
       await clock.advance(2_000, 500);
       belief.observe("success", startedAt);
-      assert.equal(belief.observedAt, startedAt);
+      assert.equal(belief.speaksOf, startedAt);
     } finally {
       clock.restore();
     }
@@ -141,7 +142,7 @@
     assert.equal(choose([doubted, well], READ, () => 0.1), "doubted");
     const watched = { ...doubted, load: 1 };
     assert.equal(choose([watched, well], READ, () => 0.1), "well");
-    const busyForLong = { ...watched, unobservedMilliseconds: 1_300 };
+    const busyForLong = { ...watched, evidenceAgeMilliseconds: 1_300 };
     assert.equal(choose([busyForLong, well], READ, () => 0.1), "doubted");
   });
 
@@ -218,12 +219,17 @@
       const heard = calls.filter((call) => call.at <= at - 150);
       const candidates = targets.map((id) => {
         const known = heard.filter((call) => call.id === id);
-        const unobservedMilliseconds = Math.min(...known.map((call) => at - call.at));
+        const evidenceAgeMilliseconds = Math.min(...known.map((call) => at - call.at));
         return createCandidate(id, {
           slots: 12,
           load: known.filter((call) => call.endsAt > at - 150).length,
-          sickness: 0.28 * (1 - Math.exp(-unobservedMilliseconds / 1_950)),
-          unobservedMilliseconds,
+          sickness: 0.28 * (1 - Math.exp(-evidenceAgeMilliseconds / 1_950)),
+          unobservedMilliseconds: Math.min(
+            ...known.map((call) =>
+              at - 150 - (call.endsAt <= at - 150 ? call.endsAt : call.at + 60)
+            ),
+          ),
+          evidenceAgeMilliseconds,
         });
       });
       // The rest goes to the targets of its own data centre, the first four.
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -156,7 +156,7 @@
       load: candidate.load,
       slots: candidate.slots,
       sickness: Number(candidate.sickness.toFixed(3)),
-      evidenceAge: Math.round(Math.min(candidate.unobservedMilliseconds, 1e6)),
+      evidenceAge: Math.round(Math.min(candidate.evidenceAgeMilliseconds, 1e6)),
       lookAfter: choice.isLookAfter,
     });
     return { kind: "placed", target: candidate.id };
--- a/packages/proxy/src/target_knowledge.ts
+++ b/packages/proxy/src/target_knowledge.ts
@@ -186,6 +186,7 @@
       load: isFull ? Math.max(load, entry.slots) : load,
       sickness: record.belief.sickness,
       unobservedMilliseconds: now - record.belief.observedAt,
+      evidenceAgeMilliseconds: now - record.belief.speaksOf,
       slowness: this.workTimes.getSlowness(entry.id),
       isUnreachable: record.avoidedUntil > now || !this.reachability.isReachable(entry.id),
       isRemote: entry.dataCentre !== this.#mesh.self.dataCentre,
