Test over real links: a VM that joins does not count again what others took

Two VMs of one process at half of a rate of 20 a second, then a third that joins: all of its callers are served. With the earlier debit of whole counters its first call is refused (429).

--- a/packages/proxy/test/fleet_test.ts
+++ b/packages/proxy/test/fleet_test.ts
@@ -4,6 +4,7 @@
 
 import * as assert from "node:assert/strict";
 import * as test from "node:test";
+import type * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
 import * as harness from "./harness.ts";
@@ -33,7 +34,19 @@
   }
 }
 
-test.describe("fleet", { concurrency: 3 }, () => {
+function limitWorkspace(ratePerSecond: number, burst: number): declarations.Declarations {
+  return harness.createDeclarations(3, {
+    workspaces: [{
+      id: model.createWorkspaceId("city"),
+      keys: ["secret"],
+      priority: undefined,
+      ratePerSecond,
+      burst,
+    }],
+  });
+}
+
+test.describe("fleet", { concurrency: 4 }, () => {
   test.test("a VM that the store turns away serves, and obeys drains and withdrawn keys", async () => {
     await withFleet(async (reading, turnedAway) => {
       assert.equal((await turnedAway.call()).status, 200);
@@ -61,17 +74,8 @@
   });
 
   test.test("a rate holds for both VMs together", async () => {
-    const limited = harness.createDeclarations(3, {
-      workspaces: [{
-        id: model.createWorkspaceId("city"),
-        keys: ["secret"],
-        priority: undefined,
-        ratePerSecond: 5,
-        burst: 10,
-      }],
-    });
     await withFleet(async (reading, turnedAway) => {
-      reading.store.declared = limited;
+      reading.store.declared = limitWorkspace(5, 10);
       reading.store.revision++;
       await kernel.sleep(BOUND_MILLISECONDS);
       let served = 0;
@@ -88,6 +92,37 @@
     });
   });
 
+  test.test("a VM that joins does not count again what others took before its start", async () => {
+    await withFleet(async (reading) => {
+      reading.store.declared = limitWorkspace(20, 10);
+      reading.store.revision++;
+      await kernel.sleep(BOUND_MILLISECONDS);
+      const callReading = async (calls: number) => {
+        for (let call = 0; call < calls; call++) {
+          assert.equal((await reading.call()).status, 200);
+          await kernel.sleep(100);
+        }
+      };
+      // Several times the burst, at half of the rate.
+      await callReading(40);
+      const joining = new harness.TestVm({
+        name: "vm-joining",
+        store: reading.store,
+        seeds: [reading.peerAddress],
+      });
+      try {
+        await joining.start(0);
+        await callReading(10);
+        for (let call = 0; call < 5; call++) {
+          assert.equal((await joining.call()).status, 200);
+          await callReading(1);
+        }
+      } finally {
+        await joining.stop();
+      }
+    });
+  });
+
   test.test("entries that lapse while the store is away stay in use until it is back", async () => {
     await withFleet(async (reading) => {
       const { store } = reading;
