--- a/packages/proxy/src/start_gate.ts
+++ b/packages/proxy/src/start_gate.ts
@@ -11,7 +11,7 @@
 import type * as declarations from "@hemlockwalk/declarations";
 import type * as kernel from "@hemlockwalk/kernel";
 
-/** Requests are held until so long after the start: twice what a VM among 96 took at most. */
+/** Requests are held until so long after the start: about twice the longest of 89 VMs (260 ms). */
 export const HOLD_MILLISECONDS = 500;
 
 /** Opens once declarations and targets are known, or when the time is over. */
