--- a/packages/declarations/src/mod.ts
+++ b/packages/declarations/src/mod.ts
@@ -5,5 +5,7 @@
 
 export * from "./declaration_store.ts";
 export * from "./route_table.ts";
+export * from "./store_position.ts";
 export * from "./target_directory.ts";
+export * from "./target_facts.ts";
 export type * from "./types.ts";
--- a/packages/declarations/src/target_directory.ts
+++ b/packages/declarations/src/target_directory.ts
@@ -2,17 +2,25 @@
  * The current list of targets.
  *
  * Changes arrive from the store and from other VMs, in any order and more than once. For each
- * target, the change with the highest store revision wins, so the list never reverts to an older
- * state. A removed target leaves a tombstone, so that an older change that arrives later does not
- * restore it.
+ * target, the change at the latest position of the store wins, so the list never reverts to an
+ * older state. A removed target leaves a tombstone, so that an older change that arrives later does
+ * not restore it.
+ *
+ * Facts about incarnations are kept apart from the changes: a new era of the store replaces the
+ * changes, and what was known of the targets still binds.
  */
 
 import * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
+import * as positions from "./store_position.ts";
+import * as facts from "./target_facts.ts";
 import type * as types from "./types.ts";
 
-/** Time for which the tombstone of a removed target is kept; longer than any message's delay. */
-const TOMBSTONE_RETENTION_MILLISECONDS = 60_000;
+/**
+ * Time for which tombstones and facts are kept; longer than any message's delay and than the age of
+ * a backup from which the store is restored.
+ */
+const RETENTION_MILLISECONDS = 60_000;
 
 /** Prime of the 32-bit Fowler-Noll-Vo hash. */
 const FNV_PRIME = 16_777_619;
@@ -23,42 +31,98 @@
   previous: types.TargetEntry | undefined,
 ) => void;
 
+/** Called when a target is first known to leave, with its entry. */
+export type TargetLeavingListener = (entry: types.TargetEntry) => void;
+
 interface AppliedChange {
   readonly change: types.TargetChange;
   readonly appliedAt: number;
 }
 
+interface LearnedFact {
+  readonly fact: facts.TargetFact;
+  readonly learnedAt: number;
+}
+
 /** All targets known to one VM. */
 export class TargetDirectory {
   readonly #appliedChanges = new Map<model.TargetId, AppliedChange>();
-  readonly #listeners: TargetChangeListener[] = [];
+  readonly #facts = new Map<model.TargetId, LearnedFact>();
+  readonly #changeListeners: TargetChangeListener[] = [];
+  readonly #leavingListeners: TargetLeavingListener[] = [];
   #byService: Map<model.ServiceId, types.TargetEntry[]> | undefined;
+  #digest: number | undefined;
+  #factsDigest: number | undefined;
+
+  get isEmpty(): boolean {
+    return this.#appliedChanges.size === 0;
+  }
 
-  /** Applies a change and returns `true`, unless the same or a later one of the target is known. */
+  /**
+   * Applies a change and returns `true`, unless the same or a later one of the target is known, or
+   * the change is an earlier incarnation from a backup of the store.
+   */
   apply(change: types.TargetChange): boolean {
     const known = this.#appliedChanges.get(change.id);
-    if (known !== undefined && known.change.revision >= change.revision) {
+    if (known !== undefined && !positions.isLaterPosition(change.position, known.change.position)) {
       return false;
     }
-    this.#appliedChanges.set(change.id, { change, appliedAt: kernel.getMonotonicMilliseconds() });
+    if (isEarlierIncarnation(change, known?.change)) {
+      return false;
+    }
+    this.#recordFacts(change, known?.change);
+    this.#appliedChanges.set(change.id, {
+      change,
+      appliedAt: known !== undefined && isSameReport(change.entry, known.change.entry)
+        ? known.appliedAt
+        : kernel.getMonotonicMilliseconds(),
+    });
     this.#byService = undefined;
-    const previous = known?.change.entry;
-    for (const listener of this.#listeners) {
-      listener(change, previous);
+    this.#digest = undefined;
+    for (const listener of this.#changeListeners) {
+      listener(change, known?.change.entry);
+    }
+    return true;
+  }
+
+  /** Applies a fact and returns `true`, unless it adds nothing to what is known. */
+  applyFact(fact: facts.TargetFact): boolean {
+    const known = this.#facts.get(fact.id)?.fact;
+    const merged = known === undefined ? fact : facts.mergeFacts(known, fact);
+    if (merged === known) {
+      return false;
+    }
+    this.#setFact(merged);
+    const entry = this.#appliedChanges.get(fact.id)?.change.entry;
+    const isNewlyLeaving = merged.isLeaving && known?.isLeaving !== true;
+    if (entry !== undefined && isNewlyLeaving && (entry.startedAt ?? 0) === merged.startedAt) {
+      for (const listener of this.#leavingListeners) {
+        listener(entry);
+      }
     }
     return true;
   }
 
   onChange(listener: TargetChangeListener): void {
-    this.#listeners.push(listener);
+    this.#changeListeners.push(listener);
   }
 
-  /** The latest entry of a target; undefined when it was removed or is unknown. */
+  onLeaving(listener: TargetLeavingListener): void {
+    this.#leavingListeners.push(listener);
+  }
+
+  /** The latest entry of a target; undefined when it has ended or is unknown. */
   find(id: model.TargetId): types.TargetEntry | undefined {
-    return this.#appliedChanges.get(id)?.change.entry;
+    const change = this.#appliedChanges.get(id)?.change;
+    return change === undefined ? undefined : this.#createEffectiveEntry(change);
+  }
+
+  /** Position of the latest change of a target; undefined if it is unknown. */
+  getPosition(id: model.TargetId): types.StorePosition | undefined {
+    return this.#appliedChanges.get(id)?.change.position;
   }
 
-  /** Monotonic time, in milliseconds, at which the latest change of a target was applied. */
+  /** Monotonic time, in milliseconds, at which the latest report of a target was applied. */
   getAppliedAt(id: model.TargetId): number | undefined {
     return this.#appliedChanges.get(id)?.appliedAt;
   }
@@ -74,47 +138,132 @@
     return [...this.#appliedChanges.values()].map((applied) => applied.change);
   }
 
+  listFacts(): facts.TargetFact[] {
+    return [...this.#facts.values()].map((learned) => learned.fact);
+  }
+
+  /** The latest era of any change; undefined without changes. */
+  getLatestEra(): types.StoreEra | undefined {
+    let latest: types.StoreEra | undefined;
+    for (const { change: { position } } of this.#appliedChanges.values()) {
+      latest = latest === undefined || position.era > latest ? position.era : latest;
+    }
+    return latest;
+  }
+
   /** Digest that is equal on VMs that hold the same changes; 0 without changes. */
   getDigest(): number {
-    let digest = 0;
-    for (const { change } of this.#appliedChanges.values()) {
-      let hash = change.revision >>> 0;
-      for (let index = 0; index < change.id.length; index++) {
-        hash = Math.imul(hash ^ change.id.charCodeAt(index), FNV_PRIME);
-      }
-      // A sum does not depend on the order of the changes, which differs between VMs.
-      digest = (digest + (hash >>> 0)) % 2 ** 32;
-    }
-    return this.#appliedChanges.size === 0 ? 0 : Math.max(digest, 1);
+    this.#digest ??= createDigest(
+      this.listChanges().map(({ id, position }) => `${id} ${position.era} ${position.revision}`),
+    );
+    return this.#digest;
   }
 
-  /** Removals of the entries that the store no longer holds, given those it holds at a revision. */
+  /** Digest that is equal on VMs that hold the same facts; 0 without facts. */
+  getFactsDigest(): number {
+    this.#factsDigest ??= createDigest(
+      this.listFacts().map(({ id, startedAt, reportNumber, era, state, isLeaving }) =>
+        `${id} ${startedAt} ${reportNumber} ${era} ${state} ${isLeaving}`
+      ),
+    );
+    return this.#factsDigest;
+  }
+
+  /** Removals of the entries that the store no longer holds, given those it holds at a position. */
   listMissing(
     present: ReadonlySet<model.TargetId>,
-    asOf: types.StoreRevision,
+    asOf: types.StorePosition,
   ): types.TargetChange[] {
-    const missing: types.TargetChange[] = [];
-    for (const { change } of this.#appliedChanges.values()) {
-      if (change.entry !== undefined && change.revision <= asOf && !present.has(change.id)) {
-        missing.push({ id: change.id, revision: asOf, entry: undefined });
-      }
-    }
-    return missing;
+    return this.#listRemovals(
+      asOf,
+      ({ id, position }) =>
+        position.era === asOf.era && !positions.isLaterPosition(position, asOf) && !present.has(id),
+    );
+  }
+
+  /** Removals of the entries of earlier eras, which the store of a later era does not hold. */
+  listOutdated(asOf: types.StorePosition): types.TargetChange[] {
+    return this.#listRemovals(asOf, ({ position }) => position.era < asOf.era);
   }
 
-  /** Discards tombstones that are older than any message's delay. */
-  discardTombstones(): void {
-    const oldest = kernel.getMonotonicMilliseconds() - TOMBSTONE_RETENTION_MILLISECONDS;
+  /** Discards tombstones and facts that are older than any message's delay. */
+  discardExpired(): void {
+    const oldest = kernel.getMonotonicMilliseconds() - RETENTION_MILLISECONDS;
     for (const [id, applied] of this.#appliedChanges) {
       if (applied.change.entry === undefined && applied.appliedAt < oldest) {
         this.#appliedChanges.delete(id);
+        this.#digest = undefined;
+      }
+    }
+    for (const [id, { fact, learnedAt }] of this.#facts) {
+      const entry = this.#appliedChanges.get(id)?.change.entry;
+      const isInForce = fact.state !== "ended" && entry !== undefined &&
+        (entry.startedAt ?? 0) === fact.startedAt;
+      if (learnedAt < oldest && !isInForce) {
+        this.#facts.delete(id);
+        this.#factsDigest = undefined;
+        this.#byService = undefined;
+      }
+    }
+  }
+
+  /** Records what a change states about the incarnation that it concerns and the one before. */
+  #recordFacts(change: types.TargetChange, known: types.TargetChange | undefined): void {
+    const { entry, position } = change;
+    const previous = known?.entry;
+    if (entry === undefined) {
+      if (previous !== undefined) {
+        this.applyFact(facts.createFact(previous, position.era, "ended"));
       }
+      return;
+    }
+    const fact = facts.createFact(entry, position.era, facts.getAnnouncedState(entry));
+    const knownFact = this.#facts.get(change.id)?.fact;
+    const isReplaced = known?.position.era === position.era && knownFact !== undefined &&
+      knownFact.startedAt > fact.startedAt;
+    if (isReplaced) {
+      // The target has started again, and its clock was set back.
+      this.#setFact(fact);
+    } else if (
+      knownFact !== undefined || fact.state !== "ready" ||
+      (previous !== undefined && previous.startedAt !== entry.startedAt)
+    ) {
+      this.applyFact(fact);
+    }
+  }
+
+  #setFact(fact: facts.TargetFact): void {
+    this.#facts.set(fact.id, { fact, learnedAt: kernel.getMonotonicMilliseconds() });
+    this.#factsDigest = undefined;
+    this.#byService = undefined;
+  }
+
+  #listRemovals(
+    asOf: types.StorePosition,
+    isRemoved: (change: types.TargetChange) => boolean,
+  ): types.TargetChange[] {
+    return this.listChanges()
+      .filter((change) => change.entry !== undefined && isRemoved(change))
+      .map(({ id }) => ({ id, position: asOf, entry: undefined }));
+  }
+
+  /** The entry with the state that the facts give it; undefined once its incarnation has ended. */
+  #createEffectiveEntry({ id, position, entry }: types.TargetChange) {
+    if (entry === undefined) {
+      return undefined;
+    }
+    const state = facts.getState(entry, position, this.#facts.get(id)?.fact);
+    if (state === "ended") {
+      return undefined;
     }
+    const isDraining = state === "draining";
+    return isDraining === entry.isDraining ? entry : { ...entry, isDraining };
   }
 
   #groupByService(): Map<model.ServiceId, types.TargetEntry[]> {
     const groups = new Map<model.ServiceId, types.TargetEntry[]>();
-    for (const { change: { entry } } of this.#appliedChanges.values()) {
+    for (const { change } of this.#appliedChanges.values()) {
+      const entry = this.#createEffectiveEntry(change);
       if (entry === undefined || entry.isDraining) {
         continue;
       }
@@ -128,3 +277,39 @@
     return groups;
   }
 }
+
+/**
+ * Whether a change from a later era concerns an earlier incarnation than the known entry. The known
+ * entry then stays in use until the target has reported again or its time is over.
+ */
+function isEarlierIncarnation(
+  change: types.TargetChange,
+  known: types.TargetChange | undefined,
+): boolean {
+  const startedAt = change.entry?.startedAt;
+  const knownStart = known?.entry?.startedAt;
+  return startedAt !== undefined && knownStart !== undefined && known !== undefined &&
+    change.position.era > known.position.era && startedAt < knownStart;
+}
+
+/** Whether two entries are the same report, read again in a later era. */
+function isSameReport(
+  left: types.TargetEntry | undefined,
+  right: types.TargetEntry | undefined,
+): boolean {
+  return left !== undefined && right !== undefined && left.startedAt === right.startedAt &&
+    left.reportNumber !== undefined && left.reportNumber === right.reportNumber;
+}
+
+/** Hashes lines irrespective of their order, which differs between VMs. */
+function createDigest(lines: readonly string[]): number {
+  let digest = 0;
+  for (const line of lines) {
+    let hash = 0;
+    for (let index = 0; index < line.length; index++) {
+      hash = Math.imul(hash ^ line.charCodeAt(index), FNV_PRIME);
+    }
+    digest = (digest + (hash >>> 0)) % 2 ** 32;
+  }
+  return lines.length === 0 ? 0 : Math.max(digest, 1);
+}
--- a/packages/declarations/src/testing/mod.ts
+++ b/packages/declarations/src/testing/mod.ts
@@ -42,15 +42,23 @@
   };
 }
 
+export function createPosition(revision: number, era = 0): declarations.StorePosition {
+  return {
+    era: era as declarations.StoreEra,
+    revision: revision as declarations.StoreRevision,
+  };
+}
+
 export function createChange(
   id: string,
   revision: number,
   changes: Partial<declarations.TargetEntry> | undefined = {},
+  era = 0,
 ): declarations.TargetChange {
   const target = model.createTargetId(id);
   return {
     id: target,
-    revision: revision as declarations.StoreRevision,
+    position: createPosition(revision, era),
     entry: changes === undefined ? undefined : {
       id: target,
       service: model.createServiceId("desk"),
@@ -60,12 +68,13 @@
       isDraining: false,
       warmUpMilliseconds: 0,
       startedAt: undefined,
+      reportNumber: undefined,
       ...changes,
     },
   };
 }
 
 /** Creates the change that removes a target. */
-export function createRemoval(id: string, revision: number): declarations.TargetChange {
-  return { ...createChange(id, revision), entry: undefined };
+export function createRemoval(id: string, revision: number, era = 0): declarations.TargetChange {
+  return { ...createChange(id, revision, {}, era), entry: undefined };
 }
--- a/packages/declarations/src/types.ts
+++ b/packages/declarations/src/types.ts
@@ -8,9 +8,21 @@
 /** Version of the complete declarations. Versions rise in uneven steps; a VM may skip some. */
 export type DeclarationsVersion = model.Brand<number, "DeclarationsVersion">;
 
-/** Position in the history of the store that publishes declarations and targets. */
+/**
+ * Number of the store's history. It rises by one each time the store is restored from a backup,
+ * after which revisions are assigned again.
+ */
+export type StoreEra = model.Brand<number, "StoreEra">;
+
+/** Number of a change within one era of the store. */
 export type StoreRevision = model.Brand<number, "StoreRevision">;
 
+/** Position in the history of the store; `comparePositions` orders positions. */
+export interface StorePosition {
+  readonly era: StoreEra;
+  readonly revision: StoreRevision;
+}
+
 /** Limits on the size of requests and on the idle time of connections. */
 export interface CallerLimits {
   readonly headerBytes: number;
@@ -90,19 +102,21 @@
   readonly warmUpMilliseconds: number;
   /** Start of its process by its own clock, in Unix milliseconds; undefined if not announced. */
   readonly startedAt: number | undefined;
+  /** Number of its latest report, which rises within one start of its process. */
+  readonly reportNumber: number | undefined;
 }
 
 /** One change of the list of targets. */
 export interface TargetChange {
   readonly id: model.TargetId;
-  readonly revision: StoreRevision;
+  readonly position: StorePosition;
   /** Undefined once the target is removed. */
   readonly entry: TargetEntry | undefined;
 }
 
 /** The content of the store, or its changes. */
 export interface StoreUpdate {
-  readonly asOf: StoreRevision;
+  readonly asOf: StorePosition;
   /** The latest declarations; undefined when they have not changed. */
   readonly declarations: Declarations | undefined;
   readonly changes: readonly TargetChange[];
@@ -114,16 +128,21 @@
   | "unavailable"
   /** The store refused the call. */
   | "rejected"
-  /** The history from the given revision on is no longer kept. */
-  | "history_lost";
+  /** The history from the given position on is no longer kept. */
+  | "history_lost"
+  /** The response states no readable era. */
+  | "invalid_era";
 
 /** The store in which operators and targets publish. This system only reads from it. */
 export interface PublishedStore {
   /** Reads the whole content. */
   read(): Promise<neverthrow.Result<StoreUpdate, StoreFailure>>;
-  /** Waits for changes after a revision, at most for the given time. */
+  /**
+   * Waits for changes after a position, at most for the given time. The changes belong to the era
+   * of the response, which may be later than that of the position.
+   */
   watch(
-    after: StoreRevision,
+    after: StorePosition,
     waitMilliseconds: number,
   ): Promise<neverthrow.Result<StoreUpdate, StoreFailure>>;
 }
--- a/packages/declarations/test/declarations_test.ts
+++ b/packages/declarations/test/declarations_test.ts
@@ -64,7 +64,7 @@
     const directory = new declarations.TargetDirectory();
     directory.apply(fixtures.createChange("old", 3));
     directory.apply(fixtures.createChange("new", 30));
-    const missing = directory.listMissing(new Set(), 20 as declarations.StoreRevision);
+    const missing = directory.listMissing(new Set(), fixtures.createPosition(20));
     assert.deepEqual(missing.map((change) => change.id), ["old"]);
   });
 
@@ -86,7 +86,8 @@
               : fixtures.createChange(entry.id, entry.revision)
           );
           const inOrder = new declarations.TargetDirectory();
-          [...changes].sort((left, right) => left.revision - right.revision)
+          [...changes]
+            .sort((left, right) => declarations.comparePositions(left.position, right.position))
             .forEach((entry) => inOrder.apply(entry));
           const shuffled = new declarations.TargetDirectory();
           [...changes, ...changes]
@@ -94,7 +95,9 @@
             .sort((left, right) => left.key - right.key)
             .forEach(({ entry }) => shuffled.apply(entry));
           const sort = (list: declarations.TargetChange[]) =>
-            list.sort((left, right) => left.revision - right.revision);
+            list.sort((left, right) =>
+              declarations.comparePositions(left.position, right.position)
+            );
           assert.deepEqual(sort(shuffled.listChanges()), sort(inOrder.listChanges()));
         },
       ),
--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -60,6 +60,12 @@
     text: "The settings file cannot be accessed.",
     fields: { error: "Error of the file system." },
   },
+  standstill: {
+    code: 1201,
+    level: "warn",
+    text: "This VM stood still; requests with a rate limit wait for the reports of other VMs.",
+    fields: { milliseconds: "Time without a refill of the budgets." },
+  },
   errorCaught: {
     code: 1901,
     level: "error",
@@ -87,7 +93,8 @@
     text: "The store is unavailable.",
     fields: {
       failure: "How the call failed.",
-      asOf: "Latest revision that this VM has read.",
+      era: "Era of the store that this VM has read last.",
+      asOf: "Latest revision of that era that this VM has read.",
     },
   },
   storeAvailable: {
@@ -96,6 +103,32 @@
     text: "The store is available again.",
     fields: { silentMilliseconds: "Time without a response to any VM." },
   },
+  storeRestored: {
+    code: 2103,
+    level: "warn",
+    text: "The store was restored from a backup.",
+    fields: {
+      era: "Era of the store that is in force now.",
+      previousEra: "Era that this VM had read last; absent if it had not read any.",
+      revision: "Revision of the new era that was read.",
+      outdated: "Targets known from earlier eras; they stay in use until they can be back.",
+    },
+  },
+  storeEraEarlier: {
+    code: 2104,
+    level: "error",
+    text: "A response of the store has an earlier era; the current state remains in effect.",
+    fields: {
+      stated: "Era that the response states; absent if it states none.",
+      known: "Latest known era.",
+    },
+  },
+  storeEraInvalid: {
+    code: 2105,
+    level: "error",
+    text: "A response of the store states an invalid era; the current state remains in effect.",
+    fields: { stated: "What the response states in place of a whole number." },
+  },
   linkLost: {
     code: 3001,
     level: "info",
@@ -118,7 +151,8 @@
     fields: {
       target: "The target.",
       state: "`ready`, `draining` or `gone`.",
-      revision: "Revision of the store.",
+      era: "Era of the store.",
+      revision: "Revision of the store within its era.",
       from: "Source of the change: `store`, or `peer` for another VM.",
     },
   },
@@ -128,6 +162,32 @@
     text: "A target entry of the store is invalid.",
     fields: { target: "Identifier of the entry.", error: "What is wrong with it." },
   },
+  targetLeaving: {
+    code: 4003,
+    level: "info",
+    text: "A target leaves by its own word; it gets no further requests.",
+    fields: {
+      target: "The target.",
+      startedAt: "Start of the incarnation that leaves, in Unix milliseconds; 0 if unknown.",
+      from: "`response` if the target said so to this VM, `peer` if to another one.",
+    },
+  },
+  targetPaused: {
+    code: 4004,
+    level: "info",
+    text: "A target wants no requests from this VM for a time.",
+    fields: {
+      target: "The target.",
+      stated: "Seconds that the target stated.",
+      milliseconds: "Time for which it gets no requests.",
+    },
+  },
+  targetPauseInvalid: {
+    code: 4005,
+    level: "warn",
+    text: "A target rejected a request with an invalid Retry-After, which is ignored.",
+    fields: { target: "The target.", stated: "What the target stated." },
+  },
   targetSuspected: {
     code: 4101,
     level: "info",
@@ -227,6 +287,18 @@
   not_run: { target: "The target.", reason: "How it is known that the request did not run." },
   failed: { target: "The target.", reason: "Why there is no complete response." },
   retried: { retryLevel: "Share of the service's retry budget that was left." },
+  target_notice: {
+    target: "The target.",
+    leaving: "Whether its response said that it leaves.",
+    retryAfter: "Seconds for which it wants no requests from this VM, as its rejection stated.",
+  },
+  targets_paused: {
+    pause: "Milliseconds until the first of the remaining targets accepts requests from this VM.",
+    maxWait: "Milliseconds for which the request could wait.",
+  },
+  waits_for_rate: {
+    workspace: "Workspace whose rate is decided once other VMs have been heard.",
+  },
   held_at_start: {
     informed: "Whether declarations had arrived when the newly started VM resumed the request.",
   },
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -11,6 +11,8 @@
 
 const EXPORTED_QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
 
+export type Counter<Label extends string = never> = prometheus.Counter<Label>;
+
 /** All metrics of one VM. VMs that share a process have separate registries. */
 export class Metrics {
   readonly registry = new prometheus.Registry();
--- a/packages/measure/src/demo/demo_main.ts
+++ b/packages/measure/src/demo/demo_main.ts
@@ -150,11 +150,15 @@
     await killedTarget?.process.kill();
     let served = 0;
     let refusedWithoutRun = 0;
+    const failures: string[] = [];
     for (const vm of this.fleet.vms) {
       for (let request = 0; request < REQUESTS_PER_VM; request++) {
         const answer = await send(vm, INSPECTOR_KEY, "GET");
         served += answer.status === 200 ? 1 : 0;
-        refusedWithoutRun += answer.status !== 200 && answer.run === "no" ? 1 : 0;
+        if (answer.status !== 200) {
+          refusedWithoutRun += answer.run === "no" ? 1 : 0;
+          failures.push(`${vm.id}, read ${request + 1}: ${describe(answer)}`);
+        }
         await kernel.sleep(5);
       }
     }
@@ -164,6 +168,7 @@
         `${refusedWithoutRun} refused as not run.`,
       served === total,
     );
+    failures.forEach((failure) => print(`      ${failure}`));
   }
 
   #expect(description: string, isMet: boolean): void {
--- a/packages/mesh/src/link.ts
+++ b/packages/mesh/src/link.ts
@@ -37,6 +37,12 @@
   readonly digests = new Map<string, number>();
   receivedAt = kernel.getMonotonicMilliseconds();
   sentAt = kernel.getMonotonicMilliseconds();
+  /** Number of the other VM's latest report that arrived on this link. */
+  receivedSequence = 0;
+  /** Number of this VM's latest report whose arrival the other VM has confirmed. */
+  confirmedSequence = 0;
+  /** Whether the other VM waits for a confirmation. */
+  mustConfirm = false;
   /** Encoded reports that are sent together in the next message. */
   readonly queuedReports: Uint8Array[] = [];
   readonly #socket: ws.WebSocket;
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -59,6 +59,9 @@
 /** Time without a message after which a link is closed: three keepalives and a busy VM's delay. */
 const LINK_TIMEOUT_MILLISECONDS = 1_500;
 
+/** Time without a message after which a link counts as out of contact: two keepalives. */
+const CONTACT_MILLISECONDS = 800;
+
 const DIAL_TIMEOUT_MILLISECONDS = 700;
 
 /** Number of highest-ranked VMs of its own data centre to which a VM keeps links. */
@@ -97,6 +100,7 @@
   #seedsDialledAt = Number.NEGATIVE_INFINITY;
   #lastStoreResponseAt = Number.NEGATIVE_INFINITY;
   #isLeaving = false;
+  #isRelay = true;
 
   constructor(options: MeshOptions) {
     this.#options = options;
@@ -119,6 +123,42 @@
     return this.#table.size;
   }
 
+  /**
+   * Number of this VM's latest report that has arrived where it is passed on: at the relay, or for a
+   * relay at those of the other data centres. Infinity if there is no other VM to hear it.
+   */
+  get confirmedSequence(): number {
+    if (this.size === 1 || (this.#isRelay && this.#table.listDataCentres().length === 1)) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const upstream = this.#listUpstreamLinks();
+    return upstream.length === 0 ? 0 : Math.min(...upstream.map((link) => link.confirmedSequence));
+  }
+
+  /** Number of members, this VM included, whose reports can reach this VM at present. */
+  countInContact(): number {
+    const now = kernel.getMonotonicMilliseconds();
+    const heard = this.#listUpstreamLinks().filter((link) =>
+      now - link.receivedAt < CONTACT_MILLISECONDS
+    );
+    if (!this.#isRelay) {
+      return heard.length > 0 ? this.size : 1;
+    }
+    const dataCentres = new Set(heard.map((link) => link.peer?.dataCentre));
+    dataCentres.add(this.self.dataCentre);
+    return 1 + this.#table.list().filter((member) => dataCentres.has(member.dataCentre)).length;
+  }
+
+  /** Open links on which the reports of VMs beyond the neighbours arrive. */
+  #listUpstreamLinks(): links.Link[] {
+    return [...this.#links].filter((link) =>
+      link.isOpen && link.peer !== undefined &&
+      (this.#isRelay
+        ? link.role === "bridge"
+        : link.role === "subscription" && link.dialledAddress !== undefined)
+    );
+  }
+
   /** Monotonic time of the latest response of the store to any VM, as far as known here. */
   get lastStoreResponseAt(): number {
     return this.#lastStoreResponseAt;
@@ -334,7 +374,7 @@
     const sections: Record<string, unknown> = {};
     let hasChanges = false;
     for (const [name, section] of this.#sections) {
-      const payload = section.collect();
+      const payload = section.collect(this.#sequence + 1);
       if (payload !== undefined) {
         sections[name] = payload;
         hasChanges = true;
@@ -376,11 +416,14 @@
         continue;
       }
       const reports = link.queuedReports.splice(0);
-      if (reports.length > 0 || now - link.sentAt >= LINK_KEEPALIVE_MILLISECONDS) {
+      const isDue = now - link.sentAt >= LINK_KEEPALIVE_MILLISECONDS;
+      if (reports.length > 0 || link.mustConfirm || isDue) {
+        link.mustConfirm = false;
         link.send(links.encode({
           kind: "reports",
           reports,
           confirmedAge: this.#getStoreResponseAge(now),
+          received: link.receivedSequence,
         }));
       }
     }
@@ -411,6 +454,7 @@
       const confirmedAt = kernel.getMonotonicMilliseconds() - message.confirmedAge;
       this.#lastStoreResponseAt = Math.max(this.#lastStoreResponseAt, confirmedAt);
     }
+    link.confirmedSequence = message.received ?? this.#sequence;
     let isUrgent = false;
     for (const encoded of message.reports) {
       const report = packed.decodeReport(encoded);
@@ -435,6 +479,10 @@
     if (report.origin !== undefined) {
       this.#table.addMember(report.origin);
     }
+    if (report.tag === link.peer?.tag) {
+      link.receivedSequence = Math.max(link.receivedSequence, report.sequence);
+      link.mustConfirm ||= report.isUrgent;
+    }
     const origin = this.#table.recordReport(report.tag, report.sequence);
     if (origin === undefined) {
       return;
@@ -552,7 +600,8 @@
         roles.set(relay.address, rank === 0 ? "subscription" : "standby");
       }
     }
-    if (ownRank === 0) {
+    this.#isRelay = ownRank === 0;
+    if (this.#isRelay) {
       for (const dataCentre of this.#table.listDataCentres()) {
         const relay = this.#table.rank(dataCentre)[0];
         // Only one of the two relays dials, so that they do not open two bridges.
--- a/packages/mesh/src/types.ts
+++ b/packages/mesh/src/types.ts
@@ -43,8 +43,12 @@
 
 /** A section of the reports, collected on this VM and received from others. */
 export interface ReportSection {
-  /** Returns the changes since the last collection; undefined when there are none. */
-  collect(): unknown;
+  /**
+   * Returns the changes since the last collection; undefined when there are none.
+   *
+   * @param sequence Number of the report that will contain them.
+   */
+  collect(sequence: number): unknown;
   /** Applies a payload of another VM. Its shape has not been checked. */
   receive(from: MemberIdentity, payload: unknown): void;
 }
@@ -89,6 +93,11 @@
     readonly reports: readonly Uint8Array[];
     /** Age of the store's latest response to any VM, in milliseconds; undefined without one. */
     readonly confirmedAge: number | undefined;
+    /**
+     * Number of the receiving VM's latest report that has arrived on this link. Earlier versions of
+     * the program do not send it.
+     */
+    readonly received?: number;
   }
   | {
     readonly kind: "feed";
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -8,3 +8,4 @@
 export * from "./processing_times.ts";
 export * from "./request_queue.ts";
 export * from "./shared_bucket.ts";
+export * from "./target_pauses.ts";
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -7,6 +7,10 @@
  * While the level is high, tokens are taken at once. Once it is low, each VM keeps to its share of
  * the refill, in proportion to demand, so that tokens which the others take but have not yet
  * reported cannot add up. VMs that were recently known but are not in contact keep their share.
+ *
+ * A VM notices only after some time that it is cut off. Until the others have confirmed what it has
+ * reported, it therefore takes no more than a part of the bucket, so that several VMs which are cut
+ * off at once, such as those behind a relay that stands still, do not each spend all of it.
  */
 
 import * as kernel from "@hemlockwalk/kernel";
@@ -48,6 +52,9 @@
  */
 const WITHHELD_DISCARD_SHARE = 0.25;
 
+/** Least number of tokens that a VM may take before the others have confirmed them. */
+const MIN_UNCONFIRMED_TOKENS = 2;
+
 /** Tokens that one VM has taken, and that were requested of it, since its start. */
 export interface BucketCounters {
   readonly taken: number;
@@ -64,6 +71,19 @@
   readonly propagationMilliseconds: number;
 }
 
+/** Whether a token was taken. */
+export type TakeResult =
+  | "taken"
+  | "refused"
+  /** Tokens seem to be left, but earlier ones taken here are not confirmed yet. */
+  | "unconfirmed";
+
+/** What a report contained. */
+interface ReportedCounters {
+  readonly sequence: number;
+  readonly taken: number;
+}
+
 interface OtherVm {
   incarnation: string;
   taken: number;
@@ -81,6 +101,10 @@
   #requested = 0;
   #requestedReported = 0;
   #takenReported = 0;
+  #takenConfirmed = 0;
+  /** Reports that the others have not confirmed, oldest first. */
+  #unconfirmed: ReportedCounters[] = [];
+  #expected = 1;
   readonly #others = new Map<string, OtherVm>();
   #shareLevel = 0;
   #propagationMilliseconds = INITIAL_PROPAGATION_MILLISECONDS;
@@ -124,24 +148,42 @@
   /** Adds the tokens that have accrued for the whole fleet since the last call. */
   refill(tokens: number, presence: FleetPresence): void {
     this.#propagationMilliseconds = presence.propagationMilliseconds;
+    this.#expected = Math.max(presence.expected, 1);
     const credited = tokens * presence.present / Math.max(presence.expected, 1);
     this.#level = Math.min(this.#burst, this.#level + credited);
     this.#withheld = presence.present < presence.expected
       ? this.#withheld + tokens - credited
       : Math.max(0, this.#withheld - tokens * WITHHELD_DISCARD_SHARE);
-    const share = this.#fleetDemand > 0
+    // Without confirmation, the demand of the others may be unknown too.
+    const share = this.#fleetDemand > 0 && !this.#isAtUnconfirmedLimit
       ? Math.min(1, this.#ownDemand / this.#fleetDemand)
-      : 1 / Math.max(presence.expected, 1);
+      : 1 / this.#expected;
     this.#shareLevel = Math.min(MAX_SHARE_TOKENS, this.#shareLevel + credited * share);
   }
 
-  /** Takes a token if one is available to this VM. */
+  /** Takes a token if one is available to this VM, confirmed or not. */
   take(): boolean {
+    return this.tryTake(true) === "taken";
+  }
+
+  /**
+   * Takes a token if one is available to this VM.
+   *
+   * @param isFinal Whether to take or refuse rather than to return `unconfirmed`.
+   */
+  tryTake(isFinal: boolean): TakeResult {
+    const othersDemandBefore = Math.max(0, this.#fleetDemand - this.#ownDemand);
+    if (!isFinal && this.#isAtUnconfirmedLimit && this.#hasFreeTokens(othersDemandBefore)) {
+      return "unconfirmed";
+    }
+    return this.#take() ? "taken" : "refused";
+  }
+
+  #take(): boolean {
     this.#requested++;
     this.#addDemand(1, 1);
     const othersDemand = Math.max(0, this.#fleetDemand - this.#ownDemand);
-    const unreported = othersDemand * this.#propagationMilliseconds / DEMAND_WINDOW_MILLISECONDS;
-    if (this.#level + this.#allowance >= 1 + Math.min(unreported, this.#burst)) {
+    if (!this.#isAtUnconfirmedLimit && this.#hasFreeTokens(othersDemand)) {
       this.#spend();
       return true;
     }
@@ -163,20 +205,46 @@
 
   /** Whether this VM should report its counters before the next tick. */
   get isUrgent(): boolean {
-    return this.#level < this.#burst * HIGH_LEVEL_SHARE_OF_BURST &&
-      this.#taken - this.#takenReported >= Math.max(2, this.#burst * MAX_UNREPORTED_SHARE_OF_BURST);
+    const isConfirmationNeeded = this.#taken > this.#takenReported &&
+      this.#taken - this.#takenConfirmed >= this.#unconfirmedLimit / 2;
+    return isConfirmationNeeded || this.#level < this.#burst * HIGH_LEVEL_SHARE_OF_BURST &&
+        this.#taken - this.#takenReported >=
+          Math.max(2, this.#burst * MAX_UNREPORTED_SHARE_OF_BURST);
   }
 
-  /** Returns this VM's counters if they have changed since the last collection. */
-  collect(): BucketCounters | undefined {
+  /**
+   * Returns this VM's counters if they have changed since the last collection.
+   *
+   * @param sequence Number of the report that will contain them.
+   */
+  collect(sequence: number): BucketCounters | undefined {
     if (this.#requested === this.#requestedReported) {
       return undefined;
     }
     this.#requestedReported = this.#requested;
     this.#takenReported = this.#taken;
+    this.#unconfirmed.push({ sequence, taken: this.#taken });
     return { taken: this.#taken, requested: this.#requested };
   }
 
+  /**
+   * Records that the others have confirmed the reports up to a sequence number; infinity if there
+   * are no others.
+   */
+  confirm(sequence: number): void {
+    if (sequence === Number.POSITIVE_INFINITY) {
+      this.#takenConfirmed = this.#taken;
+      this.#unconfirmed = [];
+      return;
+    }
+    const confirmed = this.#unconfirmed.filter((report) => report.sequence <= sequence);
+    const last = confirmed.at(-1);
+    if (last !== undefined) {
+      this.#takenConfirmed = last.taken;
+      this.#unconfirmed.splice(0, confirmed.length);
+    }
+  }
+
   /**
    * Applies the counters of another VM.
    *
@@ -208,6 +276,23 @@
     this.#addDemand(0, Math.max(requested, 0));
   }
 
+  get #unconfirmedLimit(): number {
+    return Math.max(
+      MIN_UNCONFIRMED_TOKENS,
+      Math.floor((this.#burst + this.#allowance) / this.#expected),
+    );
+  }
+
+  get #isAtUnconfirmedLimit(): boolean {
+    return this.#taken - this.#takenConfirmed >= this.#unconfirmedLimit;
+  }
+
+  /** Whether a token is left besides those that the others may have taken and not yet reported. */
+  #hasFreeTokens(othersDemand: number): boolean {
+    const unreported = othersDemand * this.#propagationMilliseconds / DEMAND_WINDOW_MILLISECONDS;
+    return this.#level + this.#allowance >= 1 + Math.min(unreported, this.#burst);
+  }
+
   #spend(): void {
     this.#level -= 1;
     this.#taken++;
--- /dev/null
+++ b/packages/placement/src/target_pauses.ts
@@ -0,0 +1,74 @@
+/**
+ * Pauses that targets request of this VM.
+ *
+ * Answers for targets under more load than they accept: a target that rejects a request may state
+ * for how long it wants no request from this VM. Until then it is no candidate for any request, a
+ * retry or a probe included.
+ */
+
+import * as kernel from "@hemlockwalk/kernel";
+import type * as model from "@hemlockwalk/model";
+
+/** Longest pause that is kept; a longer one is taken for a mistake of the target. */
+export const MAX_PAUSE_MILLISECONDS = 3_600_000;
+
+/** A pause as requested by a target. */
+export type RequestedPause =
+  | { readonly kind: "pause"; readonly milliseconds: number; readonly isShortened: boolean }
+  /** The text is not a number of seconds, or not a positive one. */
+  | { readonly kind: "invalid" };
+
+/** Parses a number of seconds, which may have a fraction. */
+export function parsePause(text: string): RequestedPause {
+  const seconds = /^\s*\d+(\.\d*)?\s*$/.test(text) ? Number(text) : Number.NaN;
+  if (!(seconds > 0)) {
+    return { kind: "invalid" };
+  }
+  const milliseconds = Math.min(seconds * 1_000, MAX_PAUSE_MILLISECONDS);
+  return { kind: "pause", milliseconds, isShortened: milliseconds < seconds * 1_000 };
+}
+
+/** The targets that want no request from this VM at present. */
+export class TargetPauses {
+  /** Monotonic time at which the pause of a target ends, in milliseconds. */
+  readonly #endsAt = new Map<model.TargetId, number>();
+
+  /** Starts a pause, unless a longer one is in force. */
+  start(target: model.TargetId, milliseconds: number): void {
+    const endsAt = kernel.getMonotonicMilliseconds() + milliseconds;
+    this.#endsAt.set(target, Math.max(endsAt, this.#endsAt.get(target) ?? endsAt));
+  }
+
+  /** Time until a target accepts requests again, in milliseconds; 0 if it does now. */
+  getRemaining(target: model.TargetId): number {
+    const endsAt = this.#endsAt.get(target);
+    if (endsAt === undefined) {
+      return 0;
+    }
+    const remaining = endsAt - kernel.getMonotonicMilliseconds();
+    if (remaining <= 0) {
+      this.#endsAt.delete(target);
+      return 0;
+    }
+    return remaining;
+  }
+
+  /** Discards the pause of a target that is gone or was replaced by another process. */
+  removeTarget(target: model.TargetId): void {
+    this.#endsAt.delete(target);
+  }
+}
+
+/** What happens to a request while every target that it may still use is paused. */
+export type PauseDecision = "wait" | "refuse";
+
+/**
+ * Decides about a request while every target that it may still use is paused: it waits if a pause
+ * ends in time, and is otherwise refused at once.
+ *
+ * @param shortestPause Time until the first of the targets accepts requests, in milliseconds.
+ * @param maxWait Time for which the request may wait, in milliseconds.
+ */
+export function decideDuringPauses(shortestPause: number, maxWait: number): PauseDecision {
+  return shortestPause <= maxWait ? "wait" : "refuse";
+}
--- a/packages/placement/test/shared_bucket_test.ts
+++ b/packages/placement/test/shared_bucket_test.ts
@@ -35,8 +35,16 @@
   readonly replaceMilliseconds?: number;
   /** Between these times the two halves of the fleet receive nothing from each other. */
   readonly partitionMilliseconds?: readonly [from: number, to: number];
+  /** Between these times the first VMs are each cut off, as if their relay stood still. */
+  readonly cutOffMilliseconds?: readonly [from: number, to: number];
+  readonly cutOffVms?: number;
+  /** Part of the tolerated excess that is used; none if undefined. */
+  readonly allowance?: number;
 }
 
+/** Time after which a VM that is cut off notices it. */
+const CONTACT_MILLISECONDS = 800;
+
 /** One VM of the simulated fleet. */
 interface SimulatedVm {
   bucket: placement.SharedBucket;
@@ -53,35 +61,44 @@
 async function simulate(world: World, clock: testing.TestClock): Promise<SimulationResult> {
   const random = randoms.createRandom(world.seed);
   const fleet = Array.from({ length: world.vms }, (): SimulatedVm => ({
-    bucket: new placement.SharedBucket(world.burst, world.burst, 0),
+    bucket: new placement.SharedBucket(world.burst, world.burst, world.allowance ?? 0),
     incarnation: 1,
     startedAtStep: 0,
   }));
   let inTransit: {
     at: number;
     from: number;
+    sequence: number;
     incarnation: number;
     counters: placement.BucketCounters;
   }[] = [];
   const admittedAt: number[] = [];
   let requested = 0;
   const steps = world.seconds * 1_000 / STEP_MILLISECONDS;
+  let sequence = 0;
   const send = ({ bucket, incarnation }: SimulatedVm, from: number, at: number) => {
-    const counters = bucket.collect();
+    const counters = bucket.collect(++sequence);
     if (counters !== undefined) {
-      inTransit.push({ at, from, incarnation, counters });
+      inTransit.push({ at, from, sequence, incarnation, counters });
     }
   };
+  const isCutOff = (index: number, step: number) =>
+    index < (world.cutOffVms ?? 0) && isWithin(world.cutOffMilliseconds, step);
+  const isCutOffNoticed = (index: number, step: number) =>
+    isCutOff(index, step) && isCutOff(index, step - CONTACT_MILLISECONDS / STEP_MILLISECONDS);
   for (let step = 0; step < steps; step++) {
     await clock.advance(STEP_MILLISECONDS, STEP_MILLISECONDS);
-    const isPartitioned = isPartitionedAt(world, step);
+    const isPartitioned = isWithin(world.partitionMilliseconds, step);
     const presence = {
       present: isPartitioned ? world.vms / 2 : world.vms,
       expected: world.vms,
       propagationMilliseconds: PROPAGATION_MILLISECONDS,
     };
     replaceOne(fleet, world, step);
-    fleet.forEach(({ bucket }) => bucket.refill(world.rate * STEP_MILLISECONDS / 1_000, presence));
+    fleet.forEach(({ bucket }, index) => {
+      const present = isCutOffNoticed(index, step) ? 1 : presence.present;
+      bucket.refill(world.rate * STEP_MILLISECONDS / 1_000, { ...presence, present });
+    });
     const expected = world.demand * STEP_MILLISECONDS / 1_000;
     const arrivals = Math.floor(expected) + (random() < expected % 1 ? 1 : 0);
     for (let arrival = 0; arrival < arrivals; arrival++) {
@@ -98,10 +115,14 @@
     fleet.forEach((vm, from) => send(vm, from, step + DELAY_STEPS));
     const due = inTransit.filter((message) => message.at <= step);
     inTransit = inTransit.filter((message) => message.at > step);
-    for (const { from, incarnation, counters } of due) {
+    for (const { from, sequence: reported, incarnation, counters } of due) {
+      if (isCutOff(from, step)) {
+        continue;
+      }
+      fleet[from]?.bucket.confirm(reported);
       fleet.forEach((vm, to) => {
         const isBetweenHalves = (from < world.vms / 2) !== (to < world.vms / 2);
-        if (to !== from && !(isPartitioned && isBetweenHalves)) {
+        if (to !== from && !isCutOff(to, step) && !(isPartitioned && isBetweenHalves)) {
           const age = step - (fleet[from]?.startedAtStep ?? 0);
           const trackedShare = Math.min(1, (step - vm.startedAtStep) / Math.max(age, 1));
           vm.bucket.receive(`vm-${from}`, String(incarnation), counters, trackedShare);
@@ -112,8 +133,8 @@
   return { admittedAt, requested };
 }
 
-function isPartitionedAt(world: World, step: number): boolean {
-  const [from, to] = world.partitionMilliseconds ?? [0, 0];
+function isWithin(span: readonly [from: number, to: number] | undefined, step: number): boolean {
+  const [from, to] = span ?? [0, 0];
   return step * STEP_MILLISECONDS >= from && step * STEP_MILLISECONDS < to;
 }
 
@@ -230,6 +251,40 @@
     });
   });
 
+  test.test("VMs that are cut off and do not notice it do not each spend the whole bucket", async () => {
+    const runs = testing.getRandomRuns(203, 25);
+    await withClock(async (clock) => {
+      await fc.assert(
+        fc.asyncProperty(
+          fc.record({
+            vms: fc.integer({ min: 3, max: 36 }),
+            rate: fc.integer({ min: 10, max: 40 }),
+            burst: fc.integer({ min: 10, max: 40 }),
+            demand: fc.integer({ min: 100, max: 400 }),
+            seconds: fc.constant(10),
+            skew: fc.constantFrom(0, 0.2),
+            seed: fc.nat(),
+          }),
+          async (drawn) => {
+            const perWindow = drawn.rate * 5 + drawn.burst;
+            const excess = perWindow * 0.25 + 20;
+            const { admittedAt } = await simulate({
+              ...drawn,
+              allowance: 0.4 * excess,
+              // A data centre of three whose relay stands still.
+              cutOffVms: Math.floor(drawn.vms / 3),
+              cutOffMilliseconds: [0, 2_000],
+            }, clock);
+            const most = countBusiestWindow(admittedAt, 5_000);
+            const bound = perWindow + excess;
+            assert.ok(most <= bound, `${most} admitted in 5 s, at most ${bound} are allowed`);
+          },
+        ),
+        runs,
+      );
+    });
+  });
+
   test.test("VMs that are out of contact keep their share", () => {
     const isolated = new placement.SharedBucket(40, 0, 0);
     for (let step = 0; step < 100; step++) {
--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -6,6 +6,7 @@
 import type * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
+import type * as budgetTypes from "./budgets.ts";
 import * as headers from "./headers.ts";
 import * as refusals from "./refusals.ts";
 import type * as contexts from "./request_context.ts";
@@ -27,11 +28,11 @@
 const CONFIRMED_FOR_MILLISECONDS = 3_000;
 
 /** Accepts a request, or returns why not. A refused request has not run anywhere. */
-export function acceptRequest(
+export async function acceptRequest(
   context: contexts.RequestContext,
   request: http.IncomingMessage,
   trace: log.RequestTrace,
-): types.AcceptedRequest | refusals.Refusal {
+): Promise<types.AcceptedRequest | refusals.Refusal> {
   const { profile, store, budgets } = context;
   const view = store.current;
   if (view === undefined) {
@@ -57,7 +58,7 @@
       return refuseUnknown(context, trace, { status: 401, reason: "unknown_key" });
     }
   }
-  if (workspace !== undefined && !budgets.takeRate(workspace)) {
+  if (workspace !== undefined && !await takeRate(budgets, workspace, trace)) {
     trace.add("over_rate", budgets.describeRate(workspace));
     return {
       status: 429,
@@ -95,6 +96,19 @@
   };
 }
 
+async function takeRate(
+  budgets: budgetTypes.Budgets,
+  workspace: declarations.DeclaredWorkspace,
+  trace: log.RequestTrace,
+): Promise<boolean> {
+  const taken = budgets.takeRate(workspace);
+  if (typeof taken === "boolean") {
+    return taken;
+  }
+  trace.add("waits_for_rate", { workspace: workspace.id });
+  return await taken;
+}
+
 /**
  * Refuses a request whose route, key or declarations are unknown. A VM that may have missed a
  * version does not claim that something is unknown, but responds that it is unavailable.
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -11,6 +11,16 @@
 
 const REFILL_INTERVAL_MILLISECONDS = 100;
 
+/** Delay of a refill from which the VM is taken to have stood still. */
+const STANDSTILL_MILLISECONDS = 400;
+
+/**
+ * Longest wait of a request for the confirmation of tokens that were taken earlier; a report and its
+ * confirmation take two relay delays.
+ */
+const MAX_CONFIRMATION_WAIT_MILLISECONDS = 150;
+const CONFIRMATION_POLL_MILLISECONDS = 10;
+
 /**
  * Share of the retry slack that may be spent at once; the rest covers retries of other VMs that are
  * not yet reported.
@@ -61,6 +71,7 @@
   readonly #store: declarations.DeclarationStore;
   readonly #bounds: types.ProxyBounds;
   readonly #isFirstStart: boolean;
+  readonly #logger: kernel.ComponentLogger;
   readonly #rates = new Map<string, placement.SharedBucket>();
   readonly #retries = new Map<string, placement.SharedBucket>();
   readonly #requests = new Map<string, number>();
@@ -72,6 +83,7 @@
   readonly #startedAt = kernel.getMonotonicMilliseconds();
   #sizes: { at: number; size: number }[] = [];
   #refilledAt = kernel.getMonotonicMilliseconds();
+  #catchesUpUntil = Number.NEGATIVE_INFINITY;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -79,18 +91,20 @@
     store: declarations.DeclarationStore,
     bounds: types.ProxyBounds,
     isFirstStart: boolean,
+    logger: kernel.ComponentLogger,
   ) {
+    this.#logger = logger;
     this.#mesh = vmMesh;
     this.#store = store;
     this.#bounds = bounds;
     this.#isFirstStart = isFirstStart;
     vmMesh.addSection("rates", {
-      collect: () => this.#collectBuckets(this.#rates),
+      collect: (sequence) => this.#collectBuckets(this.#rates, sequence),
       receive: (from, payload) =>
         this.#receiveBuckets(from, payload, (workspace) => this.#getRateBucket(workspace)),
     });
     vmMesh.addSection("retries", {
-      collect: () => this.#collectBuckets(this.#retries),
+      collect: (sequence) => this.#collectBuckets(this.#retries, sequence),
       receive: (from, payload) =>
         this.#receiveBuckets(from, payload, (service) => this.#getRetryBucket(service)),
     });
@@ -106,6 +120,7 @@
   }
 
   start(): void {
+    this.#refilledAt = kernel.getMonotonicMilliseconds();
     this.#timer = setInterval(() => this.#refill(), REFILL_INTERVAL_MILLISECONDS);
   }
 
@@ -113,14 +128,53 @@
     clearInterval(this.#timer);
   }
 
+  /**
+   * Whether this VM has stood still and may not have received what the others took meanwhile. Input
+   * that arrived during a standstill is handled in any order, so a caller's request may come before
+   * the reports of other VMs.
+   */
+  get isCatchingUp(): boolean {
+    const now = kernel.getMonotonicMilliseconds();
+    if (now - this.#refilledAt > REFILL_INTERVAL_MILLISECONDS + STANDSTILL_MILLISECONDS) {
+      this.#refill();
+    }
+    return now < this.#catchesUpUntil;
+  }
+
+  /** Waits until the reports of other VMs have arrived after a standstill. */
+  async #waitForReports(): Promise<void> {
+    while (this.isCatchingUp) {
+      await kernel.sleep(this.#catchesUpUntil - kernel.getMonotonicMilliseconds());
+    }
+  }
+
   /**
    * Takes a token from a workspace's rate limit; always succeeds for a workspace without a limit.
+   * Waits for a short time if the other VMs must first be heard.
    */
-  takeRate(workspace: declarations.DeclaredWorkspace): boolean {
-    if (workspace.ratePerSecond === undefined) {
+  takeRate(workspace: declarations.DeclaredWorkspace): boolean | Promise<boolean> {
+    const bucket = workspace.ratePerSecond === undefined
+      ? undefined
+      : this.#getRateBucket(workspace.id);
+    if (bucket === undefined) {
       return true;
     }
-    return this.#takeFrom(this.#getRateBucket(workspace.id));
+    if (this.isCatchingUp) {
+      return this.#waitForReports().then(() => this.takeRate(workspace));
+    }
+    const result = this.#takeFrom(bucket, false);
+    return result === "unconfirmed" ? this.#takeOnceConfirmed(bucket) : result === "taken";
+  }
+
+  /** Takes a token once the others have confirmed earlier ones, or decides without that. */
+  async #takeOnceConfirmed(bucket: placement.SharedBucket): Promise<boolean> {
+    const endsAt = kernel.getMonotonicMilliseconds() + MAX_CONFIRMATION_WAIT_MILLISECONDS;
+    let result: placement.TakeResult;
+    do {
+      await kernel.sleep(CONFIRMATION_POLL_MILLISECONDS);
+      result = this.#takeFrom(bucket, kernel.getMonotonicMilliseconds() >= endsAt);
+    } while (result === "unconfirmed");
+    return result === "taken";
   }
 
   /** Describes the rate limit as it applied to a workspace's latest request, for the log. */
@@ -147,9 +201,9 @@
     this.#addRetryTokens(service, 1);
   }
 
-  /** Takes a retry from a service's budget. */
+  /** Takes a retry from a service's budget; never while it is not known what the others took. */
   takeRetry(service: model.ServiceId): boolean {
-    return this.#takeFrom(this.#getRetryBucket(service));
+    return !this.isCatchingUp && this.#takeFrom(this.#getRetryBucket(service), true) === "taken";
   }
 
   /** Share of a service's retry budget that is left, from 0 to 1. */
@@ -157,15 +211,13 @@
     return Math.max(0, this.#getRetryBucket(service).level / this.#getRetryBurst());
   }
 
-  #takeFrom(bucket: placement.SharedBucket | undefined): boolean {
-    if (bucket === undefined) {
-      return true;
-    }
-    const isTaken = bucket.take();
+  #takeFrom(bucket: placement.SharedBucket, isFinal: boolean): placement.TakeResult {
+    bucket.confirm(this.#mesh.confirmedSequence);
+    const result = bucket.tryTake(isFinal);
     if (bucket.isUrgent) {
       this.#mesh.reportSoon();
     }
-    return isTaken;
+    return result;
   }
 
   #getLifetime(): number {
@@ -256,7 +308,12 @@
 
   #refill(): void {
     const now = kernel.getMonotonicMilliseconds();
-    const seconds = (now - this.#refilledAt) / 1_000;
+    const elapsed = now - this.#refilledAt;
+    const seconds = elapsed / 1_000;
+    if (elapsed > REFILL_INTERVAL_MILLISECONDS + STANDSTILL_MILLISECONDS) {
+      this.#catchesUpUntil = now + this.#mesh.propagationMilliseconds;
+      this.#logger.write(kernel.LogMessages.standstill, { milliseconds: Math.round(elapsed) });
+    }
     this.#refilledAt = now;
     this.#recordSize(now);
     const presence = this.#getPresence();
@@ -275,9 +332,12 @@
   }
 
   #getPresence(): placement.FleetPresence {
-    const present = this.#mesh.size;
-    const isSizeUnknown = present === 1 && this.#getLifetime() < ALONE_AFTER_MILLISECONDS;
-    const expected = this.#sizes.reduce((most, sample) => Math.max(most, sample.size), present);
+    const present = this.#mesh.countInContact();
+    const isSizeUnknown = this.#mesh.size === 1 && this.#getLifetime() < ALONE_AFTER_MILLISECONDS;
+    const expected = this.#sizes.reduce(
+      (most, sample) => Math.max(most, sample.size),
+      this.#mesh.size,
+    );
     return {
       present,
       expected: isSizeUnknown ? ASSUMED_FLEET_SIZE : expected,
@@ -302,10 +362,13 @@
     return Math.min(1, this.#getLifetime() / Math.max(age, 1));
   }
 
-  #collectBuckets(buckets: ReadonlyMap<string, placement.SharedBucket>): BucketReport | undefined {
+  #collectBuckets(
+    buckets: ReadonlyMap<string, placement.SharedBucket>,
+    sequence: number,
+  ): BucketReport | undefined {
     const counters: Record<string, readonly [number, number]> = {};
     for (const [name, bucket] of buckets) {
-      const collected = bucket.collect();
+      const collected = bucket.collect(sequence);
       if (collected !== undefined) {
         counters[name] = [collected.taken, collected.requested];
       }
--- a/packages/proxy/src/mod.ts
+++ b/packages/proxy/src/mod.ts
@@ -2,6 +2,7 @@
  * The request path of a fleet in which every VM holds the complete declarations.
  */
 
+export * from "./budgets.ts";
 export * from "./listener.ts";
 export * from "./proxy_vm.ts";
 export * from "./publisher.ts";
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -67,11 +67,23 @@
     directory,
     vmMesh,
     createLogger("declarations"),
+    metrics,
   );
-  const tracker = new trackers.TargetTracker(directory, vmMesh, createLogger("targets"));
+  const tracker = new trackers.TargetTracker(directory, vmMesh, createLogger("targets"), metrics);
+  const targetConnections = new connections.TargetConnections();
+  directory.onLeaving((entry) => {
+    const { host, port } = kernel.splitAddress(entry.address);
+    targetConnections.closeIdle(host, port);
+  });
   const sharedBudgets = vm.register(
     BUDGETS,
-    new budgets.Budgets(vmMesh, store, options.bounds, options.isFirstStart),
+    new budgets.Budgets(
+      vmMesh,
+      store,
+      options.bounds,
+      options.isFirstStart,
+      createLogger("budgets"),
+    ),
   );
   const startGate = vm.register(
     kernel.createServiceName<gates.StartGate>("start-gate"),
@@ -89,7 +101,8 @@
         store,
         tracker,
         budgets: sharedBudgets,
-        connections: new connections.TargetConnections(),
+        connections: targetConnections,
+        recordLeaving: (target) => publisher.publishLeaving(target),
         log: new log.RequestLog(createLogger("requests")),
         queues: new requestQueues.RequestQueues(),
         counters: {
@@ -130,7 +143,7 @@
     start() {
       timer = setInterval(() => {
         tracker.dropDepartedVms();
-        directory.discardTombstones();
+        directory.discardExpired();
       }, HOUSEKEEPING_INTERVAL_MILLISECONDS);
     },
     stop() {
--- a/packages/proxy/src/publisher.ts
+++ b/packages/proxy/src/publisher.ts
@@ -2,13 +2,25 @@
  * Replicates declarations and target changes to all VMs, whichever VM has read them from the store.
  */
 
-import type * as declarations from "@hemlockwalk/declarations";
+import * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
 import type * as mesh from "@hemlockwalk/mesh";
 import type * as model from "@hemlockwalk/model";
 
 const DECLARATIONS_STATE = "declarations";
 const TARGETS_STATE = "targets";
+const FACTS_STATE = "facts";
+
+/**
+ * A target change as sent to other VMs. Earlier versions of the program send neither the era nor
+ * the number of a report.
+ */
+interface ChangeMessage {
+  readonly id: model.TargetId;
+  readonly revision: declarations.StoreRevision;
+  readonly era?: declarations.StoreEra;
+  readonly entry: declarations.TargetEntry | undefined | null;
+}
 
 /** Applies updates from the store and from other VMs, and publishes the new ones to the fleet. */
 export class Publisher {
@@ -16,17 +28,24 @@
   readonly #directory: declarations.TargetDirectory;
   readonly #mesh: mesh.Mesh;
   readonly #logger: kernel.ComponentLogger;
+  readonly #leavingCounter: kernel.Counter<"source">;
 
   constructor(
     store: declarations.DeclarationStore,
     directory: declarations.TargetDirectory,
     vmMesh: mesh.Mesh,
     logger: kernel.ComponentLogger,
+    metrics: kernel.Metrics,
   ) {
     this.#store = store;
     this.#directory = directory;
     this.#mesh = vmMesh;
     this.#logger = logger;
+    this.#leavingCounter = metrics.createCounter(
+      "hemlockwalk_targets_leaving_total",
+      "Targets that said in a response that they leave, by the source of the news.",
+      ["source"],
+    );
     vmMesh.addReplicatedState(DECLARATIONS_STATE, {
       digest: {
         get: () => store.current?.declarations.version ?? 0,
@@ -43,8 +62,17 @@
         // of its changes is applied.
         isBehind: (other) => other !== 0 && other !== directory.getDigest(),
       },
-      createSnapshot: () => directory.listChanges(),
-      receive: (payload) => this.#applyChanges(payload as declarations.TargetChange[], "peer"),
+      createSnapshot: () => directory.listChanges().map(encodeChange),
+      receive: (payload) =>
+        this.#applyChanges((payload as ChangeMessage[]).map(decodeChange), "peer"),
+    });
+    vmMesh.addReplicatedState(FACTS_STATE, {
+      digest: {
+        get: () => directory.getFactsDigest(),
+        isBehind: (other) => other !== 0 && other !== directory.getFactsDigest(),
+      },
+      createSnapshot: () => directory.listFacts(),
+      receive: (payload) => this.#applyFacts(payload as declarations.TargetFact[], "peer"),
     });
   }
 
@@ -68,16 +96,21 @@
   publishTargets(changes: readonly declarations.TargetChange[]): void {
     const applied = changes.filter((change) => this.#applyChanges([change], "store"));
     if (applied.length > 0) {
-      this.#mesh.publish(TARGETS_STATE, applied);
+      this.#mesh.publish(TARGETS_STATE, applied.map(encodeChange));
     }
   }
 
-  /** Removes targets that the store no longer has. */
-  publishMissing(
-    present: ReadonlySet<model.TargetId>,
-    asOf: declarations.StoreRevision,
-  ): void {
-    this.publishTargets(this.#directory.listMissing(present, asOf));
+  /**
+   * Publishes that a target has said in a response that it leaves. No VM sends further requests to
+   * this incarnation of the target.
+   */
+  publishLeaving(target: declarations.TargetEntry): void {
+    const era = this.#directory.getPosition(target.id)?.era ?? declarations.UNSTATED_ERA;
+    const announced = declarations.getAnnouncedState(target);
+    const fact = { ...declarations.createFact(target, era, announced), isLeaving: true };
+    if (this.#applyFacts([fact], "response")) {
+      this.#mesh.publish(FACTS_STATE, [fact]);
+    }
   }
 
   #applyDeclarations(read: declarations.Declarations | undefined, from: string): boolean {
@@ -98,10 +131,37 @@
       this.#logger.write(kernel.LogMessages.targetChanged, {
         target: change.id,
         state: change.entry === undefined ? "gone" : change.entry.isDraining ? "draining" : "ready",
-        revision: change.revision,
+        era: change.position.era,
+        revision: change.position.revision,
         from,
       });
     }
     return hasApplied;
   }
+
+  #applyFacts(facts: readonly declarations.TargetFact[], from: string): boolean {
+    const applied = facts.filter((fact) => this.#directory.applyFact(fact));
+    for (const fact of applied.filter(({ isLeaving }) => isLeaving)) {
+      this.#logger.write(kernel.LogMessages.targetLeaving, {
+        target: fact.id,
+        startedAt: fact.startedAt,
+        from,
+      });
+      this.#leavingCounter.inc({ source: from });
+    }
+    return applied.length > 0;
+  }
+}
+
+function encodeChange({ id, position, entry }: declarations.TargetChange): ChangeMessage {
+  return { id, revision: position.revision, era: position.era, entry };
+}
+
+function decodeChange({ id, revision, era, entry }: ChangeMessage): declarations.TargetChange {
+  return {
+    id,
+    position: { era: era ?? declarations.UNSTATED_ERA, revision },
+    // An absent entry is encoded as null.
+    entry: entry ?? undefined,
+  };
 }
--- a/packages/proxy/src/request_context.ts
+++ b/packages/proxy/src/request_context.ts
@@ -22,6 +22,8 @@
   readonly queues: requestQueues.RequestQueues;
   readonly counters: { readonly requests: { inc(labels: { outcome: string }): void } };
   readonly latency: { record(milliseconds: number): void };
+  /** Records that an incarnation of a target has said that it leaves. */
+  readonly recordLeaving: (target: declarations.TargetEntry) => void;
   /** Monotonic time of the store's latest response to any VM. */
   readonly getConfirmedAt: () => number;
   readonly isStopping: () => boolean;
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -3,6 +3,7 @@
  */
 
 import type * as http from "node:http";
+import type * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
@@ -39,6 +40,8 @@
  */
 const MIN_RETRY_LEVEL = 0.2;
 
+const NO_TARGETS: ReadonlySet<model.TargetId> = new Set();
+
 type Placement =
   | { readonly kind: "placed"; readonly target: model.TargetId }
   | { readonly kind: "refused"; readonly reason: types.RefusalReason };
@@ -85,11 +88,16 @@
         return;
       }
     }
-    const accepted = admission.acceptRequest(this.#context, this.#request, this.#trace);
+    const accepted = await admission.acceptRequest(this.#context, this.#request, this.#trace);
     if ("status" in accepted) {
       this.#finalAnswer.refuse(accepted);
       return;
     }
+    if (this.#caller.signal.aborted) {
+      this.#returnRate(accepted);
+      this.#finalAnswer.finish("caller_left", 0);
+      return;
+    }
     const limit = this.#context.store.current?.declarations.limits.bodyBytes ?? 0;
     const read = await bodies.readBody(this.#request, limit);
     if (read.kind === "aborted") {
@@ -119,13 +127,13 @@
           break;
         }
         if (placed.kind === "refused") {
-          this.#answerUnplaced(result, placed.reason);
+          this.#answerUnplaced(accepted, result, placed.reason);
           return;
         }
         result = await this.#call(accepted, body, placed);
       } while (!this.#finalAnswer.isDecided && this.#mayRetry(accepted, body, result));
       if (!this.#finalAnswer.isDecided && result !== undefined && !this.#caller.signal.aborted) {
-        this.#answer(result);
+        this.#answer(accepted, result);
       }
       if (this.#caller.signal.aborted && !this.#finalAnswer.isDecided) {
         this.#returnRate(accepted);
@@ -149,14 +157,57 @@
       meanProcessingMilliseconds: mean,
       allowedOverflow: ALLOWED_OVERFLOW,
     };
-    const first = this.#choose(service, placementRequest);
-    if (first.kind === "chosen") {
-      return Promise.resolve(this.#createPlacement(first));
+    const now = kernel.getMonotonicMilliseconds();
+    const waitUntil = Math.max(
+      now,
+      Math.min(
+        accepted.arrivedAt + route.objectiveMilliseconds * MAX_WAIT_IN_OBJECTIVES,
+        accepted.endsAt - mean,
+      ),
+    );
+    const decided = this.#tryPlace(service, placementRequest, waitUntil);
+    return decided === undefined
+      ? this.#wait(accepted, placementRequest, waitUntil)
+      : Promise.resolve(decided);
+  }
+
+  /** Places or refuses a request; undefined if it is to wait. */
+  #tryPlace(
+    service: model.ServiceId,
+    placementRequest: placement.PlacementRequest,
+    waitUntil: number,
+  ): Placement | undefined {
+    const choice = this.#choose(service, placementRequest);
+    switch (choice.kind) {
+      case "chosen":
+        return this.#createPlacement(choice);
+      case "full":
+        return undefined;
+      case "none":
+        return this.#decideWithoutCandidate(service, waitUntil);
+    }
+  }
+
+  #decideWithoutCandidate(service: model.ServiceId, waitUntil: number): Placement | undefined {
+    const pause = this.#context.tracker.findShortestPause(service, this.#tried);
+    if (pause === undefined) {
+      return { kind: "refused", reason: "no_target" };
     }
-    if (first.kind === "none") {
-      return Promise.resolve({ kind: "refused", reason: "no_target" });
+    const maxWait = waitUntil - kernel.getMonotonicMilliseconds();
+    if (placement.decideDuringPauses(pause, maxWait) === "wait") {
+      return undefined;
     }
-    return this.#wait(accepted, placementRequest);
+    this.#trace.add("targets_paused", { pause: Math.round(pause), maxWait: Math.round(maxWait) });
+    return { kind: "refused", reason: "targets_paused" };
+  }
+
+  /** Value of Retry-After: the end of the first pause if every target of the service is paused. */
+  #getRetryAfterSeconds(service: model.ServiceId, otherwise: number): number {
+    const { tracker } = this.#context;
+    const pause = tracker.listCandidates(service, NO_TARGETS).length === 0
+      ? tracker.findShortestPause(service, NO_TARGETS)
+      : undefined;
+    return pause === undefined ? otherwise : Math.ceil(pause / 100) / 10;
   }
 
   #choose(
@@ -183,27 +234,23 @@
   #wait(
     accepted: types.AcceptedRequest,
     placementRequest: placement.PlacementRequest,
+    waitUntil: number,
   ): Promise<Placement> {
-    const { service, route } = accepted;
+    const { service } = accepted;
     const queue = this.#context.queues.get(service);
     this.#trace.add("waits", { ahead: queue.countAhead(accepted.priority) });
-    const now = kernel.getMonotonicMilliseconds();
-    const waitUntil = Math.min(
-      accepted.arrivedAt + route.objectiveMilliseconds * MAX_WAIT_IN_OBJECTIVES,
-      accepted.endsAt - placementRequest.meanProcessingMilliseconds,
-    );
     return new Promise((resolve) => {
       const queued: placement.QueuedRequest = {
         priority: accepted.priority,
         acceptsAnyTarget: this.#tried.size === 0,
-        waitUntil: Math.max(waitUntil, now),
+        waitUntil,
         tryPlace: () => {
-          const choice = this.#choose(service, placementRequest);
-          if (choice.kind === "chosen") {
+          const decided = this.#tryPlace(service, placementRequest, waitUntil);
+          if (decided !== undefined) {
             this.#caller.signal.removeEventListener("abort", onAbort);
-            resolve(this.#createPlacement(choice));
+            resolve(decided);
           }
-          return choice.kind === "chosen";
+          return decided !== undefined;
         },
         onTimeout: () => {
           this.#caller.signal.removeEventListener("abort", onAbort);
@@ -256,6 +303,8 @@
         connectTimeoutMilliseconds: tracker.reachability.getConnectTimeout(target.id),
         recordConnectTime: (milliseconds) =>
           tracker.reachability.recordConnected(target.id, milliseconds),
+        isStillAccepted: () => tracker.accepts(target),
+        recordNotice: (notice) => this.#recordNotice(target, notice),
         signal: attempt.signal,
       });
     } finally {
@@ -269,6 +318,21 @@
     return result;
   }
 
+  /** Records what a target says of itself, which binds from its response on. */
+  #recordNotice(target: declarations.TargetEntry, notice: calls.TargetNotice): void {
+    this.#trace.add("target_notice", {
+      target: target.id,
+      leaving: notice.isLeaving,
+      retryAfter: notice.retryAfter,
+    });
+    if (notice.isLeaving) {
+      this.#context.recordLeaving(target);
+    }
+    if (notice.retryAfter !== undefined) {
+      this.#context.tracker.startPause(target.id, notice.retryAfter);
+    }
+  }
+
   /**
    * Records that a call outlasts the time within which errors arrive; its success may take far
    * longer.
@@ -327,7 +391,7 @@
         if (result.reason === "shed") {
           tracker.recordOutcome(target, "shed", startedAt);
           this.#isOutOfSlots = tracker.recordShed(target);
-        } else {
+        } else if (result.reason !== "withdrawn") {
           tracker.recordNotReached(target, result.reason === "unreachable");
         }
         this.#trace.add("not_run", { target, reason: result.reason });
@@ -378,7 +442,7 @@
     return isAllowed;
   }
 
-  #answer(result: calls.CallResult): void {
+  #answer(accepted: types.AcceptedRequest, result: calls.CallResult): void {
     switch (result.kind) {
       case "answered":
         this.#finalAnswer.forward(result.answer);
@@ -390,9 +454,12 @@
           this.#finalAnswer.refuse({
             status: 503,
             reason: "not_reached",
-            retryAfterSeconds: this.#isOutOfSlots
-              ? refusals.RETRY_AFTER_SECONDS.noRoom
-              : refusals.RETRY_AFTER_SECONDS.notReached,
+            retryAfterSeconds: this.#getRetryAfterSeconds(
+              accepted.service,
+              this.#isOutOfSlots
+                ? refusals.RETRY_AFTER_SECONDS.noRoom
+                : refusals.RETRY_AFTER_SECONDS.notReached,
+            ),
           });
         }
         return;
@@ -407,15 +474,22 @@
   }
 
   /** Sends the final response of a request for which no further target was found. */
-  #answerUnplaced(result: calls.CallResult | undefined, reason: types.RefusalReason): void {
+  #answerUnplaced(
+    accepted: types.AcceptedRequest,
+    result: calls.CallResult | undefined,
+    reason: types.RefusalReason,
+  ): void {
     if (result !== undefined && (result.kind === "answered" || this.#mayHaveRun)) {
-      this.#answer(result);
+      this.#answer(accepted, result);
       return;
     }
     this.#finalAnswer.refuse({
       status: 503,
       reason,
-      retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.noRoom,
+      retryAfterSeconds: this.#getRetryAfterSeconds(
+        accepted.service,
+        refusals.RETRY_AFTER_SECONDS.noRoom,
+      ),
     });
   }
 
--- a/packages/proxy/src/start_gate.ts
+++ b/packages/proxy/src/start_gate.ts
@@ -51,7 +51,7 @@
   }
 
   #openWhenReady(): void {
-    if (!this.#isOpen && this.#store.current !== undefined && this.#directory.getDigest() !== 0) {
+    if (!this.#isOpen && this.#store.current !== undefined && !this.#directory.isEmpty) {
       this.#open();
     }
   }
--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -5,9 +5,13 @@
  * A VM also reads if for too long no VM is known to have had a response from the store, so that a
  * VM whose peers are cut off or rejected by the store still gets updates within the bounds. Ranks
  * prevent the whole fleet from reading at the same time.
+ *
+ * A store that was restored from a backup states a later era. It is then read as a whole, and what
+ * it no longer holds is treated like entries that expired during an outage: it stays in use for the
+ * time in which targets register again.
  */
 
-import type * as declarations from "@hemlockwalk/declarations";
+import * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
 import type * as mesh from "@hemlockwalk/mesh";
 import type * as publishers from "./publisher.ts";
@@ -62,6 +66,17 @@
  */
 const REMOVAL_DELAY_MILLISECONDS = 2_300;
 
+/** Settings of a follower. */
+export interface StoreFollowerOptions {
+  readonly store: declarations.PublishedStore;
+  readonly mesh: mesh.Mesh;
+  readonly publisher: publishers.Publisher;
+  readonly logger: kernel.ComponentLogger;
+  readonly metrics: kernel.Metrics;
+  /** Whether the whole fleet starts for the first time. */
+  readonly isFirstStart: boolean;
+}
+
 /**
  * Reads and watches the store while this VM is a reader or has no recent confirmation of its data.
  */
@@ -70,27 +85,28 @@
   readonly #mesh: mesh.Mesh;
   readonly #publisher: publishers.Publisher;
   readonly #logger: kernel.ComponentLogger;
+  readonly #restores: kernel.Counter;
   readonly #isFirstStart: boolean;
   readonly #stopping = new AbortController();
   readonly #startedAt = kernel.getMonotonicMilliseconds();
-  #asOf: declarations.StoreRevision | undefined;
+  #asOf: declarations.StorePosition | undefined;
+  /** Era of the latest whole read. */
+  #era: declarations.StoreEra | undefined;
   #isAvailable = true;
   #failures = 0;
   #recoveredAt = Number.NEGATIVE_INFINITY;
   #heldRemovals: declarations.TargetChange[] = [];
 
-  constructor(
-    store: declarations.PublishedStore,
-    vmMesh: mesh.Mesh,
-    publisher: publishers.Publisher,
-    logger: kernel.ComponentLogger,
-    isFirstStart: boolean,
-  ) {
-    this.#isFirstStart = isFirstStart;
-    this.#store = store;
-    this.#mesh = vmMesh;
-    this.#publisher = publisher;
-    this.#logger = logger;
+  constructor(options: StoreFollowerOptions) {
+    this.#isFirstStart = options.isFirstStart;
+    this.#store = options.store;
+    this.#mesh = options.mesh;
+    this.#publisher = options.publisher;
+    this.#logger = options.logger;
+    this.#restores = options.metrics.createCounter(
+      "hemlockwalk_store_restores_total",
+      "Restores of the store from a backup that this VM noticed while it read the store.",
+    );
   }
 
   start(): void {
@@ -179,13 +195,59 @@
       this.#recordFailure(result.error);
       return false;
     }
+    const { asOf } = result.value;
+    if (!this.#checkEra(asOf.era)) {
+      return false;
+    }
     this.#recordResponse();
-    this.#asOf = result.value.asOf;
+    if (since !== undefined && asOf.era !== since.era) {
+      // The changes since then are unknown, so the whole content is read next.
+      this.#asOf = undefined;
+      return true;
+    }
+    this.#asOf = asOf;
     this.#publish(result.value, since === undefined);
     return true;
   }
 
+  /** Whether a response's era is current; an earlier one comes from a store that is not in use. */
+  #checkEra(era: declarations.StoreEra): boolean {
+    const { directory } = this.#publisher;
+    const known = Math.max(this.#era ?? era, directory.getLatestEra() ?? era);
+    if (era >= known) {
+      return true;
+    }
+    this.#recordFailure("invalid_era");
+    this.#logger.write(kernel.LogMessages.storeEraEarlier, {
+      stated: era === declarations.UNSTATED_ERA ? undefined : era,
+      known,
+    });
+    return false;
+  }
+
+  /** Notes the era of a whole read, and that the store has been restored since the one before. */
+  #adoptEra(asOf: declarations.StorePosition): void {
+    if (this.#era === asOf.era) {
+      return;
+    }
+    const outdated = this.#publisher.directory.listOutdated(asOf).length;
+    if (this.#era !== undefined || outdated > 0) {
+      this.#recoveredAt = kernel.getMonotonicMilliseconds();
+      this.#restores.inc();
+      this.#logger.write(kernel.LogMessages.storeRestored, {
+        era: asOf.era,
+        previousEra: this.#era,
+        revision: asOf.revision,
+        outdated,
+      });
+    }
+    this.#era = asOf.era;
+  }
+
   #publish(update: declarations.StoreUpdate, isSnapshot: boolean): void {
+    if (isSnapshot) {
+      this.#adoptEra(update.asOf);
+    }
     if (update.declarations !== undefined) {
       this.#publisher.publishDeclarations(update.declarations);
     }
@@ -204,14 +266,18 @@
   }
 
   /**
-   * Publishes the removal of targets that were not registered again in time. Later changes of a
-   * target take precedence.
+   * Publishes the removal of targets that were not registered again in time, among them those of
+   * earlier eras. Later changes of a target take precedence.
    */
   #publishHeldRemovals(): void {
     const now = kernel.getMonotonicMilliseconds();
-    if (this.#heldRemovals.length > 0 && now - this.#recoveredAt >= REMOVAL_DELAY_MILLISECONDS) {
-      this.#publisher.publishTargets(this.#heldRemovals.splice(0));
+    if (now - this.#recoveredAt < REMOVAL_DELAY_MILLISECONDS) {
+      return;
     }
+    const outdated = this.#asOf === undefined
+      ? []
+      : this.#publisher.directory.listOutdated(this.#asOf);
+    this.#publisher.publishTargets([...this.#heldRemovals.splice(0), ...outdated]);
   }
 
   #recordResponse(): void {
@@ -236,7 +302,11 @@
     this.#failures++;
     if (this.#isAvailable) {
       this.#isAvailable = false;
-      this.#logger.write(kernel.LogMessages.storeUnavailable, { failure, asOf: this.#asOf });
+      this.#logger.write(kernel.LogMessages.storeUnavailable, {
+        failure,
+        era: this.#asOf?.era,
+        asOf: this.#asOf?.revision,
+      });
     }
   }
 
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -31,7 +31,7 @@
   /** The target cannot have run the request. */
   | {
     readonly kind: "not_run";
-    readonly reason: "unreachable" | "shed" | "other_target";
+    readonly reason: "unreachable" | "shed" | "other_target" | "withdrawn";
     /** Whether the request arrived at a target, which counts as an attempt. */
     readonly hasArrived: boolean;
   }
@@ -41,6 +41,14 @@
     readonly reason: "reset" | "spoilt" | "cut_short" | "silent" | "cancelled";
   };
 
+/** What a target says of itself in a response, besides the response to the request. */
+export interface TargetNotice {
+  /** It is about to end and wants no further requests. */
+  readonly isLeaving: boolean;
+  /** Time for which it wants no request from this VM, as stated in a rejection. */
+  readonly retryAfter: string | undefined;
+}
+
 /** Options of one attempt. */
 export interface CallOptions {
   readonly request: types.AcceptedRequest;
@@ -52,6 +60,10 @@
   readonly connectTimeoutMilliseconds: number;
   /** Called with the time that a new connection took. */
   readonly recordConnectTime: (milliseconds: number) => void;
+  /** Whether the target still accepts the request, asked once a new connection is open. */
+  readonly isStillAccepted: () => boolean;
+  /** Called before the attempt ends with what the target says of itself. */
+  readonly recordNotice: (notice: TargetNotice) => void;
   /** Ends the attempt. The reason of the signal is `silent` or `cancelled`. */
   readonly signal: AbortSignal;
 }
@@ -97,10 +109,16 @@
         () => this.#fail("silent"),
         options.connectTimeoutMilliseconds,
       );
+      // Runs before the request is written to the new connection.
       socket.once("connect", () => {
-        this.#isConnected = true;
         options.recordConnectTime(kernel.getMonotonicMilliseconds() - startedAt);
         this.#connectTimer?.stop();
+        if (options.isStillAccepted()) {
+          this.#isConnected = true;
+        } else {
+          this.#settle({ kind: "not_run", reason: "withdrawn", hasArrived: false });
+          this.#outgoing.destroy();
+        }
       });
     });
     this.#outgoing.once("response", (incoming) => this.#handleResponse(incoming));
@@ -142,6 +160,9 @@
     const { profile, request } = this.#options;
     const status = incoming.statusCode ?? 0;
     if (incoming.headers[profile.notRun] !== undefined || status === 421) {
+      if (status !== 421) {
+        this.#recordNotice(incoming, status);
+      }
       incoming.resume();
       this.#settle({
         kind: "not_run",
@@ -157,9 +178,18 @@
       this.#fail("spoilt");
       return;
     }
+    this.#recordNotice(incoming, status);
     this.#readAnswer(incoming, status);
   }
 
+  #recordNotice(incoming: http.IncomingMessage, status: number): void {
+    const isLeaving = incoming.headers[this.#options.profile.leaving] === "1";
+    const retryAfter = status === 503 ? incoming.headers["retry-after"] : undefined;
+    if (isLeaving || retryAfter !== undefined) {
+      this.#options.recordNotice({ isLeaving, retryAfter });
+    }
+  }
+
   #readAnswer(incoming: http.IncomingMessage, status: number): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
--- a/packages/proxy/src/target_connections.ts
+++ b/packages/proxy/src/target_connections.ts
@@ -67,6 +67,15 @@
     }
   }
 
+  /** Closes all idle connections to a target; those in use close after their response. */
+  closeIdle(host: string, port: number): void {
+    const name = this.getName({ host, port });
+    const { freeSockets } = this as unknown as AgentInternals;
+    for (const socket of freeSockets[name] ?? []) {
+      socket.destroy();
+    }
+  }
+
   /** Excludes a connection from reuse because its state is uncertain. */
   excludeFromReuse(socket: net.Socket): void {
     this.#notReusable.add(socket);
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -60,21 +60,29 @@
   readonly #directory: declarations.TargetDirectory;
   readonly #mesh: mesh.Mesh;
   readonly #logger: kernel.ComponentLogger;
+  readonly #pauseCounter: kernel.Counter<"result">;
   readonly #records = new Map<model.TargetId, TargetRecord>();
   #unreportedOutcomes = new Map<model.TargetId, OutcomeTable>();
   #fullLoadsAt = Number.NEGATIVE_INFINITY;
   readonly #unreportedLoads = new Set<model.TargetId>();
   readonly processingTimes = new placement.ProcessingTimes();
   readonly reachability: reach.Reachability;
+  readonly #pauses = new placement.TargetPauses();
 
   constructor(
     directory: declarations.TargetDirectory,
     vmMesh: mesh.Mesh,
     logger: kernel.ComponentLogger,
+    metrics: kernel.Metrics,
   ) {
     this.#directory = directory;
     this.#mesh = vmMesh;
     this.#logger = logger;
+    this.#pauseCounter = metrics.createCounter(
+      "hemlockwalk_target_pauses_total",
+      "Pauses requested by targets, by result.",
+      ["result"],
+    );
     this.reachability = new reach.Reachability(
       (target) => directory.find(target)?.address,
       logger,
@@ -97,10 +105,52 @@
   ): placement.Candidate[] {
     const now = kernel.getMonotonicMilliseconds();
     return this.#directory.listServing(service)
-      .filter((entry) => !excluded.has(entry.id))
+      .filter(({ id }) => !excluded.has(id) && this.#pauses.getRemaining(id) === 0)
       .map((entry) => this.#createCandidate(entry, now));
   }
 
+  /**
+   * Time until the first paused target of a service accepts requests, in milliseconds, without the
+   * excluded targets; undefined if none is paused.
+   */
+  findShortestPause(
+    service: model.ServiceId,
+    excluded: ReadonlySet<model.TargetId>,
+  ): number | undefined {
+    const pauses = this.#directory.listServing(service)
+      .filter(({ id }) => !excluded.has(id))
+      .map(({ id }) => this.#pauses.getRemaining(id))
+      .filter((remaining) => remaining > 0);
+    return pauses.length === 0 ? undefined : Math.min(...pauses);
+  }
+
+  /** Whether an incarnation of a target still accepts requests from this VM. */
+  accepts(target: declarations.TargetEntry): boolean {
+    const known = this.#directory.find(target.id);
+    return known !== undefined && !known.isDraining && known.startedAt === target.startedAt &&
+      this.#pauses.getRemaining(target.id) === 0;
+  }
+
+  /**
+   * Starts the pause that a target has requested, in seconds, as it stated it. A text that states
+   * no time is logged and ignored.
+   */
+  startPause(target: model.TargetId, retryAfter: string): void {
+    const requested = placement.parsePause(retryAfter);
+    if (requested.kind === "invalid") {
+      this.#logger.write(kernel.LogMessages.targetPauseInvalid, { target, stated: retryAfter });
+      this.#pauseCounter.inc({ result: "ignored" });
+      return;
+    }
+    this.#pauses.start(target, requested.milliseconds);
+    this.#pauseCounter.inc({ result: requested.isShortened ? "shortened" : "accepted" });
+    this.#logger.write(kernel.LogMessages.targetPaused, {
+      target,
+      stated: retryAfter,
+      milliseconds: Math.round(requested.milliseconds),
+    });
+  }
+
   findTarget(target: model.TargetId): declarations.TargetEntry | undefined {
     return this.#directory.find(target);
   }
@@ -179,6 +229,7 @@
         this.#records.delete(target);
         this.processingTimes.removeTarget(target);
         this.reachability.removeTarget(target);
+        this.#pauses.removeTarget(target);
       }
     }
   }
@@ -230,6 +281,7 @@
       record.avoidedUntil = 0;
       this.processingTimes.removeTarget(change.id);
       this.reachability.removeTarget(change.id);
+      this.#pauses.removeTarget(change.id);
     }
   }
 
--- a/packages/proxy/src/types.ts
+++ b/packages/proxy/src/types.ts
@@ -19,6 +19,8 @@
   readonly notRun: string;
   /** Present in a response that was created by the target itself. */
   readonly signature: string;
+  /** Present, with the value 1, in every response of a target that is about to end. */
+  readonly leaving: string;
   /** Authentication scheme of a caller's key. */
   readonly keyScheme: string;
 }
@@ -64,6 +66,7 @@
   | "over_rate"
   | "no_target"
   | "no_room"
+  | "targets_paused"
   | "not_reached"
   | "body_too_large"
   | "head_too_large"
--- /dev/null
+++ b/packages/proxy/test/budgets_test.ts
@@ -0,0 +1,113 @@
+/**
+ * Tests of the budgets of one VM among others that are simulated.
+ */
+
+import * as assert from "node:assert/strict";
+import * as test from "node:test";
+import * as declarations from "@hemlockwalk/declarations";
+import * as fixtures from "@hemlockwalk/declarations/testing";
+import * as kernel from "@hemlockwalk/kernel";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
+import type * as mesh from "@hemlockwalk/mesh";
+import * as model from "@hemlockwalk/model";
+import * as proxy from "@hemlockwalk/proxy";
+
+const RATE = 15;
+const BURST = 15;
+const BOUNDS: proxy.ProxyBounds = {
+  retryRatio: 0.2,
+  retrySlack: 20,
+  rateWindowSeconds: 5,
+  rateExcess: 0.25,
+  rateSlack: 20,
+  graceMilliseconds: 6_000,
+};
+const PROPAGATION_MILLISECONDS = 300;
+
+const WORKSPACE: declarations.DeclaredWorkspace = {
+  id: model.createWorkspaceId("limited"),
+  keys: ["key"],
+  priority: undefined,
+  ratePerSecond: RATE,
+  burst: BURST,
+};
+
+/** A mesh of six VMs, of which the test plays the other five. */
+class SimulatedMesh {
+  readonly size = 6;
+  readonly propagationMilliseconds = PROPAGATION_MILLISECONDS;
+  confirmedSequence = Number.POSITIVE_INFINITY;
+  readonly sections = new Map<string, mesh.ReportSection>();
+
+  addSection(name: string, section: mesh.ReportSection): void {
+    this.sections.set(name, section);
+  }
+
+  addReplicatedState(): void {}
+
+  countInContact(): number {
+    return this.size;
+  }
+
+  reportSoon(): void {}
+
+  /** Reports what another VM has taken of the workspace's tokens since its start. */
+  report(taken: number): void {
+    const from = { vm: model.createVmId("other"), incarnation: "1" } as unknown;
+    const counters = { [WORKSPACE.id]: [taken, taken] };
+    this.sections.get("rates")?.receive(from as mesh.MemberIdentity, { age: 1, counters });
+  }
+}
+
+test.describe("budgets", () => {
+  test.test("a VM that stood still waits for what the others have taken meanwhile", async () => {
+    const clock = new kernelTesting.TestClock();
+    try {
+      const others = new SimulatedMesh();
+      const store = new declarations.DeclarationStore();
+      const logger = new kernel.ComponentLogger(kernel.createSilentLogger(), "budgets");
+      const budgets = new proxy.Budgets(
+        others as unknown as mesh.Mesh,
+        store,
+        BOUNDS,
+        true,
+        logger,
+      );
+      store.apply(fixtures.createDeclarations(1, { workspaces: [WORKSPACE] }));
+      budgets.start();
+      let taken = 0;
+      let waiting = 0;
+      const takeAll = (attempts: number) => {
+        for (let attempt = 0; attempt < attempts; attempt++) {
+          const result = budgets.takeRate(WORKSPACE);
+          taken += result === true ? 1 : 0;
+          waiting += typeof result === "boolean" ? 0 : 1;
+          if (typeof result !== "boolean") {
+            void result.then((isTaken) => taken += isTaken ? 1 : 0);
+          }
+        }
+      };
+      let takenByOthers = 0;
+      for (let step = 0; step < 50; step++) {
+        await clock.advance(100);
+        takenByOthers += RATE / 10;
+        others.report(takenByOthers);
+        takeAll(5);
+      }
+      taken = 0;
+      // One step: callers' requests are handled before the reports that arrived meanwhile.
+      await clock.advance(2_100, 2_100);
+      takeAll(40);
+      others.report(takenByOthers + BURST + RATE * 2.1);
+      takeAll(40);
+      await clock.advance(PROPAGATION_MILLISECONDS + 10);
+      takeAll(40);
+      assert.ok(waiting > 0, "requests wait for the reports");
+      assert.ok(taken <= RATE * (PROPAGATION_MILLISECONDS / 1_000) + 2, `${taken} taken`);
+      assert.equal(budgets.isCatchingUp, false);
+      budgets.stop();
+    } finally {
+      clock.restore();
+    }
+  });
+});
--- a/packages/proxy/test/fleet_test.ts
+++ b/packages/proxy/test/fleet_test.ts
@@ -5,6 +5,7 @@
 import * as assert from "node:assert/strict";
 import * as test from "node:test";
 import type * as declarations from "@hemlockwalk/declarations";
+import * as fixtures from "@hemlockwalk/declarations/testing";
 import * as kernel from "@hemlockwalk/kernel";
 import * as model from "@hemlockwalk/model";
 import * as harness from "./harness.ts";
@@ -14,13 +15,14 @@
 
 async function withFleet(
   run: (reading: harness.TestVm, withoutStore: harness.TestVm) => Promise<void>,
+  targetCount = 2,
 ): Promise<void> {
   const reading = new harness.TestVm();
   const unavailableStore = new harness.MemoryStore();
   unavailableStore.isAvailable = false;
   let withoutStore: harness.TestVm | undefined;
   try {
-    await reading.start(2);
+    await reading.start(targetCount);
     withoutStore = new harness.TestVm({
       name: "vm-without-store",
       store: unavailableStore,
@@ -123,6 +125,127 @@
     });
   });
 
+  test.test("a store restored from a backup is followed, and what binds stays in force", async () => {
+    await withFleet(async (reading, withoutStore) => {
+      const { store } = reading;
+      const [first, second, third] = reading.targets;
+      assert.ok(first !== undefined && second !== undefined && third !== undefined);
+      const put = (
+        target: harness.TestTarget,
+        reportNumber: number,
+        changes: Partial<declarations.TargetEntry> = {},
+      ) => {
+        const report = { startedAt: 1_000, reportNumber, ...changes };
+        store.put(target.createChange(store.revision + 1, report));
+      };
+      put(first, 1);
+      put(second, 1);
+      const backup = new Map(store.targets);
+      backup.delete(third.id);
+      const backupRevision = store.revision;
+      // The VMs know the incarnations whose end is lost.
+      await kernel.sleep(500);
+      // What follows is lost with the store: a drain, an ended target, and many other changes.
+      put(first, 2, { isDraining: true });
+      store.put(fixtures.createRemoval(second.id, store.revision + 1));
+      store.revision += 100;
+      await kernel.sleep(BOUND_MILLISECONDS);
+      store.restore(backup, backupRevision);
+      await kernel.sleep(BOUND_MILLISECONDS);
+      const countBound = () => first.requests.length + second.requests.length;
+      const before = countBound();
+      for (let round = 0; round < 8; round++) {
+        assert.equal((await reading.call()).status, 200, "the third target counts as lapsed");
+        assert.equal((await withoutStore.call()).status, 200);
+      }
+      assert.equal(countBound(), before, "neither the drain nor the end is undone");
+      assert.ok(
+        withoutStore.log.every((line) => line.code !== kernel.LogMessages.storeRestored.code),
+      );
+      // Reports after the restore have lower revisions than those before it.
+      put(first, 3);
+      put(third, 1);
+      await kernel.sleep(BOUND_MILLISECONDS + 2_300);
+      for (let round = 0; round < 30; round++) {
+        assert.equal((await withoutStore.call()).status, 200);
+      }
+      assert.ok(countBound() > before, "the first target has reported again");
+      assert.equal(second.requests.length, 0);
+    }, 3);
+  });
+
+  test.test("a response of an earlier era, or of none, is logged and changes nothing", async () => {
+    await withFleet(async (reading) => {
+      const { store } = reading;
+      store.restore(store.targets, 40);
+      store.restore(store.targets, 40);
+      await kernel.sleep(BOUND_MILLISECONDS);
+      const current = new Map(store.targets);
+      for (const era of [1, 0]) {
+        store.era = era;
+        store.targets.clear();
+        await kernel.sleep(BOUND_MILLISECONDS);
+        assert.equal((await reading.call()).status, 200);
+      }
+      const codes = reading.log.map(({ code }) => code);
+      assert.ok(codes.includes(kernel.LogMessages.storeRestored.code));
+      assert.ok(codes.includes(kernel.LogMessages.storeEraEarlier.code));
+      store.era = 2;
+      store.targets = current;
+      store.put(fixtures.createRemoval("target-0", store.revision + 1, 2));
+      await kernel.sleep(2 * BOUND_MILLISECONDS);
+      const before = reading.targets[0]?.requests.length;
+      for (let round = 0; round < 6; round++) {
+        assert.equal((await reading.call()).status, 200);
+      }
+      assert.equal(reading.targets[0]?.requests.length, before, "the store is read again");
+    });
+  });
+
+  test.test("a target that leaves by its own word gets no request from any VM", async () => {
+    await withFleet(async (reading, withoutStore) => {
+      const [first] = reading.targets;
+      assert.ok(first !== undefined);
+      first.behaviour = (request, response) => {
+        const head = { ...harness.createAnswerHeaders(request), [harness.PROFILE.leaving]: "1" };
+        response.writeHead(200, head).end("done");
+      };
+      while (first.requests.length === 0) {
+        assert.equal((await reading.call()).status, 200);
+      }
+      await kernel.sleep(300);
+      const joining = new harness.TestVm({
+        name: "vm-joining",
+        store: reading.store,
+        seeds: [reading.peerAddress],
+      });
+      try {
+        await joining.start(0);
+        await kernel.sleep(300);
+        // The store still lists it as ready, in a later change.
+        reading.store.put(first.createChange(reading.store.revision + 1));
+        await kernel.sleep(BOUND_MILLISECONDS);
+        for (let round = 0; round < 10; round++) {
+          for (const vm of [reading, withoutStore, joining]) {
+            assert.equal((await vm.call()).status, 200);
+          }
+        }
+        assert.equal(first.requests.length, 1);
+        // Another process under the same identifier is a new target.
+        first.behaviour = harness.answerSuccess;
+        const started = { startedAt: 5_000 };
+        reading.store.put(first.createChange(reading.store.revision + 1, started));
+        await kernel.sleep(BOUND_MILLISECONDS);
+        for (let round = 0; round < 30; round++) {
+          assert.equal((await joining.call()).status, 200);
+        }
+        assert.ok(first.requests.length > 1);
+      } finally {
+        await joining.stop();
+      }
+    });
+  });
+
   test.test("entries that expire while the store is unavailable stay in use until it has recovered", async () => {
     await withFleet(async (reading) => {
       const { store } = reading;
@@ -138,7 +261,7 @@
         await kernel.sleep(50);
       }
       entries.forEach((entry) =>
-        store.put({ ...entry, revision: store.revision + 1 as typeof entry.revision })
+        store.put({ ...entry, position: fixtures.createPosition(store.revision + 1) })
       );
       await kernel.sleep(2_500);
       assert.equal((await reading.call()).status, 200);
--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -20,6 +20,7 @@
   workspace: "x-workspace",
   notRun: "x-not-run",
   signature: "x-signature",
+  leaving: "x-leaving",
   keyScheme: "Bearer",
 };
 
@@ -99,33 +100,48 @@
 
 /** An in-memory store. */
 export class MemoryStore implements declarations.PublishedStore {
+  era = 0;
   revision = 1;
   declared: declarations.Declarations | undefined;
   targets = new Map<model.TargetId, declarations.TargetChange>();
   isAvailable = true;
 
+  /** Writes a change at the latest revision, or at its own if that is later. */
   put(change: declarations.TargetChange): void {
-    this.revision = Math.max(this.revision + 1, change.revision);
+    this.revision = Math.max(this.revision + 1, change.position.revision);
     this.targets.set(change.id, change);
   }
 
+  /** Restores a backup: the given targets, at an earlier revision. */
+  restore(targets: ReadonlyMap<model.TargetId, declarations.TargetChange>, revision: number): void {
+    this.era++;
+    this.revision = revision;
+    this.targets = new Map(targets);
+  }
+
   read(): Promise<neverthrow.Result<declarations.StoreUpdate, declarations.StoreFailure>> {
     if (!this.isAvailable) {
       return Promise.resolve(neverthrow.err("unavailable"));
     }
     return Promise.resolve(neverthrow.ok({
-      asOf: this.revision as declarations.StoreRevision,
+      asOf: fixtures.createPosition(this.revision, this.era),
       declarations: this.declared,
-      changes: [...this.targets.values()],
+      changes: [...this.targets.values()].map((change) => ({
+        ...change,
+        position: fixtures.createPosition(change.position.revision, this.era),
+      })),
     }));
   }
 
   async watch(
-    after: declarations.StoreRevision,
+    after: declarations.StorePosition,
     waitMilliseconds: number,
   ): Promise<neverthrow.Result<declarations.StoreUpdate, declarations.StoreFailure>> {
     const endsAt = performance.now() + waitMilliseconds;
-    while (this.isAvailable && this.revision <= after && performance.now() < endsAt) {
+    while (
+      this.isAvailable && this.era === after.era && this.revision <= after.revision &&
+      performance.now() < endsAt
+    ) {
       await kernel.sleep(10);
     }
     return await this.read();
@@ -265,7 +281,14 @@
     this.#vm.kernel.register(
       kernel.createServiceName<kernel.Service>("store-follower"),
       // As after a restart, so that the test does not wait for peers.
-      new proxy.StoreFollower(this.store, this.#vm.mesh, this.#vm.publisher, logger, false),
+      new proxy.StoreFollower({
+        store: this.store,
+        mesh: this.#vm.mesh,
+        publisher: this.#vm.publisher,
+        logger,
+        metrics: this.#vm.kernel.get(kernel.METRICS),
+        isFirstStart: false,
+      }),
     );
     await this.#vm.kernel.start();
     await waitFor(() => this.isReady, "the VM is ready");
--- a/packages/proxy/test/request_path_test.ts
+++ b/packages/proxy/test/request_path_test.ts
@@ -16,6 +16,11 @@
   response.end("failing");
 }
 
+/** Rejects a request without running it. */
+function rejectRequest(response: http.ServerResponse, retryAfter: string): void {
+  response.writeHead(503, { [PROFILE.notRun]: "1", "Retry-After": retryAfter }).end();
+}
+
 function setAll(vm: harness.TestVm, behaviour: harness.Behaviour): void {
   vm.targets.forEach((target) => target.behaviour = behaviour);
 }
@@ -215,6 +220,99 @@
     });
   });
 
+  test.test("a target that requests a pause gets no request until it is over", async () => {
+    await harness.withVm(2, async (vm) => {
+      const [first, second] = vm.targets;
+      assert.ok(first !== undefined && second !== undefined);
+      first.behaviour = (_request, response) => rejectRequest(response, "1.5");
+      while (first.requests.length === 0) {
+        assert.equal((await vm.call({ path: "/reads/1" })).status, 200);
+      }
+      const pausedAt = performance.now();
+      first.behaviour = harness.answerSuccess;
+      while (performance.now() - pausedAt < 1_300) {
+        const path = performance.now() % 2 < 1 ? "/reads/1" : "/bookings/1";
+        assert.equal((await vm.call({ path })).status, 200);
+        await kernel.sleep(10);
+      }
+      assert.equal(first.requests.length, 1);
+      await kernel.sleep(400);
+      for (let round = 0; round < 40; round++) {
+        assert.equal((await vm.call({ path: "/reads/1" })).status, 200);
+      }
+      assert.ok(first.requests.length > 1, "the pause is over");
+    });
+  });
+
+  test.test("a pause that states no time is logged and ignored", async () => {
+    await harness.withVm(1, async (vm) => {
+      for (const stated of ["soon", "-3", "0"]) {
+        setAll(vm, (_request, response) => rejectRequest(response, stated));
+        assert.equal((await vm.call()).status, 503);
+      }
+      setAll(vm, harness.answerSuccess);
+      assert.equal((await vm.call()).status, 200);
+      const { code } = kernel.LogMessages.targetPauseInvalid;
+      assert.equal(vm.log.filter((line) => line.code === code).length, 3);
+    });
+  });
+
+  test.test("while all targets are paused, a request is refused at once with their time", async () => {
+    await harness.withVm(2, async (vm) => {
+      setAll(vm, (_request, response) => rejectRequest(response, "20"));
+      const rejected = await vm.call();
+      assert.equal(rejected.status, 503);
+      while (vm.countRequests() < 2) {
+        await vm.call();
+      }
+      const startedAt = performance.now();
+      const refused = await vm.call({ path: "/reads/1" });
+      assert.ok(performance.now() - startedAt < 200, "at once");
+      assert.equal(refused.status, 503);
+      assert.match(refused.body, /targets_paused/);
+      const retryAfter = Number(refused.headers["retry-after"]);
+      assert.ok(retryAfter > 15 && retryAfter <= 20, `${retryAfter} s`);
+      assert.equal(vm.countRequests(), 2);
+    });
+  });
+
+  test.test("a request waits for a pause that ends in time", async () => {
+    await harness.withVm(1, async (vm) => {
+      setAll(vm, (_request, response) => rejectRequest(response, "0.15"));
+      assert.equal((await vm.call()).status, 503);
+      setAll(vm, harness.answerSuccess);
+      assert.equal((await vm.call()).status, 200);
+    });
+  });
+
+  test.test("a request that waits for a connection is not sent to a target that leaves", async () => {
+    await harness.withVm(2, async (vm) => {
+      const [first, second] = vm.targets;
+      assert.ok(first !== undefined && second !== undefined);
+      let isLeaving = false;
+      first.behaviour = (request, response) => {
+        const head = { ...harness.createAnswerHeaders(request), [PROFILE.leaving]: "1" };
+        // The response overtakes requests that are placed while it is on its way.
+        setTimeout(() => {
+          isLeaving = true;
+          response.writeHead(200, head).end("done");
+        }, 100);
+      };
+      let late = 0;
+      const calls: Promise<harness.CallerAnswer>[] = [];
+      const endsAt = performance.now() + 2_000;
+      while (performance.now() < endsAt) {
+        const before = first.requests.length;
+        calls.push(vm.call());
+        await kernel.sleep(5);
+        late += isLeaving ? first.requests.length - before : 0;
+      }
+      assert.ok((await Promise.all(calls)).every(({ status }) => status === 200));
+      assert.ok(isLeaving);
+      assert.equal(late, 0);
+    });
+  });
+
   test.test("bodies and heads beyond the declared limits are refused", async () => {
     await harness.withVm(1, async (vm) => {
       assert.equal((await vm.call({ body: "x".repeat(100_001) })).status, 413);
