Compress the links between data centres

Reports name the same targets and workspaces again and again, and all of them cross to every other data centre.

Change: a VM that dials a VM of another data centre, or one that it does not know, asks for the WebSocket's compression, with the messages before as context. Links within a data centre stay as they are. `listLinks` shows it to the test.

A relay on a large fleet was not measured.

--- a/packages/mesh/src/link.ts
+++ b/packages/mesh/src/link.ts
@@ -68,6 +68,11 @@
     return this.#socket.readyState === this.#socket.OPEN;
   }
 
+  /** Whether messages are compressed, which the two VMs have agreed on when the link opened. */
+  get isCompressed(): boolean {
+    return this.#socket.extensions !== "";
+  }
+
   send(encoded: Buffer): void {
     if (!this.isOpen) {
       return;
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -64,6 +64,16 @@
 
 const DIAL_TIMEOUT_MILLISECONDS = 700;
 
+/**
+ * Compression of links between data centres, whose traffic is charged. Reports repeat the same
+ * identifiers, so each message is compressed with the ones before it. The window holds the reports
+ * of some seconds; a lower level saves processor time and costs little in size.
+ */
+const COMPRESSION: ws.PerMessageDeflateOptions = {
+  threshold: 128,
+  zlibDeflateOptions: { level: 3, memLevel: 7 },
+};
+
 /** Number of highest-ranked VMs of its own data centre to which a VM keeps links. */
 const RELAYS_PER_DATA_CENTRE = 2;
 
@@ -186,6 +196,13 @@
     );
   }
 
+  /** The open links to known members. */
+  listLinks(): { peer: types.MemberIdentity; role: types.LinkRole; isCompressed: boolean }[] {
+    return [...this.#links].flatMap(({ isOpen, peer, role, isCompressed }) =>
+      isOpen && peer !== undefined ? [{ peer, role, isCompressed }] : []
+    );
+  }
+
   addSection(name: string, section: types.ReportSection): void {
     this.#sections.set(name, section);
   }
@@ -225,7 +242,11 @@
 
   async start(): Promise<void> {
     this.#server = http.createServer((_request, response) => response.writeHead(404).end());
-    this.#webSockets = new ws.WebSocketServer({ server: this.#server, perMessageDeflate: false });
+    // A link is compressed if the VM that dials asks for it.
+    this.#webSockets = new ws.WebSocketServer({
+      server: this.#server,
+      perMessageDeflate: COMPRESSION,
+    });
     this.#webSockets.on("connection", (socket) => this.#addLink(new links.Link(socket, this)));
     const { host, port } = kernel.splitAddress(this.self.address);
     await new Promise<void>((resolve, reject) => {
@@ -633,7 +654,7 @@
       return;
     }
     const socket = new ws.WebSocket(`ws://${address}`, {
-      perMessageDeflate: false,
+      perMessageDeflate: this.#isLocal(address) ? false : COMPRESSION,
       handshakeTimeout: DIAL_TIMEOUT_MILLISECONDS,
     });
     const link = new links.Link(socket, this, address);
@@ -641,6 +662,13 @@
     this.#addLink(link);
   }
 
+  /** Whether an address belongs to a known member of this data centre. */
+  #isLocal(address: string): boolean {
+    return this.#table.list().some((member) =>
+      member.address === address && member.dataCentre === this.self.dataCentre
+    );
+  }
+
   #addLink(link: links.Link): void {
     this.#links.add(link);
   }
--- a/packages/mesh/test/mesh_test.ts
+++ b/packages/mesh/test/mesh_test.ts
@@ -134,6 +134,36 @@
     });
   });
 
+  test.test("bridges between data centres are compressed, subscriptions are not", async () => {
+    await withFleet(async (fleet) => {
+      const listRoles = (role: types.LinkRole) =>
+        fleet.flatMap((vm) => vm.mesh.listLinks()).filter((link) => link.role === role);
+      await waitFor(
+        () => listRoles("bridge").length === 2 && listRoles("subscription").length === 6,
+        "relays are bridged and subscribed to from both ends",
+      );
+      assert.ok(listRoles("bridge").every(({ isCompressed }) => isCompressed));
+      assert.ok(listRoles("subscription").every(({ isCompressed }) => !isCompressed));
+    });
+  });
+
+  test.test("an urgent report is confirmed to its VM, and a VM without a relay is out of contact", async () => {
+    await withFleet(async (fleet) => {
+      const [relay, member] = fleet;
+      assert.ok(relay !== undefined && member !== undefined);
+      await waitFor(
+        () => member.mesh.countInContact() === fleet.length,
+        "the member is subscribed",
+      );
+      const before = member.mesh.confirmedSequence;
+      member.value = "urgent";
+      member.mesh.reportSoon();
+      await waitFor(() => member.mesh.confirmedSequence > before, "the report is confirmed");
+      fleet.filter((vm) => vm !== member).forEach((vm) => vm.mesh.stop());
+      await waitFor(() => member.mesh.countInContact() === 1, "the member is alone");
+    });
+  });
+
   test.test("reports reach all VMs after both relays have stopped", async () => {
     await withFleet(async (fleet) => {
       const [firstNorth, , , firstSouth] = fleet;
