Place and probe in the own data centre first

Cause: a target of another data centre cost 0.06 objectives, less than the difference between two estimates of its health, so about half of the requests left their data centre; and any VM probed any target, although the VMs of its own data centre reach it without crossing.

Change: it costs a quarter of an objective, and targets of other data centres are probed after 1.6 times the time of local ones.

--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -55,7 +55,7 @@
 /**
  * Cost of a target in another data centre, in objectives. Traffic between data centres is charged.
  */
-const REMOTE_COST_IN_OBJECTIVES = 0.06;
+const REMOTE_COST_IN_OBJECTIVES = 0.25;
 
 /** Cost of a target that this VM could not connect to, in objectives. Exceeds every other cost. */
 const UNREACHABLE_COST_IN_OBJECTIVES = 10;
@@ -79,6 +79,12 @@
 const OVERDUE_MILLISECONDS = 900;
 const OVERDUE_SHARE = 0.9;
 
+/**
+ * Targets of another data centre are probed after this many times the time of local ones: by then
+ * the VMs of their own data centre would have done so.
+ */
+const REMOTE_PROBE_FACTOR = 1.6;
+
 /** Targets whose latest evidence is this old are also probed first, whether idle or not. */
 const STALE_EVIDENCE_MILLISECONDS = 1_200;
 
@@ -189,7 +195,11 @@
 
 function isIdleWithoutOutcome(candidate: Candidate, milliseconds: number): boolean {
   return candidate.load === 0 && !candidate.isUnreachable &&
-    candidate.sinceLastOutcomeMilliseconds >= milliseconds;
+    candidate.sinceLastOutcomeMilliseconds >= milliseconds * getProbeFactor(candidate);
+}
+
+function getProbeFactor(candidate: Candidate): number {
+  return candidate.isRemote ? REMOTE_PROBE_FACTOR : 1;
 }
 
 /**
@@ -197,7 +207,8 @@
  * ended.
  */
 function isOverdue(candidate: Candidate): boolean {
-  const isEvidenceStale = candidate.evidenceAgeMilliseconds >= STALE_EVIDENCE_MILLISECONDS &&
+  const isEvidenceStale = candidate.evidenceAgeMilliseconds >=
+      STALE_EVIDENCE_MILLISECONDS * getProbeFactor(candidate) &&
     candidate.load < candidate.slots && !candidate.isUnreachable;
   return candidate.failureProbability >= MIN_PROBE_FAILURE_PROBABILITY &&
     (isEvidenceStale || isIdleWithoutOutcome(candidate, OVERDUE_MILLISECONDS));
