--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -78,8 +78,8 @@
   /** Tokens seem to be left, but earlier ones taken here are not confirmed yet. */
   | "unconfirmed";
 
-/** What a report contained. */
-interface ReportedCounters {
+/** What this VM has reported and the others have not yet confirmed. */
+interface UnconfirmedReport {
   readonly sequence: number;
   readonly taken: number;
 }
@@ -103,7 +103,8 @@
   #takenReported = 0;
   #takenConfirmed = 0;
   /** Reports that the others have not confirmed, oldest first. */
-  #unconfirmed: ReportedCounters[] = [];
+  #unconfirmed: UnconfirmedReport[] = [];
+  /** The most VMs known within the recent past. */
   #expected = 1;
   readonly #others = new Map<string, OtherVm>();
   #shareLevel = 0;
@@ -161,7 +162,7 @@
     this.#shareLevel = Math.min(MAX_SHARE_TOKENS, this.#shareLevel + credited * share);
   }
 
-  /** Takes a token if one is available to this VM, confirmed or not. */
+  /** Takes a token if one is available to this VM, without waiting for a confirmation. */
   take(): boolean {
     return this.tryTake(true) === "taken";
   }
@@ -172,8 +173,7 @@
    * @param isFinal Whether to take or refuse rather than to return `unconfirmed`.
    */
   tryTake(isFinal: boolean): TakeResult {
-    const othersDemandBefore = Math.max(0, this.#fleetDemand - this.#ownDemand);
-    if (!isFinal && this.#isAtUnconfirmedLimit && this.#hasFreeTokens(othersDemandBefore)) {
+    if (!isFinal && this.#isAtUnconfirmedLimit && this.#hasFreeTokens()) {
       return "unconfirmed";
     }
     return this.#take() ? "taken" : "refused";
@@ -182,8 +182,7 @@
   #take(): boolean {
     this.#requested++;
     this.#addDemand(1, 1);
-    const othersDemand = Math.max(0, this.#fleetDemand - this.#ownDemand);
-    if (!this.#isAtUnconfirmedLimit && this.#hasFreeTokens(othersDemand)) {
+    if (!this.#isAtUnconfirmedLimit && this.#hasFreeTokens()) {
       this.#spend();
       return true;
     }
@@ -205,11 +204,12 @@
 
   /** Whether this VM should report its counters before the next tick. */
   get isUrgent(): boolean {
-    const isConfirmationNeeded = this.#taken > this.#takenReported &&
+    const unreported = this.#taken - this.#takenReported;
+    const isConfirmationNeeded = unreported > 0 &&
       this.#taken - this.#takenConfirmed >= this.#unconfirmedLimit / 2;
-    return isConfirmationNeeded || this.#level < this.#burst * HIGH_LEVEL_SHARE_OF_BURST &&
-        this.#taken - this.#takenReported >=
-          Math.max(2, this.#burst * MAX_UNREPORTED_SHARE_OF_BURST);
+    const isLevelAffected = this.#level < this.#burst * HIGH_LEVEL_SHARE_OF_BURST &&
+      unreported >= Math.max(2, this.#burst * MAX_UNREPORTED_SHARE_OF_BURST);
+    return isConfirmationNeeded || isLevelAffected;
   }
 
   /**
@@ -288,7 +288,8 @@
   }
 
   /** Whether a token is left besides those that the others may have taken and not yet reported. */
-  #hasFreeTokens(othersDemand: number): boolean {
+  #hasFreeTokens(): boolean {
+    const othersDemand = Math.max(0, this.#fleetDemand - this.#ownDemand);
     const unreported = othersDemand * this.#propagationMilliseconds / DEMAND_WINDOW_MILLISECONDS;
     return this.#level + this.#allowance >= 1 + Math.min(unreported, this.#burst);
   }
