Fewer urgent reports for rates in fleets beyond 64 VMs

At 292 VMs a VM might hold two unconfirmed tokens, and one of them made its report urgent, so that nearly every request with a rate was reported to all VMs on its own.

Change: beyond 64 VMs a VM may hold one unconfirmed token for each 32 VMs, and half of them make the report urgent (5 of 292 in the test, 1 of 36 as before). The size of the fleet is known to a bucket from its creation and not from its first refill. Fleets of up to 64 VMs are otherwise unchanged.

--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -55,6 +55,12 @@
 /** Least number of tokens that a VM may take before the others have confirmed them. */
 const MIN_UNCONFIRMED_TOKENS = 2;
 
+/**
+ * VMs for each unconfirmed token that a VM of a large fleet may hold. Half of them make its report
+ * urgent, so that without this the urgent reports would grow with the fleet's requests.
+ */
+const VMS_PER_UNCONFIRMED_TOKEN = 32;
+
 /** Tokens that one VM has taken, and that were requested of it, since its start. */
 export interface BucketCounters {
   readonly taken: number;
@@ -279,6 +285,7 @@
   get #unconfirmedLimit(): number {
     return Math.max(
       MIN_UNCONFIRMED_TOKENS,
+      this.#expected / VMS_PER_UNCONFIRMED_TOKEN,
       Math.floor((this.#burst + this.#allowance) / this.#expected),
     );
   }
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -264,6 +264,8 @@
         this.#isFirstStart ? declared.burst : accrued,
         this.#getRateAllowance(declared),
       );
+      // The size of the fleet limits what is taken before the first refill.
+      bucket.refill(0, this.#getPresence());
       this.#rates.set(workspace, bucket);
     }
     return bucket;
@@ -284,6 +286,7 @@
     if (bucket === undefined) {
       const burst = this.#getRetryBurst();
       bucket = new placement.SharedBucket(burst, this.#isFirstStart ? burst : 0);
+      bucket.refill(0, this.#getPresence());
       this.#retries.set(service, bucket);
     }
     return bucket;
--- a/packages/proxy/test/budgets_test.ts
+++ b/packages/proxy/test/budgets_test.ts
@@ -32,9 +32,9 @@
   burst: BURST,
 };
 
-/** A mesh of six VMs, of which the test plays the other five. */
+/** A mesh in which the test plays the other VMs. */
 class SimulatedMesh {
-  readonly size = 6;
+  size = 6;
   readonly propagationMilliseconds = PROPAGATION_MILLISECONDS;
   confirmedSequence = Number.POSITIVE_INFINITY;
   readonly sections = new Map<string, mesh.ReportSection>();
@@ -49,7 +49,11 @@
     return this.size;
   }
 
-  reportSoon(): void {}
+  urgentReports = 0;
+
+  reportSoon(): void {
+    this.urgentReports++;
+  }
 
   /** Reports what another VM has taken of the workspace's tokens since its start. */
   report(taken: number): void {
@@ -59,22 +63,62 @@
   }
 }
 
+function createBudgets(others: SimulatedMesh, burst = BURST): proxy.Budgets {
+  const store = new declarations.DeclarationStore();
+  const logger = new kernel.ComponentLogger(kernel.createSilentLogger(), "budgets");
+  const budgets = new proxy.Budgets(others as unknown as mesh.Mesh, store, BOUNDS, true, logger);
+  store.apply(fixtures.createDeclarations(1, { workspaces: [{ ...WORKSPACE, burst }] }));
+  budgets.start();
+  return budgets;
+}
+
 test.describe("budgets", () => {
+  test.test("in a large fleet, single tokens do not make a report urgent", async () => {
+    const clock = new kernelTesting.TestClock();
+    try {
+      for (const [size, urgentAfter] of [[36, 1], [292, 5]] as const) {
+        const others = new SimulatedMesh();
+        others.confirmedSequence = 0;
+        others.size = size;
+        const budgets = createBudgets(others, 60);
+        await clock.advance(200);
+        for (let token = 1; token <= urgentAfter; token++) {
+          assert.equal(others.urgentReports, 0, `${size} VMs, before token ${token}`);
+          assert.equal(budgets.takeRate(WORKSPACE), true);
+        }
+        assert.equal(others.urgentReports, 1, `${size} VMs`);
+        budgets.stop();
+      }
+    } finally {
+      clock.restore();
+    }
+  });
+
+  test.test("a request waits for the confirmation of earlier tokens", async () => {
+    const clock = new kernelTesting.TestClock();
+    const others = new SimulatedMesh();
+    others.confirmedSequence = 0;
+    others.size = 36;
+    const budgets = createBudgets(others, 60);
+    try {
+      await clock.advance(200);
+      while (budgets.takeRate(WORKSPACE) === true);
+      const waiting = budgets.takeRate(WORKSPACE);
+      others.sections.get("rates")?.collect(1);
+      others.confirmedSequence = 1;
+      await clock.advance(50);
+      assert.equal(await waiting, true);
+    } finally {
+      budgets.stop();
+      clock.restore();
+    }
+  });
+
   test.test("a VM that stood still waits for what the others have taken meanwhile", async () => {
     const clock = new kernelTesting.TestClock();
     try {
       const others = new SimulatedMesh();
-      const store = new declarations.DeclarationStore();
-      const logger = new kernel.ComponentLogger(kernel.createSilentLogger(), "budgets");
-      const budgets = new proxy.Budgets(
-        others as unknown as mesh.Mesh,
-        store,
-        BOUNDS,
-        true,
-        logger,
-      );
-      store.apply(fixtures.createDeclarations(1, { workspaces: [WORKSPACE] }));
-      budgets.start();
+      const budgets = createBudgets(others);
       let taken = 0;
       let waiting = 0;
       const takeAll = (attempts: number) => {
