--- a/packages/declarations/src/target_facts.ts
+++ b/packages/declarations/src/target_facts.ts
@@ -1,7 +1,7 @@
 /**
  * What is known of an incarnation of a target beyond the current content of the store.
  *
- * Answers for a store that is restored from a backup some seconds old. The backup may hold targets
+ * Designed for a store that is restored from a backup some seconds old. The backup may hold targets
  * that have ended since, or list as ready a target that is draining. What was known then still
  * binds: it applies to entries of later eras until the target has reported again. A target's own
  * announcement that it leaves binds for the rest of its incarnation, whatever its entry says.
--- a/packages/declarations/test/store_era_test.ts
+++ b/packages/declarations/test/store_era_test.ts
@@ -112,7 +112,7 @@
     assert.ok(removal !== undefined && !directory.apply(removal), "it has registered again");
   });
 
-  test.test("a target that leaves by its own word stays out for its incarnation", () => {
+  test.test("a target that leaves by its own announcement stays out for its incarnation", () => {
     const directory = createDirectory(report(5, 50, 1));
     const leaving: model.TargetId[] = [];
     directory.onLeaving((entry) => leaving.push(entry.id));
--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -165,7 +165,7 @@
   targetLeaving: {
     code: 4003,
     level: "info",
-    text: "A target leaves by its own word; it gets no further requests.",
+    text: "A target has announced that it leaves; it gets no further requests.",
     fields: {
       target: "The target.",
       startedAt: "Start of the incarnation that leaves, in Unix milliseconds; 0 if unknown.",
--- a/packages/placement/src/target_pauses.ts
+++ b/packages/placement/src/target_pauses.ts
@@ -1,7 +1,7 @@
 /**
  * Pauses that targets request of this VM.
  *
- * Answers for targets under more load than they accept: a target that rejects a request may state
+ * Designed for targets under more load than they accept: a target that rejects a request may state
  * for how long it wants no request from this VM. Until then it is no candidate for any request, a
  * retry or a probe included.
  */
--- a/packages/proxy/test/fleet_test.ts
+++ b/packages/proxy/test/fleet_test.ts
@@ -202,7 +202,7 @@
     });
   });
 
-  test.test("a target that leaves by its own word gets no request from any VM", async () => {
+  test.test("a target that leaves by its own announcement gets no request from any VM", async () => {
     await withFleet(async (reading, withoutStore) => {
       const [first] = reading.targets;
       assert.ok(first !== undefined);
