Log the requests under which targets end, and what was found of a target that broke off

The logs of the incident could not tell whether the requests under which targets ended were the same one, nor a target that has ended from one that closed a connection. The trace of a failed call now has a fingerprint of the request (method, host, path, workspace, body), and a VM checks whether the target still accepts connections while another one does: message 4301 and hemlockwalk_broken_calls_total. Nothing is decided by it yet.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -271,6 +271,16 @@
     text: "This VM reaches targets again.",
     fields: { milliseconds: "Time for which it reached none." },
   },
+  targetEnded: {
+    code: 4301,
+    level: "info",
+    text: "A target has ended while it ran a request of this VM.",
+    fields: {
+      target: "The target.",
+      startedAt: "Start of its incarnation, in Unix milliseconds; 0 if unknown.",
+      fingerprint: "Fingerprint of the request, the same for each repetition of it.",
+    },
+  },
   requestEnded: {
     code: 5001,
     level: "info",
@@ -345,7 +355,11 @@
   },
   answered: { target: "The target.", status: "Status of its response." },
   not_run: { target: "The target.", reason: "How it is known that the request did not run." },
-  failed: { target: "The target.", reason: "Why there is no complete response." },
+  failed: {
+    target: "The target.",
+    reason: "Why there is no complete response.",
+    fingerprint: "Fingerprint of the request, the same for each repetition of it.",
+  },
   retried: { retryLevel: "Share of the service's retry budget that was left." },
   target_notice: {
     target: "The target.",
--- a/packages/model/src/types.ts
+++ b/packages/model/src/types.ts
@@ -19,6 +19,8 @@
 export type ServiceId = Brand<string, "ServiceId">;
 /** Identifier of a target. */
 export type TargetId = Brand<string, "TargetId">;
+/** Digest of what a caller's request has in common with its repetitions, as base64url text. */
+export type RequestFingerprint = Brand<string, "RequestFingerprint">;
 /** SHA-256 of a caller's key, as 64 lower-case hexadecimal digits. */
 export type KeyDigest = Brand<string, "KeyDigest">;
 /** Position of a release note in the chain, from 1. */
--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -3,6 +3,7 @@
  * of a long body is streamed to the first target.
  */
 
+import type * as crypto from "node:crypto";
 import type * as http from "node:http";
 
 /** Bodies up to this size are buffered. */
@@ -51,6 +52,15 @@
     return bytes > 0 || this.#contentLength !== undefined ? bytes : undefined;
   }
 
+  /** Adds the body to a hash; of a long one, as much as is always buffered. */
+  updateHash(hash: crypto.Hash): void {
+    let left = MAX_BUFFERED_BODY_BYTES;
+    for (const chunk of this.#chunks) {
+      hash.update(chunk.subarray(0, left));
+      left -= Math.min(left, chunk.length);
+    }
+  }
+
   sendTo(outgoing: http.ClientRequest): void {
     this.#isSent = false;
     for (const chunk of this.#chunks) {
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -8,6 +8,7 @@
 import * as mesh from "@hemlockwalk/mesh";
 import type * as bunyan from "bunyan";
 import * as budgets from "./budgets.ts";
+import * as crashes from "./crash_monitor.ts";
 import * as publishers from "./publisher.ts";
 import * as rateStatements from "./rate_statements.ts";
 import * as listeners from "./listener.ts";
@@ -16,6 +17,7 @@
 import * as peers from "./serving_peers.ts";
 import * as gates from "./start_gate.ts";
 import * as connections from "./target_connections.ts";
+import * as targetEndChecks from "./target_end_check.ts";
 import * as trackers from "./target_tracker.ts";
 import type * as types from "./types.ts";
 import * as requestQueues from "./request_queues.ts";
@@ -97,6 +99,14 @@
     kernel.createServiceName<peers.ServingPeers>("serving-peers"),
     new peers.ServingPeers(vmMesh, path),
   );
+  const crashMonitor = vm.register(
+    kernel.createServiceName<crashes.CrashMonitor>("crash-monitor"),
+    new crashes.CrashMonitor(
+      new targetEndChecks.TargetEndChecks(directory, tracker.reachability, sourceAddress),
+      createLogger("targets"),
+      metrics,
+    ),
+  );
   const targetConnections = new connections.TargetConnections(sourceAddress);
   directory.onLeaving((entry) => {
     const { host, port } = kernel.splitAddress(entry.address);
@@ -133,6 +143,7 @@
         recordLeaving: (target) => publisher.publishLeaving(target),
         recordRate: (target, notice) => statements.record(target, notice),
         log: new log.RequestLog(createLogger("requests")),
+        crashes: crashMonitor,
         queues: new requestQueues.RequestQueues(),
         counters: {
           requests: metrics.createCounter(
--- a/packages/proxy/src/request_context.ts
+++ b/packages/proxy/src/request_context.ts
@@ -4,6 +4,7 @@
 
 import type * as declarations from "@hemlockwalk/declarations";
 import type * as budgets from "./budgets.ts";
+import type * as crashes from "./crash_monitor.ts";
 import type * as log from "./request_log.ts";
 import type * as gates from "./start_gate.ts";
 import type * as calls from "./target_call.ts";
@@ -22,6 +23,7 @@
   readonly budgets: budgets.Budgets;
   readonly connections: connections.TargetConnections;
   readonly log: log.RequestLog;
+  readonly crashes: crashes.CrashMonitor;
   readonly queues: requestQueues.RequestQueues;
   readonly counters: {
     /** Requests of callers. */
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -13,6 +13,7 @@
 import * as passingOn from "./passing_on.ts";
 import * as refusals from "./refusals.ts";
 import type * as contexts from "./request_context.ts";
+import * as fingerprints from "./request_fingerprint.ts";
 import * as log from "./request_log.ts";
 import type * as peers from "./serving_peers.ts";
 import * as placers from "./request_placer.ts";
@@ -48,6 +49,9 @@
   #arrivals = 0;
   #hasAttempted = false;
   #mayHaveRun = false;
+  /** Whether the time for the response has run out. */
+  #hasExpired = false;
+  #fingerprint: model.RequestFingerprint | undefined;
   /** Whether the target that shed the request last seemed to have no free slot. */
   #isOutOfSlots = true;
 
@@ -201,7 +205,7 @@
       tracker.endCall(target.id);
       this.#context.queues.get(accepted.service).advance();
     }
-    this.#recordResult(accepted, target.id, result, startedAt);
+    this.#recordResult(accepted, body, target, result, startedAt);
     return result;
   }
 
@@ -296,13 +300,15 @@
 
   #recordResult(
     accepted: types.AcceptedRequest,
-    target: model.TargetId,
+    body: bodies.RequestBody,
+    entry: declarations.TargetEntry,
     result: calls.CallResult,
     startedAt: number,
   ): void {
     const milliseconds = kernel.getMonotonicMilliseconds() - startedAt;
     const { tracker } = this.#context;
     const { route } = accepted;
+    const target = entry.id;
     if (result.kind !== "not_run" || result.hasArrived) {
       this.#arrivals++;
     }
@@ -340,13 +346,40 @@
             startedAt,
           );
         }
-        this.#trace.add("failed", { target, reason: result.reason });
+        this.#recordFailure(accepted, body, entry, result.reason);
         return;
       case "refused_by_peer":
         throw new kernel.AssertionError("Only another VM refuses a request this way.");
     }
   }
 
+  #recordFailure(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+    target: declarations.TargetEntry,
+    reason: calls.FailureReason,
+  ): void {
+    const fingerprint = this.#getFingerprint(accepted, body);
+    this.#trace.add("failed", { target: target.id, reason, fingerprint });
+    const isGivenUp = reason === "cancelled" && !this.#hasExpired;
+    // After a response that cannot be read, the target still runs.
+    if (!isGivenUp && reason !== "spoilt") {
+      this.#context.crashes.recordBreak(target, fingerprint);
+    }
+  }
+
+  #getFingerprint(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+  ): model.RequestFingerprint {
+    this.#fingerprint ??= fingerprints.createFingerprint(
+      accepted,
+      this.#request.headers.host,
+      body,
+    );
+    return this.#fingerprint;
+  }
+
   #mayRetry(
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
@@ -444,6 +477,7 @@
     if (this.#finalAnswer.isDecided) {
       return;
     }
+    this.#hasExpired = true;
     this.#finalAnswer.refuse(
       this.#hasAttempted ? { status: 504, reason: "timeout" } : {
         status: 503,
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -30,6 +30,9 @@
   readonly isFramed: boolean;
 }
 
+/** Why there is no complete response of a target that may have run the request. */
+export type FailureReason = "reset" | "spoilt" | "cut_short" | "silent" | "cancelled";
+
 /** How an attempt ended. */
 export type CallResult =
   | { readonly kind: "answered"; readonly answer: TargetAnswer }
@@ -41,10 +44,7 @@
     readonly hasArrived: boolean;
   }
   /** The target may have run the request. */
-  | {
-    readonly kind: "failed";
-    readonly reason: "reset" | "spoilt" | "cut_short" | "silent" | "cancelled";
-  }
+  | { readonly kind: "failed"; readonly reason: FailureReason }
   /** The VM that the request was passed on to has refused it. */
   | { readonly kind: "refused_by_peer"; readonly refusal: refusals.Refusal };
 
@@ -287,7 +287,7 @@
     }
   }
 
-  #fail(reason: Extract<CallResult, { kind: "failed" }>["reason"]): void {
+  #fail(reason: FailureReason): void {
     if (this.#isSettled) {
       return;
     }
