--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -96,6 +96,10 @@
     }
   }
 
+  get isListening(): boolean {
+    return this.#server.listening;
+  }
+
   get port(): number {
     const address = this.#server.address();
     return typeof address === "object" && address !== null ? address.port : assert.fail();
@@ -110,6 +114,17 @@
     this.#server.closeAllConnections();
   }
 
+  /** Ends like a process that crashes: resets all connections and refuses new ones. */
+  crash(): void {
+    this.#server.close();
+    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
+  /** Listens again at an address that it had before. */
+  async restart(port: number): Promise<void> {
+    await new Promise<void>((resolve) => this.#server.listen(port, "127.0.0.1", resolve));
+  }
+
   createChange(
     revision: number,
     changes: Partial<declarations.TargetEntry> = {},
