Quarantine a request under which three targets have ended

What callers saw: targets of a service ended one after another, and with them the other requests that ran on them (502), because one caller's request ended each target that ran it and was sent again at every repeat, by every VM.

Cause: a request was known by the identifier of a single attempt. Nothing connected its repeats, at one VM or between VMs.

A request is now known by a fingerprint as well (method, host, path, workspace, body). If a call breaks off, the VM checks whether the target still accepts a connection while another target does; so a closed connection, a lost path or a planned leave is no evidence.

A target that was found ended also gets no requests until a test connection succeeds.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -281,6 +281,22 @@
       fingerprint: "Fingerprint of the request, the same for each repetition of it.",
     },
   },
+  requestQuarantined: {
+    code: 4302,
+    level: "warn",
+    text: "A request is not sent to targets any more, since targets have ended under it.",
+    fields: {
+      fingerprint: "Fingerprint of the request.",
+      targets: "Targets that have ended under it.",
+      milliseconds: "Time until it is sent to a target again.",
+    },
+  },
+  requestReleased: {
+    code: 4303,
+    level: "info",
+    text: "A request is sent to targets again, since one has answered it successfully.",
+    fields: { fingerprint: "Fingerprint of the request." },
+  },
   requestEnded: {
     code: 5001,
     level: "info",
@@ -381,5 +397,10 @@
   held_at_start: {
     informed: "Whether declarations had arrived when the newly started VM resumed the request.",
   },
+  quarantined: {
+    fingerprint: "Fingerprint of the request.",
+    targets: "Targets that have ended under it.",
+    remaining: "Milliseconds until it is sent to a target again.",
+  },
   no_retry_left: { retryLevel: "Share of the service's retry budget that was left." },
 } as const;
--- /dev/null
+++ b/packages/placement/src/crash_evidence.ts
@@ -0,0 +1,150 @@
+/**
+ * Decides which requests are no longer sent to targets because targets end under them.
+ *
+ * Designed for a request that ends each target that runs it and that its caller repeats at any VM.
+ * Targets that end take the other requests along that run on them, so a single end proves little. A
+ * request is quarantined once several targets have ended under it, not all at the same moment, and
+ * none has answered it successfully since the first of these ends.
+ *
+ * Evidence forms a semilattice: VMs may exchange it in any order and more than once.
+ */
+
+import * as kernel from "@hemlockwalk/kernel";
+import type * as model from "@hemlockwalk/model";
+
+/** Targets that have ended under a request from which it is quarantined. */
+const MIN_ENDS = 3;
+
+/**
+ * Least time between the first and the last of these ends. Targets that fail together, by a common
+ * cause, say nothing about the requests that ran on them.
+ */
+const MIN_SPREAD_MILLISECONDS = 250;
+
+/** Time of a quarantine after the last end. It doubles with each end beyond the first ones. */
+const QUARANTINE_MILLISECONDS = 300_000;
+const MAX_QUARANTINE_MILLISECONDS = 3_600_000;
+
+/** Time for which evidence is kept after the last end, or after the quarantine if there is one. */
+const RETENTION_MILLISECONDS = 600_000;
+
+/** Requests and ends of one request that are kept; beyond them, the oldest are dropped. */
+const MAX_REQUESTS = 256;
+const MAX_ENDS_PER_REQUEST = 16;
+
+/** The end of one incarnation of a target. */
+export interface TargetEnd {
+  readonly target: model.TargetId;
+  /** Start of the incarnation in Unix milliseconds; 0 if it was not announced. */
+  readonly startedAt: number;
+  /** Monotonic time of its end, in milliseconds. */
+  readonly endedAt: number;
+}
+
+/** What is known of one request. */
+export interface RequestEvidence {
+  /** Targets that have ended under it since it last succeeded, the earliest end first. */
+  readonly ends: readonly TargetEnd[];
+  /** Monotonic time of its latest success, in milliseconds; undefined if none is known. */
+  readonly succeededAt: number | undefined;
+}
+
+/** A request that is not sent to targets at present. */
+export interface Quarantine {
+  /** Targets that have ended under it. */
+  readonly ends: number;
+  readonly remainingMilliseconds: number;
+}
+
+const NO_EVIDENCE: RequestEvidence = { ends: [], succeededAt: undefined };
+
+/** Evidence about all requests under which targets have ended. */
+export class CrashEvidence {
+  readonly #byRequest = new Map<model.RequestFingerprint, RequestEvidence>();
+
+  /** Whether there is no evidence about any request. */
+  get isEmpty(): boolean {
+    return this.#byRequest.size === 0;
+  }
+
+  /** Lists the evidence, the request with the latest change last. */
+  list(): [model.RequestFingerprint, RequestEvidence][] {
+    return [...this.#byRequest];
+  }
+
+  has(request: model.RequestFingerprint): boolean {
+    return this.#byRequest.has(request);
+  }
+
+  /** Records that a target has ended under a request; returns whether that was new. */
+  recordEnd(request: model.RequestFingerprint, end: TargetEnd): boolean {
+    const known = this.#byRequest.get(request) ?? NO_EVIDENCE;
+    const isKnown = known.ends.some(({ target, startedAt }) =>
+      target === end.target && startedAt === end.startedAt
+    );
+    if (isKnown || end.endedAt <= (known.succeededAt ?? Number.NEGATIVE_INFINITY)) {
+      return false;
+    }
+    const ends = [...known.ends, end].sort((left, right) => left.endedAt - right.endedAt);
+    this.#set(request, { ...known, ends: ends.slice(-MAX_ENDS_PER_REQUEST) });
+    return true;
+  }
+
+  /**
+   * Records that a target has answered a request successfully, which refutes the ends before;
+   * returns whether that was new.
+   *
+   * @param at Monotonic time of the answer, in milliseconds.
+   */
+  recordSuccess(request: model.RequestFingerprint, at: number): boolean {
+    const known = this.#byRequest.get(request);
+    if (known === undefined || at <= (known.succeededAt ?? Number.NEGATIVE_INFINITY)) {
+      return false;
+    }
+    const ends = known.ends.filter(({ endedAt }) => endedAt > at);
+    this.#set(request, { ends, succeededAt: at });
+    return ends.length < known.ends.length;
+  }
+
+  /** The quarantine of a request; undefined if it may be sent to targets. */
+  findQuarantine(request: model.RequestFingerprint): Quarantine | undefined {
+    const ends = this.#byRequest.get(request)?.ends ?? [];
+    const remainingMilliseconds = getQuarantineEnd(ends) - kernel.getMonotonicMilliseconds();
+    return remainingMilliseconds > 0 ? { ends: ends.length, remainingMilliseconds } : undefined;
+  }
+
+  /** Drops evidence that is too old to matter. */
+  discardExpired(): void {
+    const oldest = kernel.getMonotonicMilliseconds() - RETENTION_MILLISECONDS;
+    for (const [request, { ends, succeededAt }] of this.#byRequest) {
+      const lastAt = Math.max(
+        ends.at(-1)?.endedAt ?? Number.NEGATIVE_INFINITY,
+        succeededAt ?? Number.NEGATIVE_INFINITY,
+        getQuarantineEnd(ends),
+      );
+      if (lastAt < oldest) {
+        this.#byRequest.delete(request);
+      }
+    }
+  }
+
+  #set(request: model.RequestFingerprint, evidence: RequestEvidence): void {
+    this.#byRequest.delete(request);
+    this.#byRequest.set(request, evidence);
+    const [oldest] = this.#byRequest.keys();
+    if (this.#byRequest.size > MAX_REQUESTS && oldest !== undefined) {
+      this.#byRequest.delete(oldest);
+    }
+  }
+}
+
+/** Monotonic time at which the quarantine ends; negative infinity if the ends call for none. */
+function getQuarantineEnd(ends: readonly TargetEnd[]): number {
+  const firstAt = ends.at(0)?.endedAt ?? Number.NEGATIVE_INFINITY;
+  const lastAt = ends.at(-1)?.endedAt ?? Number.NEGATIVE_INFINITY;
+  if (ends.length < MIN_ENDS || lastAt - firstAt < MIN_SPREAD_MILLISECONDS) {
+    return Number.NEGATIVE_INFINITY;
+  }
+  const time = QUARANTINE_MILLISECONDS * 2 ** (ends.length - MIN_ENDS);
+  return lastAt + Math.min(time, MAX_QUARANTINE_MILLISECONDS);
+}
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -1,9 +1,10 @@
 /**
  * Placement decisions over plain values: health estimates of targets, choice of a target, request
- * queues, shared token buckets and rates of targets.
+ * queues, shared token buckets, rates of targets and requests under which targets end.
  */
 
 export * from "./chooser.ts";
+export * from "./crash_evidence.ts";
 export * from "./health_estimate.ts";
 export * from "./isolation.ts";
 export * from "./peer_choice.ts";
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -103,6 +103,8 @@
     kernel.createServiceName<crashes.CrashMonitor>("crash-monitor"),
     new crashes.CrashMonitor(
       new targetEndChecks.TargetEndChecks(directory, tracker.reachability, sourceAddress),
+      directory,
+      vmMesh,
       createLogger("targets"),
       metrics,
     ),
@@ -171,7 +173,7 @@
   );
   vm.register(
     kernel.createServiceName<kernel.Service>("housekeeping"),
-    createHousekeeping(tracker, directory),
+    createHousekeeping(tracker, directory, crashMonitor),
   );
   return {
     kernel: vm,
@@ -184,6 +186,7 @@
 function createHousekeeping(
   tracker: trackers.TargetTracker,
   directory: declarations.TargetDirectory,
+  crashMonitor: crashes.CrashMonitor,
 ): kernel.Service {
   let timer: NodeJS.Timeout | undefined;
   return {
@@ -191,6 +194,7 @@
       timer = setInterval(() => {
         tracker.dropDepartedVms();
         directory.discardExpired();
+        crashMonitor.discardExpired();
       }, HOUSEKEEPING_INTERVAL_MILLISECONDS);
     },
     stop() {
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -113,6 +113,12 @@
       return;
     }
     read.body.tooLarge?.addEventListener("abort", () => this.#refuseLongBody(), { once: true });
+    const quarantine = this.#findQuarantine(accepted, read.body);
+    if (quarantine !== undefined) {
+      this.#returnRate(accepted);
+      this.#finalAnswer.refuse(quarantine);
+      return;
+    }
     if (!this.#isForwarded) {
       this.#context.budgets.countRequest(accepted.service);
     }
@@ -138,7 +144,18 @@
           break;
         }
         if (placed.kind === "refused") {
-          this.#answerUnplaced(accepted, result, placed.reason);
+          this.#answerUnplaced(
+            accepted,
+            result,
+            this.#createUnplacedRefusal(accepted, placed.reason),
+          );
+          return;
+        }
+        // Targets may have ended under its repetitions while the request was queued.
+        const quarantine = this.#findQuarantine(accepted, body);
+        if (quarantine !== undefined) {
+          this.#context.queues.get(accepted.service).advance();
+          this.#answerUnplaced(accepted, result, quarantine);
           return;
         }
         result = await this.#call(accepted, body, placed);
@@ -318,6 +335,7 @@
         this.#mayHaveRun = true;
         tracker.recordOutcome(target, isError ? "error" : "success", startedAt);
         if (!isError) {
+          this.#recordSuccess(accepted, body, result.answer);
           tracker.processingTimes.record(
             route.id,
             target,
@@ -368,6 +386,17 @@
     }
   }
 
+  #recordSuccess(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+    answer: calls.TargetAnswer,
+  ): void {
+    // The target may still end while it sends the rest of a long response.
+    if (answer.rest === undefined && !this.#context.crashes.isIdle) {
+      this.#context.crashes.recordSuccess(this.#getFingerprint(accepted, body));
+    }
+  }
+
   #getFingerprint(
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
@@ -391,6 +420,9 @@
     if (isSuccess || this.#caller.signal.aborted || !body.isBuffered) {
       return false;
     }
+    if (this.#findQuarantine(accepted, body) !== undefined) {
+      return false;
+    }
     if (result.kind === "refused_by_peer") {
       return forwarding.mayServeElsewhere(result.refusal) && this.#peers.mayTryAnother;
     }
@@ -457,20 +489,48 @@
   #answerUnplaced(
     accepted: types.AcceptedRequest,
     result: calls.CallResult | undefined,
-    reason: types.RefusalReason,
+    refusal: refusals.Refusal,
   ): void {
     if (result !== undefined && (result.kind === "answered" || this.#mayHaveRun)) {
       this.#answer(accepted, result);
-      return;
+    } else {
+      this.#finalAnswer.refuse(refusal);
+    }
+  }
+
+  #createUnplacedRefusal(
+    accepted: types.AcceptedRequest,
+    reason: types.RefusalReason,
+  ): refusals.Refusal {
+    const retryAfterSeconds = this.#getRetryAfterSeconds(
+      accepted.service,
+      refusals.RETRY_AFTER_SECONDS.noRoom,
+    );
+    return { status: 503, reason, retryAfterSeconds };
+  }
+
+  /** The refusal of a request that is not sent to targets at present; undefined if it may be. */
+  #findQuarantine(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+  ): refusals.Refusal | undefined {
+    const { crashes } = this.#context;
+    if (crashes.isIdle) {
+      return undefined;
+    }
+    const fingerprint = this.#getFingerprint(accepted, body);
+    const quarantine = crashes.findQuarantine(fingerprint);
+    if (quarantine === undefined) {
+      return undefined;
     }
-    this.#finalAnswer.refuse({
-      status: 503,
-      reason,
-      retryAfterSeconds: this.#getRetryAfterSeconds(
-        accepted.service,
-        refusals.RETRY_AFTER_SECONDS.noRoom,
-      ),
+    const { ends, remainingMilliseconds } = quarantine;
+    this.#trace.add("quarantined", {
+      fingerprint,
+      targets: ends,
+      remaining: Math.round(remainingMilliseconds),
     });
+    const retryAfterSeconds = Math.ceil(remainingMilliseconds / 1_000);
+    return { status: 503, reason: "quarantined", retryAfterSeconds };
   }
 
   #expire(): void {
--- a/packages/proxy/src/target_end_check.ts
+++ b/packages/proxy/src/target_end_check.ts
@@ -55,6 +55,7 @@
     if (await this.#canConnect(target)) {
       return "reachable";
     }
+    this.#reachability.recordUnreachable(target.id);
     const known = this.#directory.listAllServing().map(({ id }) => id);
     for (const other of placement.drawTestTargets(known, target.id, MAX_OTHER_TARGETS)) {
       const entry = this.#directory.find(other);
--- a/packages/proxy/src/types.ts
+++ b/packages/proxy/src/types.ts
@@ -83,6 +83,7 @@
   "isolated",
   "invalid_forward",
   "not_reached",
+  "quarantined",
   "body_too_large",
   "head_too_large",
   "caller_left",
