Quarantine: a success reaches VMs in any order, once, and only if it refutes an end

A success that a VM heard before the ends that it refutes was dropped, so that VMs could decide differently; it is kept now. A success is new only if it is the first or refutes an end.

--- a/packages/placement/src/crash_evidence.ts
+++ b/packages/placement/src/crash_evidence.ts
@@ -72,8 +72,9 @@
     return [...this.#byRequest];
   }
 
-  has(request: model.RequestFingerprint): boolean {
-    return this.#byRequest.has(request);
+  /** Whether a target has ended under a request since it last succeeded. */
+  hasEnds(request: model.RequestFingerprint): boolean {
+    return (this.#byRequest.get(request)?.ends.length ?? 0) > 0;
   }
 
   /** Records that a target has ended under a request; returns whether that was new. */
@@ -92,18 +93,19 @@
 
   /**
    * Records that a target has answered a request successfully, which refutes the ends before;
-   * returns whether that was new.
+   * returns whether that was new. The same success, heard by a longer way, seems a little later and
+   * is not.
    *
    * @param at Monotonic time of the answer, in milliseconds.
    */
   recordSuccess(request: model.RequestFingerprint, at: number): boolean {
-    const known = this.#byRequest.get(request);
-    if (known === undefined || at <= (known.succeededAt ?? Number.NEGATIVE_INFINITY)) {
+    const known = this.#byRequest.get(request) ?? NO_EVIDENCE;
+    if (at <= (known.succeededAt ?? Number.NEGATIVE_INFINITY)) {
       return false;
     }
     const ends = known.ends.filter(({ endedAt }) => endedAt > at);
     this.#set(request, { ends, succeededAt: at });
-    return ends.length < known.ends.length;
+    return known.succeededAt === undefined || ends.length < known.ends.length;
   }
 
   /** The quarantine of a request; undefined if it may be sent to targets. */
--- a/packages/proxy/src/crash_monitor.ts
+++ b/packages/proxy/src/crash_monitor.ts
@@ -85,7 +85,7 @@
 
   /** Records that a target has answered a request successfully. */
   recordSuccess(fingerprint: model.RequestFingerprint): void {
-    if (this.#evidence.has(fingerprint)) {
+    if (this.#evidence.hasEnds(fingerprint)) {
       this.#report({ kind: "success", fingerprint, at: kernel.getMonotonicMilliseconds() });
     }
   }
--- a/packages/proxy/src/mod.ts
+++ b/packages/proxy/src/mod.ts
@@ -3,6 +3,7 @@
  */
 
 export * from "./budgets.ts";
+export * from "./crash_exchange.ts";
 export * from "./listener.ts";
 export * from "./path_monitor.ts";
 export * from "./proxy_vm.ts";
--- a/packages/proxy/test/crash_test.ts
+++ b/packages/proxy/test/crash_test.ts
@@ -139,4 +139,32 @@
       assert.deepEqual(others.map(({ status }) => status), fleet.vms.map(() => 200));
     });
   });
+
+  test.test("a refused repetition ran, or is not told when to come back", async () => {
+    await withFleet(async (fleet) => {
+      await repeatFatally(fleet, 500);
+      const arrivals = fleet.crashing.arrivals.length;
+      const answers = await Promise.all(fleet.vms.map((vm) => callFatally(vm)));
+      for (const { status, headers, body } of answers) {
+        assert.deepEqual([status, body.includes("quarantined")], [503, true]);
+        assert.ok(Number(headers["retry-after"]) > 0);
+      }
+      assert.equal(fleet.crashing.arrivals.length, arrivals);
+      const other = await fleet.vms[0]?.call({ path: "/reads/1", body: "harmless" });
+      assert.equal(other?.status, 200);
+    });
+  });
+
+  test.test("a request is quarantined whose targets close connections but do not end", async () => {
+    await withFleet(async ({ vms, targets }) => {
+      targets.forEach((target) => target.behaviour = (request) => request.socket.destroy());
+      const statuses: number[] = [];
+      for (let index = 0; index < 12; index++) {
+        const vm = vms[index % vms.length] ?? assert.fail();
+        statuses.push((await vm.call({ body: "harmless" })).status);
+        await kernel.sleep(60);
+      }
+      assert.deepEqual(new Set(statuses), new Set([502]));
+    });
+  });
 });
