A late copy of a rejection no longer answers the next request on its connection

Operators were warned of servers that send a second copy of an answer late, on a connection that is in use again. It can happen here: the identifier that a response echoes was compared for responses with content, but not for rejections. So a second copy of the rejection of an earlier request made the next request on that connection count as not run while its target ran it: a request that must not be repeated was refused with 503, or sent to another target. The test gets 503 instead of 502 on the code before. A response that echoes another identifier is now a failure of the call, whatever its status; also for responses of VMs.

--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -175,6 +175,12 @@
   #handleResponse(incoming: http.IncomingMessage): void {
     const { profile, request, destination } = this.#options;
     const status = incoming.statusCode ?? 0;
+    const echoed = incoming.headers[profile.requestId.toLowerCase()];
+    if (echoed !== undefined && echoed !== request.id) {
+      // A late copy of the response to an earlier request; it says nothing about this one.
+      this.#fail("spoilt");
+      return;
+    }
     const refusal = incoming.headers[headers.REFUSAL_HEADER];
     if (destination.kind === "peer" && typeof refusal === "string") {
       this.#discardBody(incoming);
@@ -196,7 +202,6 @@
       });
       return;
     }
-    const echoed = incoming.headers[profile.requestId.toLowerCase()];
     const isSigned = incoming.headers[profile.signature] !== undefined;
     const isMismatched = echoed !== request.id || (status >= 200 && status < 300 && !isSigned);
     if (isMismatched) {
--- /dev/null
+++ b/packages/proxy/test/late_response_test.ts
@@ -0,0 +1,49 @@
+/**
+ * Tests of responses that arrive late: second copies on a connection that is in use again.
+ */
+
+import * as assert from "node:assert/strict";
+import type * as net from "node:net";
+import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
+import * as harness from "./harness.ts";
+
+const { PROFILE } = harness;
+
+/** The second copy of the rejection of an earlier request. */
+function createRejection(id: string): string {
+  return `HTTP/1.1 503 Unavailable\r\n${PROFILE.requestId}: ${id}\r\n${PROFILE.notRun}: 1\r\n` +
+    "Content-Length: 0\r\n\r\n";
+}
+
+test.describe("late responses", { concurrency: 4 }, () => {
+  test.test("a request is refused as not run because of the second copy of another's rejection", async () => {
+    await harness.withVm(1, async (vm) => {
+      const [target] = vm.targets;
+      assert.ok(target !== undefined);
+      const sockets: net.Socket[] = [];
+      target.behaviour = (request, response) => {
+        const id = String(request.headers[PROFILE.requestId]);
+        sockets.push(request.socket);
+        if (sockets.length === 1) {
+          harness.answerSuccess(request, response);
+          return;
+        }
+        if (sockets.length === 2) {
+          response.writeHead(503, { [PROFILE.requestId]: id, [PROFILE.notRun]: "1" }).end();
+          return;
+        }
+        request.socket.write(createRejection("rejected"));
+        setTimeout(() => harness.answerSuccess(request, response), 20);
+      };
+      // A connection is kept from its first complete response on.
+      assert.equal((await vm.call()).status, 200);
+      const headers = { [PROFILE.requestId]: "rejected" };
+      assert.equal((await vm.call({ headers })).status, 503);
+      await kernel.sleep(20);
+      const answer = await vm.call();
+      assert.ok(sockets[2] === sockets[1], "the connection is used again");
+      assert.equal(answer.status, 502);
+    });
+  });
+});
