A planned stop waits until responses have been sent, not only decided

Operators were warned of requests that a planned stop cuts off. A request counted as running until its response was decided; a long response is streamed after that, and one whose caller reads slowly is still in the socket. If nothing else ran, the process closed all connections. Test: a response of 400 KB whose target sends its end 1.2 s later, begun 2.4 s after the stop signal, arrived incomplete before. A request now counts until its response has closed.

--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -106,16 +106,19 @@
   ): void {
     response.sendDate = false;
     const { socket } = request;
+    // A response is sent on after it was decided: a long one is streamed, and its caller reads it at
+    // its own pace.
+    const closed = new Promise<void>((resolve) => response.once("close", resolve));
     const handler = new handlers.RequestHandler(context, request, response, isForwarded);
     const running = this.#running.get(socket) ?? this.#track(socket);
     running.add(handler);
     this.#runningCount++;
-    handler.run().catch((error: unknown) => {
+    void handler.run().catch((error: unknown) => {
       this.#options.logger.write(kernel.LogMessages.unexpectedRequestError, {
         error: error instanceof Error ? error.stack : String(error),
       });
       response.destroy();
-    }).finally(() => {
+    }).then(() => closed).finally(() => {
       running.delete(handler);
       this.#runningCount--;
     });
--- a/packages/proxy/test/late_response_test.ts
+++ b/packages/proxy/test/late_response_test.ts
@@ -1,8 +1,10 @@
 /**
- * Tests of responses that arrive late: second copies on a connection that is in use again.
+ * Tests of responses that arrive late: second copies on a connection that is in use again, and long
+ * responses during a planned stop.
  */
 
 import * as assert from "node:assert/strict";
+import * as http from "node:http";
 import type * as net from "node:net";
 import * as test from "node:test";
 import * as kernel from "@hemlockwalk/kernel";
@@ -46,4 +48,26 @@
       assert.equal(answer.status, 502);
     });
   });
+
+  test.test("a long response is cut off by a planned stop", async () => {
+    const routes = [harness.createRoute({ timeoutMilliseconds: 3_000 })];
+    const vm = new harness.TestVm();
+    await vm.start(1, harness.createDeclarations(1, { routes }));
+    const [target] = vm.targets;
+    assert.ok(target !== undefined);
+    target.behaviour = (request, response) => {
+      response.writeHead(200, harness.createAnswerHeaders(request));
+      response.write("x".repeat(400_000));
+      setTimeout(() => response.end("end"), 1_200);
+    };
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    assert.equal((await vm.call({ agent })).status, 200);
+    const stopped = vm.stop();
+    // Shortly before the VM closes idle connections.
+    await kernel.sleep(2_400);
+    const answer = await vm.call({ agent });
+    await stopped;
+    agent.destroy();
+    assert.deepEqual([answer.status, answer.isComplete, answer.body.length], [200, true, 400_003]);
+  });
 });
