A request that is passed on reaches no more targets than its route allows

A VM that has lost its path gives the other VM the attempts of the route, and counted one for a broken call and none for an answered error. The attempts that were handed over now count as used, and a VM whose targets have rejected a passed-on request no longer gives a reason for which another VM is tried.

--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -259,8 +259,9 @@
     const result = await this.#peers.call(accepted, attempts, body, peer, attempt.signal)
       .finally(release);
     this.#mayHaveRun ||= passingOn.mayHaveRun(result);
-    if (result.kind === "failed") {
-      this.#arrivals++;
+    if (result.kind === "answered" || result.kind === "failed") {
+      // The other VM may have used all of them.
+      this.#arrivals += attempts;
     }
     return result;
   }
@@ -427,7 +428,8 @@
       return forwarding.mayServeElsewhere(result.refusal) && this.#peers.mayTryAnother;
     }
     const isSafeToRetry = route.isIdempotent || (result.kind === "not_run" && !this.#mayHaveRun);
-    if (!isSafeToRetry || this.#tried.size >= route.attempts) {
+    const attempts = Math.max(this.#tried.size, this.#arrivals);
+    if (!isSafeToRetry || attempts >= route.attempts) {
       // A target that did not receive the request does not count towards the attempts.
       const isUncounted = isSafeToRetry && result.kind === "not_run" && !result.hasArrived;
       if (!isUncounted) {
@@ -506,7 +508,9 @@
       accepted.service,
       refusals.RETRY_AFTER_SECONDS.noRoom,
     );
-    return { status: 503, reason, retryAfterSeconds };
+    // The VM that passed the request on would try another one for a reason of this VM alone.
+    const hasUsedAttempts = this.#isForwarded && this.#arrivals > 0;
+    return { status: 503, reason: hasUsedAttempts ? "not_reached" : reason, retryAfterSeconds };
   }
 
   /** The refusal of a request that is not sent to targets at present; undefined if it may be. */
--- a/packages/proxy/test/isolation_test.ts
+++ b/packages/proxy/test/isolation_test.ts
@@ -13,6 +13,9 @@
 
 const TARGETS = 5;
 
+/** Targets to which the routes of the tests allow a request to be sent. */
+const ATTEMPTS = 2;
+
 /** Last number of the first VM's address; ports are claimed on those below. */
 const FIRST_HOST = 3;
 
@@ -131,6 +134,41 @@
     });
   });
 
+  test.test("a request that is passed on reaches more targets than its route allows", async () => {
+    await withFleet(async (cut, [other]) => {
+      assert.ok(other !== undefined);
+      const { targets } = other;
+      const answerError: harness.Behaviour = (request, response) => {
+        response.writeHead(500, harness.createAnswerHeaders(request)).end("failing");
+      };
+      const shed: harness.Behaviour = (request, response) => {
+        const head = { ...harness.createAnswerHeaders(request), [harness.PROFILE.notRun]: "1" };
+        response.writeHead(503, head).end();
+      };
+      const breakOff: harness.Behaviour = (request) => request.socket.destroy();
+      const endPartition = partitions.startPartition([cut.host], targets, "resets");
+      try {
+        await sendFor(cut, 1_000);
+        for (const behaviour of [answerError, shed, breakOff]) {
+          targets.forEach((target) => {
+            target.requests.length = 0;
+            target.behaviour = behaviour;
+          });
+          await sendFor(cut, 500);
+          const arrivals = new Map<string, number>();
+          for (const { headers } of targets.flatMap(({ requests }) => requests)) {
+            const id = String(headers[harness.PROFILE.requestId]);
+            arrivals.set(id, (arrivals.get(id) ?? 0) + 1);
+          }
+          const most = Math.max(...arrivals.values());
+          assert.ok(most <= ATTEMPTS, `${most} arrivals of one request`);
+        }
+      } finally {
+        endPartition();
+      }
+    });
+  });
+
   test.test("a VM is asked to serve for another although it has lost its path too", async () => {
     await withFleet(async (cut, [other]) => {
       assert.ok(other !== undefined);
