A check of an ended target also tells that this VM has not lost its path

The check recorded the target that refused connections, but not the other one that accepted one, so that the ends of three targets could count as a lost path.

--- a/packages/proxy/src/target_end_check.ts
+++ b/packages/proxy/src/target_end_check.ts
@@ -55,7 +55,6 @@
     if (await this.#canConnect(target)) {
       return "reachable";
     }
-    this.#reachability.recordUnreachable(target.id);
     const known = this.#directory.listAllServing().map(({ id }) => id);
     for (const other of placement.drawTestTargets(known, target.id, MAX_OTHER_TARGETS)) {
       const entry = this.#directory.find(other);
@@ -74,6 +73,12 @@
         this.#reachability.getConnectTimeout(id),
         (milliseconds) => {
           this.#attempts.delete(attempt);
+          if (milliseconds === undefined) {
+            this.#reachability.recordUnreachable(id);
+          } else {
+            // Also tells that this VM has not lost its path.
+            this.#reachability.recordConnected(id, milliseconds);
+          }
           resolve(milliseconds !== undefined);
         },
       );
