--- /dev/null
+++ b/packages/proxy/src/request_evidence.ts
@@ -0,0 +1,97 @@
+/**
+ * What one request contributes to the evidence on requests under which targets end, and what that
+ * evidence means for it.
+ */
+
+import type * as http from "node:http";
+import type * as declarations from "@hemlockwalk/declarations";
+import type * as model from "@hemlockwalk/model";
+import type * as bodies from "./body.ts";
+import type * as refusals from "./refusals.ts";
+import type * as contexts from "./request_context.ts";
+import * as fingerprints from "./request_fingerprint.ts";
+import type * as log from "./request_log.ts";
+import type * as calls from "./target_call.ts";
+import type * as types from "./types.ts";
+
+/** The evidence of one request. */
+export class RequestEvidence {
+  readonly #context: contexts.RequestContext;
+  readonly #trace: log.RequestTrace;
+  readonly #host: string | undefined;
+  #fingerprint: model.RequestFingerprint | undefined;
+
+  constructor(
+    context: contexts.RequestContext,
+    trace: log.RequestTrace,
+    request: http.IncomingMessage,
+  ) {
+    this.#context = context;
+    this.#trace = trace;
+    this.#host = request.headers.host;
+  }
+
+  /** The refusal of a request that is not sent to targets at present; undefined if it may be. */
+  findRefusal(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+  ): refusals.Refusal | undefined {
+    const { crashes } = this.#context;
+    if (crashes.isIdle) {
+      return undefined;
+    }
+    const fingerprint = this.#getFingerprint(accepted, body);
+    const quarantine = crashes.findQuarantine(fingerprint);
+    if (quarantine === undefined) {
+      return undefined;
+    }
+    const { ends, remainingMilliseconds } = quarantine;
+    this.#trace.add("quarantined", {
+      fingerprint,
+      targets: ends,
+      remaining: Math.round(remainingMilliseconds),
+    });
+    const retryAfterSeconds = Math.ceil(remainingMilliseconds / 1_000);
+    return { status: 503, reason: "quarantined", retryAfterSeconds };
+  }
+
+  /**
+   * Records that a call failed.
+   *
+   * @param isGivenUp Whether the call was cancelled because its caller has left.
+   */
+  recordFailure(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+    target: declarations.TargetEntry,
+    reason: calls.FailureReason,
+    isGivenUp: boolean,
+  ): void {
+    const fingerprint = this.#getFingerprint(accepted, body);
+    this.#trace.add("failed", { target: target.id, reason, fingerprint });
+    // After a response that cannot be read, the target still runs.
+    if (!isGivenUp && reason !== "spoilt") {
+      this.#context.crashes.recordBreak(target, fingerprint);
+    }
+  }
+
+  /** Records that a target has answered successfully. */
+  recordSuccess(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+    answer: calls.TargetAnswer,
+  ): void {
+    // The target may still end while it sends the rest of a long response.
+    if (answer.rest === undefined && !this.#context.crashes.isIdle) {
+      this.#context.crashes.recordSuccess(this.#getFingerprint(accepted, body));
+    }
+  }
+
+  #getFingerprint(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+  ): model.RequestFingerprint {
+    this.#fingerprint ??= fingerprints.createFingerprint(accepted, this.#host, body);
+    return this.#fingerprint;
+  }
+}
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -13,7 +13,7 @@
 import * as passingOn from "./passing_on.ts";
 import * as refusals from "./refusals.ts";
 import type * as contexts from "./request_context.ts";
-import * as fingerprints from "./request_fingerprint.ts";
+import * as evidence from "./request_evidence.ts";
 import * as log from "./request_log.ts";
 import type * as peers from "./serving_peers.ts";
 import * as placers from "./request_placer.ts";
@@ -45,13 +45,13 @@
   readonly #tried = new Set<model.TargetId>();
   readonly #placer: placers.RequestPlacer;
   readonly #peers: passingOn.PeerCalls;
+  readonly #evidence: evidence.RequestEvidence;
   /** Targets that have received the request, as far as known. */
   #arrivals = 0;
   #hasAttempted = false;
   #mayHaveRun = false;
   /** Whether the time for the response has run out. */
   #hasExpired = false;
-  #fingerprint: model.RequestFingerprint | undefined;
   /** Whether the target that shed the request last seemed to have no free slot. */
   #isOutOfSlots = true;
 
@@ -70,6 +70,7 @@
     const { signal } = this.#caller;
     this.#placer = new placers.RequestPlacer(context, this.#trace, this.#tried, signal);
     this.#peers = new passingOn.PeerCalls(context, this.#trace);
+    this.#evidence = new evidence.RequestEvidence(context, this.#trace, request);
     this.#finalAnswer = new answers.FinalAnswer(context, response, this.#trace, isForwarded);
   }
 
@@ -113,7 +114,7 @@
       return;
     }
     read.body.tooLarge?.addEventListener("abort", () => this.#refuseLongBody(), { once: true });
-    const quarantine = this.#findQuarantine(accepted, read.body);
+    const quarantine = this.#evidence.findRefusal(accepted, read.body);
     if (quarantine !== undefined) {
       this.#returnRate(accepted);
       this.#finalAnswer.refuse(quarantine);
@@ -152,7 +153,7 @@
           return;
         }
         // Targets may have ended under its repetitions while the request was queued.
-        const quarantine = this.#findQuarantine(accepted, body);
+        const quarantine = this.#evidence.findRefusal(accepted, body);
         if (quarantine !== undefined) {
           this.#context.queues.get(accepted.service).advance();
           this.#answerUnplaced(accepted, result, quarantine);
@@ -336,7 +337,7 @@
         this.#mayHaveRun = true;
         tracker.recordOutcome(target, isError ? "error" : "success", startedAt);
         if (!isError) {
-          this.#recordSuccess(accepted, body, result.answer);
+          this.#evidence.recordSuccess(accepted, body, result.answer);
           tracker.processingTimes.record(
             route.id,
             target,
@@ -365,51 +366,19 @@
             startedAt,
           );
         }
-        this.#recordFailure(accepted, body, entry, result.reason);
+        this.#evidence.recordFailure(
+          accepted,
+          body,
+          entry,
+          result.reason,
+          result.reason === "cancelled" && !this.#hasExpired,
+        );
         return;
       case "refused_by_peer":
         throw new kernel.AssertionError("Only another VM refuses a request this way.");
     }
   }
 
-  #recordFailure(
-    accepted: types.AcceptedRequest,
-    body: bodies.RequestBody,
-    target: declarations.TargetEntry,
-    reason: calls.FailureReason,
-  ): void {
-    const fingerprint = this.#getFingerprint(accepted, body);
-    this.#trace.add("failed", { target: target.id, reason, fingerprint });
-    const isGivenUp = reason === "cancelled" && !this.#hasExpired;
-    // After a response that cannot be read, the target still runs.
-    if (!isGivenUp && reason !== "spoilt") {
-      this.#context.crashes.recordBreak(target, fingerprint);
-    }
-  }
-
-  #recordSuccess(
-    accepted: types.AcceptedRequest,
-    body: bodies.RequestBody,
-    answer: calls.TargetAnswer,
-  ): void {
-    // The target may still end while it sends the rest of a long response.
-    if (answer.rest === undefined && !this.#context.crashes.isIdle) {
-      this.#context.crashes.recordSuccess(this.#getFingerprint(accepted, body));
-    }
-  }
-
-  #getFingerprint(
-    accepted: types.AcceptedRequest,
-    body: bodies.RequestBody,
-  ): model.RequestFingerprint {
-    this.#fingerprint ??= fingerprints.createFingerprint(
-      accepted,
-      this.#request.headers.host,
-      body,
-    );
-    return this.#fingerprint;
-  }
-
   #mayRetry(
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
@@ -421,7 +390,7 @@
     if (isSuccess || this.#caller.signal.aborted || !body.isBuffered) {
       return false;
     }
-    if (this.#findQuarantine(accepted, body) !== undefined) {
+    if (this.#evidence.findRefusal(accepted, body) !== undefined) {
       return false;
     }
     if (result.kind === "refused_by_peer") {
@@ -513,30 +482,6 @@
     return { status: 503, reason: hasUsedAttempts ? "not_reached" : reason, retryAfterSeconds };
   }
 
-  /** The refusal of a request that is not sent to targets at present; undefined if it may be. */
-  #findQuarantine(
-    accepted: types.AcceptedRequest,
-    body: bodies.RequestBody,
-  ): refusals.Refusal | undefined {
-    const { crashes } = this.#context;
-    if (crashes.isIdle) {
-      return undefined;
-    }
-    const fingerprint = this.#getFingerprint(accepted, body);
-    const quarantine = crashes.findQuarantine(fingerprint);
-    if (quarantine === undefined) {
-      return undefined;
-    }
-    const { ends, remainingMilliseconds } = quarantine;
-    this.#trace.add("quarantined", {
-      fingerprint,
-      targets: ends,
-      remaining: Math.round(remainingMilliseconds),
-    });
-    const retryAfterSeconds = Math.ceil(remainingMilliseconds / 1_000);
-    return { status: 503, reason: "quarantined", retryAfterSeconds };
-  }
-
   #expire(): void {
     if (this.#finalAnswer.isDecided) {
       return;
