Log the state of targets, the readers of the store, and the age of what a placement knew

Message 4001 (info) now says when a VM learns that a target drains, is gone or is back; the frequent updates without a change of state move to 4008 (debug). Message 2106 says which VM reads the store, why, and how old the latest response was. The step 'placed' of a trace gives the age of the store's latest response when the target was chosen. No decision changes.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -135,6 +135,16 @@
     text: "A response of the store states an invalid era; the current state remains in effect.",
     fields: { stated: "What the response states in place of a whole number." },
   },
+  storeReadingChanged: {
+    code: 2106,
+    level: "info",
+    text: "This VM has begun or ceased to read the store for the fleet.",
+    fields: {
+      reason: "`ranked`: it is one of the readers; `stale`: no VM was known to have had a recent " +
+        "response from the store; `none`: it has ceased.",
+      confirmedAge: "Milliseconds since the latest response of the store to any VM.",
+    },
+  },
   linkLost: {
     code: 3001,
     level: "info",
@@ -163,8 +173,8 @@
   },
   targetChanged: {
     code: 4001,
-    level: "debug",
-    text: "A target has changed.",
+    level: "info",
+    text: "The state of a target has changed.",
     fields: {
       target: "The target.",
       state: "`ready`, `draining` or `gone`.",
@@ -173,6 +183,17 @@
       from: "Source of the change: `store`, or `peer` for another VM.",
     },
   },
+  targetUpdated: {
+    code: 4008,
+    level: "debug",
+    text: "A target was added, or its entry has changed without its state.",
+    fields: {
+      target: "The target.",
+      era: "Era of the store.",
+      revision: "Revision of the store within its era.",
+      from: "Source of the change: `store`, or `peer` for another VM.",
+    },
+  },
   invalidTargetEntry: {
     code: 4002,
     level: "warn",
@@ -354,6 +375,7 @@
     evidenceAge:
       "Milliseconds since the start of the latest call of any VM that showed its health.",
     lookAfter: "Whether the target was chosen as a probe of its health.",
+    confirmedAge: "Milliseconds since the latest response of the store to any VM.",
   },
   passed_on: {
     vm: "The VM that serves the request, since this one reaches no target.",
--- a/packages/proxy/src/publisher.ts
+++ b/packages/proxy/src/publisher.ts
@@ -145,19 +145,35 @@
   #applyChanges(changes: readonly declarations.TargetChange[], from: string): boolean {
     let hasApplied = false;
     for (const change of changes) {
-      if (!this.#directory.apply(change)) {
-        continue;
+      const previous = this.#directory.find(change.id);
+      if (this.#directory.apply(change)) {
+        hasApplied = true;
+        this.#logChange(change, previous, from);
       }
-      hasApplied = true;
+    }
+    return hasApplied;
+  }
+
+  #logChange(
+    change: declarations.TargetChange,
+    previous: declarations.TargetEntry | undefined,
+    from: string,
+  ): void {
+    const { id, position: { era, revision } } = change;
+    const state = getState(this.#directory.find(id));
+    const isChanged = state !== getState(previous) &&
+      !(state === "ready" && previous === undefined);
+    if (isChanged) {
       this.#logger.write(kernel.LogMessages.targetChanged, {
-        target: change.id,
-        state: change.entry === undefined ? "gone" : change.entry.isDraining ? "draining" : "ready",
-        era: change.position.era,
-        revision: change.position.revision,
+        target: id,
+        state,
+        era,
+        revision,
         from,
       });
+    } else {
+      this.#logger.write(kernel.LogMessages.targetUpdated, { target: id, era, revision, from });
     }
-    return hasApplied;
   }
 
   #applyFacts(facts: readonly declarations.TargetFact[], from: string): boolean {
@@ -191,6 +207,13 @@
   }
 }
 
+function getState(entry: declarations.TargetEntry | undefined): string {
+  if (entry === undefined) {
+    return "gone";
+  }
+  return entry.isDraining ? "draining" : "ready";
+}
+
 function encodeChange({ id, position, entry }: declarations.TargetChange): ChangeMessage {
   return { id, revision: position.revision, era: position.era, entry };
 }
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -131,6 +131,7 @@
       sickness: Number(candidate.failureProbability.toFixed(3)),
       evidenceAge: Math.round(Math.min(candidate.evidenceAgeMilliseconds, 1e6)),
       lookAfter: choice.isProbe,
+      confirmedAge: Math.round(kernel.getMonotonicMilliseconds() - this.#context.getConfirmedAt()),
     });
     return { kind: "placed", target: candidate.id };
   }
--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -66,6 +66,9 @@
  */
 const REMOVAL_DELAY_MILLISECONDS = 2_300;
 
+/** Why a VM reads the store at present. */
+type ReadingReason = "ranked" | "stale" | "none";
+
 /** Settings of a follower. */
 export interface StoreFollowerOptions {
   readonly store: declarations.PublishedStore;
@@ -92,6 +95,7 @@
   #asOf: declarations.StorePosition | undefined;
   /** Era of the latest whole read. */
   #era: declarations.StoreEra | undefined;
+  #reason: ReadingReason = "none";
   #isAvailable = true;
   #failures = 0;
   #recoveredAt = Number.NEGATIVE_INFINITY;
@@ -123,7 +127,8 @@
     await this.#waitForPeers();
     while (!signal.aborted) {
       this.#publishHeldRemovals();
-      if (!this.#mustRead()) {
+      this.#recordReason(this.#chooseReason());
+      if (this.#reason === "none") {
         this.#asOf = undefined;
         await kernel.sleep(IDLE_POLL_MILLISECONDS, signal);
         continue;
@@ -166,15 +171,23 @@
     }
   }
 
-  #mustRead(): boolean {
+  #recordReason(reason: ReadingReason): void {
+    if (reason !== this.#reason) {
+      this.#reason = reason;
+      const confirmedAge = Math.round(this.#getConfirmationAge());
+      this.#logger.write(kernel.LogMessages.storeReadingChanged, { reason, confirmedAge });
+    }
+  }
+
+  #chooseReason(): ReadingReason {
     const readers = this.#mesh.rankRelays().slice(0, READING_DATA_CENTRES);
     if (readers.some((reader) => reader.vm === this.#mesh.self.vm)) {
-      return true;
+      return "ranked";
     }
     const ranked = this.#mesh.rankOwnDataCentre();
     const rank = ranked.findIndex((member) => member.vm === this.#mesh.self.vm);
     const staleAfter = STALE_MILLISECONDS + Math.min(rank, MAX_RANK) * STALE_PER_RANK_MILLISECONDS;
-    return this.#getConfirmationAge() > staleAfter;
+    return this.#getConfirmationAge() > staleAfter ? "stale" : "none";
   }
 
   /** Time since the store's latest response to any VM, or since the start, in milliseconds. */
--- a/packages/proxy/test/request_trace_test.ts
+++ b/packages/proxy/test/request_trace_test.ts
@@ -71,6 +71,7 @@
       assert.deepEqual(steps.map((step) => step["step"]), ["accepted", "placed", "answered"]);
       assert.equal(steps[1]?.["target"], "target-0");
       assert.equal(typeof steps[1]?.["sickness"], "number");
+      assert.ok(Number(steps[1]?.["confirmedAge"]) < 3_000);
       assert.equal(steps[2]?.["status"], 500);
       const suspicions = vm.log.filter(({ code }) =>
         code === kernel.LogMessages.targetSuspected.code
