A VM that takes over reading the store goes on until the readers have responses again

Callers: a request reached a target more than two seconds after the store had acknowledged that it leaves (DRAIN), and keys or routes that had been withdrawn stayed in force as long (CONFIG).

Cause: three VMs read the store for all. If the store turned these three away, nobody took their place. The other VMs waited until no VM was known to have had a response for 1.8 s, and 0.25 s more for each rank; one then read once, and its own response counted as news for the next two seconds, so it stopped again. The fleet read in steps of two to four seconds for as long as the cut lasted.

Now readers report each response of the store and when they are turned away. A reader that fails twice in a row is passed over by all, and the next in rank reads; it goes on trying itself. A VM that took over, for whichever reason, goes on until every reader has had a response since it took over. A watch lasts 0.6 s instead of 1.2 s, so the fleet notices the loss of all readers after 1.2 s instead of 1.8 s and more, also if they meet silence.

Price: more calls to the store, to be measured next.

--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -207,13 +207,19 @@
     return this.#table.rank(this.self.dataCentre);
   }
 
+  /** The members of each data centre, the relay first, ordered by data centre. */
+  rankDataCentres(): types.MemberIdentity[][] {
+    return this.#table.listDataCentres().map((dataCentre) => {
+      const ranked = this.#table.rank(dataCentre);
+      return dataCentre === this.self.dataCentre && this.#isRelay
+        ? [this.self, ...ranked.filter(({ vm }) => vm !== this.self.vm)]
+        : ranked;
+    });
+  }
+
   /** The relay of each data centre as far as known here, ordered by data centre. */
   rankRelays(): types.MemberIdentity[] {
-    return this.#table.listDataCentres().flatMap((dataCentre) =>
-      dataCentre === this.self.dataCentre && this.#isRelay
-        ? [this.self]
-        : this.#table.rank(dataCentre).slice(0, 1)
-    );
+    return this.rankDataCentres().flatMap((members) => members.slice(0, 1));
   }
 
   /** The open links to known members. */
--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -1,10 +1,8 @@
 /**
  * Reads the store for the whole fleet, with few calls.
  *
- * The first VM of some data centres reads the store; all others receive its updates over the mesh.
- * A VM also reads if for too long no VM is known to have had a response from the store, so that a
- * VM whose peers are cut off or rejected by the store still gets updates within the bounds. Ranks
- * prevent the whole fleet from reading at the same time.
+ * A few VMs read the store; all others receive its updates over the mesh. The store readers module
+ * chooses which.
  *
  * A store that was restored from a backup states a later era. It is then read as a whole, and what
  * it no longer holds is treated like entries that expired during an outage: it stays in use for the
@@ -15,24 +13,17 @@
 import * as kernel from "@hemlockwalk/kernel";
 import type * as mesh from "@hemlockwalk/mesh";
 import type * as publishers from "./publisher.ts";
+import * as storeReaders from "./store_readers.ts";
 
-/** Number of data centres whose first VM reads. Three rarely fail at the same time. */
-const READING_DATA_CENTRES = 3;
-
-/** Longest wait of one watch; a watch that takes longer indicates a dead connection. */
-const WATCH_MILLISECONDS = 1_200;
+/**
+ * Longest wait of one watch. Each response shows the fleet that its reader still works, so this
+ * bounds the time for which a failed reader goes unnoticed.
+ */
+const WATCH_MILLISECONDS = 600;
 
 /** Minimum interval between reads, so that changes in quick succession are read in one call. */
 const MIN_WATCH_INTERVAL_MILLISECONDS = 150;
 
-/**
- * A VM that is not a reader reads after this time, plus the time per rank, without a response from
- * the store to any VM.
- */
-const STALE_MILLISECONDS = 1_800;
-const STALE_PER_RANK_MILLISECONDS = 250;
-const MAX_RANK = 8;
-
 /** Time that a VM leaves for the mesh to form before it may become a reader. */
 const MIN_START_DELAY_MILLISECONDS = 500;
 const MAX_START_DELAY_MILLISECONDS = 1_500;
@@ -66,9 +57,6 @@
  */
 const REMOVAL_DELAY_MILLISECONDS = 2_300;
 
-/** Why a VM reads the store at present. */
-type ReadingReason = "ranked" | "stale" | "none";
-
 /** Settings of a follower. */
 export interface StoreFollowerOptions {
   readonly store: declarations.PublishedStore;
@@ -87,6 +75,7 @@
   readonly #store: declarations.PublishedStore;
   readonly #mesh: mesh.Mesh;
   readonly #publisher: publishers.Publisher;
+  readonly #readers: storeReaders.StoreReaders;
   readonly #logger: kernel.ComponentLogger;
   readonly #restores: kernel.Counter;
   readonly #isFirstStart: boolean;
@@ -95,7 +84,7 @@
   #asOf: declarations.StorePosition | undefined;
   /** Era of the latest whole read. */
   #era: declarations.StoreEra | undefined;
-  #reason: ReadingReason = "none";
+  #reason: storeReaders.ReadingReason = "none";
   #isAvailable = true;
   #failures = 0;
   #recoveredAt = Number.NEGATIVE_INFINITY;
@@ -106,6 +95,7 @@
     this.#store = options.store;
     this.#mesh = options.mesh;
     this.#publisher = options.publisher;
+    this.#readers = new storeReaders.StoreReaders(options.mesh);
     this.#logger = options.logger;
     this.#restores = options.metrics.createCounter(
       "hemlockwalk_store_restores_total",
@@ -127,7 +117,7 @@
     await this.#waitForPeers();
     while (!signal.aborted) {
       this.#publishHeldRemovals();
-      this.#recordReason(this.#chooseReason());
+      this.#recordReason(this.#readers.chooseReason());
       if (this.#reason === "none") {
         this.#asOf = undefined;
         await kernel.sleep(IDLE_POLL_MILLISECONDS, signal);
@@ -171,31 +161,14 @@
     }
   }
 
-  #recordReason(reason: ReadingReason): void {
+  #recordReason(reason: storeReaders.ReadingReason): void {
     if (reason !== this.#reason) {
       this.#reason = reason;
-      const confirmedAge = Math.round(this.#getConfirmationAge());
+      const confirmedAge = Math.round(this.#readers.confirmationAge);
       this.#logger.write(kernel.LogMessages.storeReadingChanged, { reason, confirmedAge });
     }
   }
 
-  #chooseReason(): ReadingReason {
-    const readers = this.#mesh.rankRelays().slice(0, READING_DATA_CENTRES);
-    if (readers.some((reader) => reader.vm === this.#mesh.self.vm)) {
-      return "ranked";
-    }
-    const ranked = this.#mesh.rankOwnDataCentre();
-    const rank = ranked.findIndex((member) => member.vm === this.#mesh.self.vm);
-    const staleAfter = STALE_MILLISECONDS + Math.min(rank, MAX_RANK) * STALE_PER_RANK_MILLISECONDS;
-    return this.#getConfirmationAge() > staleAfter ? "stale" : "none";
-  }
-
-  /** Time since the store's latest response to any VM, or since the start, in milliseconds. */
-  #getConfirmationAge(): number {
-    return kernel.getMonotonicMilliseconds() -
-      Math.max(this.#mesh.lastStoreResponseAt, this.#startedAt);
-  }
-
   async #readOnce(): Promise<boolean> {
     const since = this.#asOf;
     const result = since === undefined
@@ -294,17 +267,18 @@
   }
 
   #recordResponse(): void {
-    if (!this.#isAvailable || this.#getConfirmationAge() > OUTAGE_MILLISECONDS) {
+    if (!this.#isAvailable || this.#readers.confirmationAge > OUTAGE_MILLISECONDS) {
       this.#logger.write(kernel.LogMessages.storeAvailable, {
-        silentMilliseconds: this.#getConfirmationAge(),
+        silentMilliseconds: this.#readers.confirmationAge,
       });
     }
-    if (this.#getConfirmationAge() > OUTAGE_MILLISECONDS) {
+    if (this.#readers.confirmationAge > OUTAGE_MILLISECONDS) {
       this.#recoveredAt = kernel.getMonotonicMilliseconds();
     }
     this.#isAvailable = true;
     this.#failures = 0;
     this.#mesh.recordStoreResponse();
+    this.#readers.recordResponse();
   }
 
   #recordFailure(failure: declarations.StoreFailure): void {
@@ -313,6 +287,7 @@
       return;
     }
     this.#failures++;
+    this.#readers.recordFailure();
     if (this.#isAvailable) {
       this.#isAvailable = false;
       this.#logger.write(kernel.LogMessages.storeUnavailable, {
