Every VM notes the end of an outage of the store, whichever VM hears it first

Callers: after an outage of the store, targets that live and only could not renew their entries could drop out of use for a second or two, all at once.

Cause: removals are held for 2.3 s after an outage, as targets register again within two seconds. A VM noticed the outage by the age of the latest response to any VM at the moment of its own next response. The first VM to get a response saw the outage and held the removals; the second one saw the response of the first, took the store as never gone, and published the removals to all.

Now the mesh calls the follower with each later response of the store to any VM and the one before, so all VMs see the gap.

--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -129,6 +129,7 @@
   /** Time since which this relay has had no bridge to the relay of another data centre. */
   readonly #unbridgedSince = new Map<model.DataCentreId, number>();
   #requestListener: http.RequestListener | undefined;
+  #storeResponseListener: types.StoreResponseListener | undefined;
 
   constructor(options: MeshOptions) {
     this.#options = options;
@@ -242,9 +243,22 @@
     this.#requestListener = listener;
   }
 
+  /** Sets what is called with each response of the store to any VM that is later than the others. */
+  onStoreResponse(listener: types.StoreResponseListener): void {
+    this.#storeResponseListener = listener;
+  }
+
   /** Records that the store has just responded to this VM. */
   recordStoreResponse(): void {
-    this.#lastStoreResponseAt = kernel.getMonotonicMilliseconds();
+    this.#recordStoreResponse(kernel.getMonotonicMilliseconds());
+  }
+
+  #recordStoreResponse(at: number): void {
+    const previousAt = this.#lastStoreResponseAt;
+    if (at > previousAt) {
+      this.#lastStoreResponseAt = at;
+      this.#storeResponseListener?.(at, previousAt);
+    }
   }
 
   /** Sends an update of a replicated state to all VMs. */
@@ -508,8 +522,7 @@
     link: links.Link,
   ): void {
     if (typeof message.confirmedAge === "number") {
-      const confirmedAt = kernel.getMonotonicMilliseconds() - message.confirmedAge;
-      this.#lastStoreResponseAt = Math.max(this.#lastStoreResponseAt, confirmedAt);
+      this.#recordStoreResponse(kernel.getMonotonicMilliseconds() - message.confirmedAge);
     }
     link.confirmedSequence = message.received ?? this.#sequence;
     let isUrgent = false;
--- a/packages/mesh/src/types.ts
+++ b/packages/mesh/src/types.ts
@@ -71,6 +71,12 @@
   receive(payload: unknown): boolean;
 }
 
+/**
+ * Called with the monotonic times of a response of the store and of the one before, in milliseconds;
+ * negative infinity if there was none before.
+ */
+export type StoreResponseListener = (at: number, previousAt: number) => void;
+
 /** Messages on a link. */
 export type LinkMessage =
   | {
--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -97,6 +97,7 @@
     this.#publisher = options.publisher;
     this.#readers = new storeReaders.StoreReaders(options.mesh);
     this.#logger = options.logger;
+    options.mesh.onStoreResponse((at, previousAt) => this.#recordOutage(at, previousAt));
     this.#restores = options.metrics.createCounter(
       "hemlockwalk_store_restores_total",
       "Restores of the store from a backup that this VM noticed while it read the store.",
@@ -266,15 +267,19 @@
     this.#publisher.publishTargets([...this.#heldRemovals.splice(0), ...outdated]);
   }
 
+  /** Every VM notes the end of an outage, whichever VM has had the first response. */
+  #recordOutage(at: number, previousAt: number): void {
+    if (at - Math.max(previousAt, this.#startedAt) > OUTAGE_MILLISECONDS) {
+      this.#recoveredAt = kernel.getMonotonicMilliseconds();
+    }
+  }
+
   #recordResponse(): void {
     if (!this.#isAvailable || this.#readers.confirmationAge > OUTAGE_MILLISECONDS) {
       this.#logger.write(kernel.LogMessages.storeAvailable, {
         silentMilliseconds: this.#readers.confirmationAge,
       });
     }
-    if (this.#readers.confirmationAge > OUTAGE_MILLISECONDS) {
-      this.#recoveredAt = kernel.getMonotonicMilliseconds();
-    }
     this.#isAvailable = true;
     this.#failures = 0;
     this.#mesh.recordStoreResponse();
--- a/packages/proxy/test/store_fleet.ts
+++ b/packages/proxy/test/store_fleet.ts
@@ -22,18 +22,40 @@
 
 type UpdateResult = neverthrow.Result<declarations.StoreUpdate, declarations.StoreFailure>;
 
-/** The content of the store, whose changes are declarations with rising versions. */
+/** The content of the store. Each write of declarations or of a target is a new version. */
 export class SharedStore {
   readonly writtenAt = new Map<number, number>();
-  calls = 0;
+  readonly #targets = new Map<model.TargetId, declarations.TargetChange>();
   version = 1;
 
-  /** Writes the next version and returns it. */
+  /** Writes the next version of the declarations and returns it. */
   write(): number {
     this.version++;
     this.writtenAt.set(this.version, performance.now());
     return this.version;
   }
+
+  registerTarget(id: string): void {
+    const change = fixtures.createChange(id, this.write());
+    this.#targets.set(change.id, change);
+  }
+
+  removeTarget(id: string): void {
+    const change = fixtures.createRemoval(id, this.write());
+    this.#targets.set(change.id, change);
+  }
+
+  /** The entries, or with a revision the changes since then. */
+  createUpdate(after?: number): declarations.StoreUpdate {
+    const changes = [...this.#targets.values()].filter(({ position, entry }) =>
+      after === undefined ? entry !== undefined : position.revision > after
+    );
+    return {
+      asOf: fixtures.createPosition(this.version),
+      declarations: fixtures.createDeclarations(this.version),
+      changes,
+    };
+  }
 }
 
 /** The store as one VM reaches it. */
@@ -46,12 +68,10 @@
   }
 
   read(): Promise<UpdateResult> {
-    this.#shared.calls++;
     return this.#answer(READ_TIMEOUT_MILLISECONDS);
   }
 
   async watch(after: declarations.StorePosition, waitMilliseconds: number): Promise<UpdateResult> {
-    this.#shared.calls++;
     const startedAt = performance.now();
     while (
       this.access === "open" && this.#shared.version <= after.revision &&
@@ -60,10 +80,11 @@
       await kernel.sleep(WATCH_POLL_MILLISECONDS);
     }
     const elapsed = performance.now() - startedAt;
-    return await this.#answer(waitMilliseconds + WATCH_TIMEOUT_MARGIN_MILLISECONDS - elapsed);
+    const silence = waitMilliseconds + WATCH_TIMEOUT_MARGIN_MILLISECONDS - elapsed;
+    return await this.#answer(silence, after.revision);
   }
 
-  async #answer(silenceMilliseconds: number): Promise<UpdateResult> {
+  async #answer(silenceMilliseconds: number, after?: number): Promise<UpdateResult> {
     switch (this.access) {
       case "reset":
         return neverthrow.err("unavailable");
@@ -73,11 +94,7 @@
         await kernel.sleep(silenceMilliseconds);
         return neverthrow.err("unavailable");
       case "open":
-        return neverthrow.ok({
-          asOf: fixtures.createPosition(this.#shared.version),
-          declarations: fixtures.createDeclarations(this.#shared.version),
-          changes: [],
-        });
+        return neverthrow.ok(this.#shared.createUpdate(after));
     }
   }
 }
@@ -86,6 +103,7 @@
 export class StoreVm {
   readonly store: VmStore;
   readonly mesh: mesh.Mesh;
+  readonly directory = new declarations.TargetDirectory();
   readonly #declarations = new declarations.DeclarationStore();
   readonly #follower: proxy.StoreFollower;
   readonly #shared: SharedStore;
@@ -106,7 +124,7 @@
     const metrics = new kernel.Metrics();
     const publisher = new proxy.Publisher(
       this.#declarations,
-      new declarations.TargetDirectory(),
+      this.directory,
       this.mesh,
       logger,
       metrics,
