Reports of readers that have an unknown shape are logged and ignored

A report section of another VM was taken apart unchecked, so one that is not an array threw while the other sections of the same report were still to be read.

--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -95,7 +95,7 @@
     this.#store = options.store;
     this.#mesh = options.mesh;
     this.#publisher = options.publisher;
-    this.#readers = new storeReaders.StoreReaders(options.mesh);
+    this.#readers = new storeReaders.StoreReaders(options.mesh, options.logger);
     this.#logger = options.logger;
     options.mesh.onStoreResponse((at, previousAt) => this.#recordOutage(at, previousAt));
     this.#restores = options.metrics.createCounter(
--- a/packages/proxy/src/store_readers.ts
+++ b/packages/proxy/src/store_readers.ts
@@ -70,6 +70,7 @@
 /** Decides whether this VM reads the store, and reports how the store treats it. */
 export class StoreReaders {
   readonly #mesh: mesh.Mesh;
+  readonly #logger: kernel.ComponentLogger;
   readonly #startedAt = kernel.getMonotonicMilliseconds();
   readonly #reports = new Map<model.VmId, AccessReport>();
   #reason: ReadingReason = "none";
@@ -80,11 +81,12 @@
   #isReported = true;
   #reportedAt = Number.NEGATIVE_INFINITY;
 
-  constructor(vmMesh: mesh.Mesh) {
+  constructor(vmMesh: mesh.Mesh, logger: kernel.ComponentLogger) {
     this.#mesh = vmMesh;
+    this.#logger = logger;
     vmMesh.addSection(SECTION, {
       collect: () => this.#collect(),
-      receive: (from, payload) => this.#receive(from, payload as AccessPayload),
+      receive: (from, payload) => this.#receive(from, payload),
     });
   }
 
@@ -106,10 +108,10 @@
 
   /** Records that the store has responded to this VM. */
   recordResponse(): void {
-    const hasTakenOver = this.#respondedAt < this.#neededAt - STALE_MILLISECONDS;
+    const isFirst = this.#respondedAt < this.#neededAt - STALE_MILLISECONDS;
     this.#respondedAt = kernel.getMonotonicMilliseconds();
     this.#isReported = false;
-    if (this.#isTurnedAway || hasTakenOver) {
+    if (this.#isTurnedAway || isFirst) {
       this.#reportChange();
     }
     this.#failures = 0;
@@ -184,7 +186,15 @@
     return [this.#isTurnedAway, Number.isFinite(respondedAgo) ? Math.round(respondedAgo) : null];
   }
 
-  #receive(from: mesh.MemberIdentity, [isTurnedAway, respondedAgo]: AccessPayload): void {
+  #receive(from: mesh.MemberIdentity, payload: unknown): void {
+    if (!isAccessPayload(payload)) {
+      this.#logger.write(kernel.LogMessages.reportUnreadable, {
+        peer: from.vm,
+        error: `The section ${SECTION} has an unknown shape.`,
+      });
+      return;
+    }
+    const [isTurnedAway, respondedAgo] = payload;
     const now = kernel.getMonotonicMilliseconds();
     this.#reports.set(from.vm, {
       incarnation: from.incarnation,
@@ -194,3 +204,12 @@
     });
   }
 }
+
+function isAccessPayload(payload: unknown): payload is AccessPayload {
+  if (!Array.isArray(payload)) {
+    return false;
+  }
+  const [isTurnedAway, respondedAgo] = payload as unknown[];
+  return typeof isTurnedAway === "boolean" &&
+    (respondedAgo === null || (typeof respondedAgo === "number" && respondedAgo >= 0));
+}
--- a/packages/proxy/test/store_readers_test.ts
+++ b/packages/proxy/test/store_readers_test.ts
@@ -4,7 +4,10 @@
 
 import * as assert from "node:assert/strict";
 import * as test from "node:test";
+import * as kernel from "@hemlockwalk/kernel";
 import * as kernelTesting from "@hemlockwalk/kernel/testing";
+import * as mesh from "@hemlockwalk/mesh";
+import * as model from "@hemlockwalk/model";
 import * as fc from "fast-check";
 import * as storeReaders from "../src/store_readers.ts";
 
@@ -44,4 +47,30 @@
       kernelTesting.getRandomRuns(34, 200),
     );
   });
+
+  test.it("survive reports of any shape", () => {
+    let receive: mesh.ReportSection["receive"] = () => assert.fail();
+    const self: mesh.MemberIdentity = {
+      vm: model.createVmId("a-1"),
+      incarnation: model.createIncarnation(),
+      dataCentre: model.createDataCentreId("a"),
+      address: "127.0.0.1:1",
+      tag: 1,
+      capacity: 5,
+    };
+    const logger = new kernel.ComponentLogger(kernel.createSilentLogger(), "test");
+    const vmMesh = new mesh.Mesh({ self, listSeeds: () => [], logger });
+    vmMesh.addSection = (_name, section) => receive = section.receive.bind(section);
+    const readers = new storeReaders.StoreReaders(vmMesh, logger);
+    const from = { ...self, vm: model.createVmId("a-2") };
+    fc.assert(
+      fc.property(fc.anything(), (payload) => {
+        receive(from, payload);
+        receive(from, [payload, payload]);
+        receive(from, [true, payload]);
+        assert.equal(readers.chooseReason(), "ranked");
+      }),
+      kernelTesting.getRandomRuns(34, 200),
+    );
+  });
 });
