--- a/packages/proxy/src/store_readers.ts
+++ b/packages/proxy/src/store_readers.ts
@@ -22,11 +22,12 @@
 const REPORT_VALID_MILLISECONDS = 3_000;
 
 /**
- * Time without a response from the store to any VM after which a VM reads that is not a reader:
- * longer than one watch, plus the time that a reader's report takes to arrive, plus the time per
- * rank, which prevents the whole fleet from reading at once.
+ * Time without a response from the store to any VM after which a VM reads that is not a reader. It
+ * is longer than one watch; the time that a report takes to arrive is added.
  */
 const STALE_MILLISECONDS = 900;
+
+/** Added for each rank in the data centre, so that the whole fleet does not read at once. */
 const STALE_PER_RANK_MILLISECONDS = 100;
 const MAX_RANK = 8;
 
@@ -108,10 +109,11 @@
 
   /** Records that the store has responded to this VM. */
   recordResponse(): void {
-    const isFirst = this.#respondedAt < this.#neededAt - STALE_MILLISECONDS;
+    // VMs that have taken over cease once they hear of the first response after a gap.
+    const endsGap = this.#respondedAt < this.#neededAt - STALE_MILLISECONDS;
     this.#respondedAt = kernel.getMonotonicMilliseconds();
     this.#isReported = false;
-    if (this.#isTurnedAway || isFirst) {
+    if (this.#isTurnedAway || endsGap) {
       this.#reportChange();
     }
     this.#failures = 0;
