Log and count how callers' connections end and what was owed on them

Message 5003 names the unanswered requests of such a connection, apart by whether a target has received them, with how the connection ended and the bytes that were not sent; two counters hold the same for all connections. The stop waits until its connections have closed, so that the lines are written before the process ends. No decision about a request has changed.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -334,6 +334,19 @@
     text: "Stories of requests were left out.",
     fields: { count: "Requests that were not logged, to limit the volume of the log." },
   },
+  connectionEnded: {
+    code: 5003,
+    level: "warn",
+    text: "A caller's connection has ended with unanswered requests.",
+    fields: {
+      ending: "`announced` by a response, `failed` with an error, or `closed` by this VM.",
+      stopping: "Whether this VM was stopping.",
+      answered: "Responses that had been sent on the connection.",
+      passedOn: "Unanswered requests that a target or another VM had received.",
+      waiting: "Unanswered requests that had not been passed on and will not be.",
+      unsentBytes: "Bytes of responses that were not handed to the network.",
+    },
+  },
   unexpectedRequestError: {
     code: 5901,
     level: "error",
--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -18,6 +18,7 @@
   readonly #trace: log.RequestTrace;
   readonly #isForwarded: boolean;
   #isDecided = false;
+  #announcesEnd = false;
 
   /** @param isForwarded Whether another VM has passed the request on, which counts it. */
   constructor(
@@ -36,6 +37,11 @@
     return this.#isDecided;
   }
 
+  /** Whether the response announces the end of the caller's connection. */
+  get announcesEnd(): boolean {
+    return this.#announcesEnd;
+  }
+
   /**
    * Forwards a target's response; the rest of a long one is streamed.
    *
@@ -45,8 +51,8 @@
   forward(answer: calls.TargetAnswer, endsAt: number): void {
     const { rest } = answer;
     this.#isDecided = true;
-    const isClosing = !answer.isFramed || this.#context.isStopping();
-    const head = [...answer.headers, ...(isClosing ? ["Connection", "close"] : [])];
+    this.#announcesEnd = !answer.isFramed || this.#context.isStopping();
+    const head = [...answer.headers, ...this.#createConnectionHeader()];
     if (!answer.isFramed) {
       // The proxy cannot know whether a response without framing is complete, so it does not frame
       // it either.
@@ -88,6 +94,7 @@
       return;
     }
     this.#isDecided = true;
+    this.#announcesEnd = this.#context.isStopping();
     const head: string[] = ["Content-Type", "application/problem+json"];
     if (this.#trace.id !== "") {
       head.push(this.#context.profile.requestId, this.#trace.id);
@@ -106,7 +113,7 @@
   }
 
   #createConnectionHeader(): string[] {
-    return this.#context.isStopping() ? ["Connection", "close"] : [];
+    return this.#announcesEnd ? ["Connection", "close"] : [];
   }
 
   /** Counts and logs the end of the request, with or without a response. */
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -6,6 +6,7 @@
 import type * as net from "node:net";
 import type * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
+import * as records from "./connection_record.ts";
 import type * as contexts from "./request_context.ts";
 import * as handlers from "./request_handler.ts";
 import type * as types from "./types.ts";
@@ -38,18 +39,28 @@
   /** Sets what handles the requests that other VMs pass on to this one. */
   readonly onForwarded: (listener: http.RequestListener) => void;
   readonly logger: kernel.ComponentLogger;
+  readonly metrics: kernel.Metrics;
+}
+
+/** The requests of a connection. */
+interface ConnectionState {
+  readonly running: Map<handlers.RequestHandler, http.ServerResponse>;
+  answered: number;
+  hasAnnouncedEnd: boolean;
 }
 
 /** Accepts callers' connections and passes their requests to handlers. */
 export class CallerListener implements kernel.Service {
   readonly #options: ListenerOptions;
   readonly #server: http.Server;
-  readonly #running = new Map<net.Socket, Set<handlers.RequestHandler>>();
+  readonly #record: records.ConnectionRecord;
+  readonly #connections = new Map<net.Socket, ConnectionState>();
   #runningCount = 0;
   #isStopping = false;
 
   constructor(options: ListenerOptions) {
     this.#options = options;
+    this.#record = new records.ConnectionRecord(options.logger, options.metrics);
     const context = options.createContext(() => this.#isStopping);
     this.#server = http.createServer({
       maxHeaderSize: MAX_HEAD_BYTES,
@@ -94,8 +105,13 @@
     this.#options.logger.write(kernel.LogMessages.drained, { running: this.#runningCount });
   }
 
-  stop(): void {
+  async stop(): Promise<void> {
+    // What was owed on them is logged when they have closed.
+    const closed = [...this.#connections.keys()].map((socket) =>
+      new Promise<void>((resolve) => socket.once("close", resolve))
+    );
     this.#server.closeAllConnections();
+    await Promise.all(closed);
   }
 
   #handle(
@@ -110,8 +126,12 @@
     // its own pace.
     const closed = new Promise<void>((resolve) => response.once("close", resolve));
     const handler = new handlers.RequestHandler(context, request, response, isForwarded);
-    const running = this.#running.get(socket) ?? this.#track(socket);
-    running.add(handler);
+    const connection = this.#connections.get(socket) ?? this.#track(socket);
+    connection.running.set(handler, response);
+    response.once("finish", () => {
+      connection.answered++;
+      connection.hasAnnouncedEnd = handler.announcesEnd || !response.shouldKeepAlive;
+    });
     this.#runningCount++;
     void handler.run().catch((error: unknown) => {
       this.#options.logger.write(kernel.LogMessages.unexpectedRequestError, {
@@ -119,27 +139,58 @@
       });
       response.destroy();
     }).then(() => closed).finally(() => {
-      running.delete(handler);
+      connection.running.delete(handler);
       this.#runningCount--;
     });
   }
 
   /** Starts to track the requests of a connection. */
-  #track(socket: net.Socket): Set<handlers.RequestHandler> {
-    const running = new Set<handlers.RequestHandler>();
-    this.#running.set(socket, running);
-    socket.once("close", () => this.#onSocketClosed(socket));
-    return running;
+  #track(socket: net.Socket): ConnectionState {
+    const connection: ConnectionState = {
+      running: new Map(),
+      answered: 0,
+      hasAnnouncedEnd: false,
+    };
+    this.#connections.set(socket, connection);
+    socket.once("close", (hasError) => this.#onSocketClosed(socket, hasError));
+    return connection;
   }
 
-  #onSocketClosed(socket: net.Socket): void {
-    for (const handler of this.#running.get(socket) ?? []) {
+  #onSocketClosed(socket: net.Socket, hasError: boolean): void {
+    const connection = this.#connections.get(socket);
+    this.#connections.delete(socket);
+    if (connection === undefined) {
+      return;
+    }
+    const unanswered = [...connection.running].filter(([, response]) => !response.writableFinished)
+      .map(([{ id, isPassedOn }]) => ({ id, isPassedOn }));
+    this.#record.write({
+      ending: getEnding(socket, connection.hasAnnouncedEnd, hasError),
+      isStopping: this.#isStopping,
+      answered: connection.answered,
+      unanswered,
+      unsentBytes: socket.writableLength,
+    });
+    for (const handler of connection.running.keys()) {
       handler.onCallerClosed();
     }
-    this.#running.delete(socket);
   }
 }
 
+function getEnding(
+  socket: net.Socket,
+  hasAnnouncedEnd: boolean,
+  hasError: boolean,
+): records.ConnectionEnding {
+  if (hasAnnouncedEnd) {
+    return "announced";
+  }
+  if (hasError) {
+    return "failed";
+  }
+  return socket.readableEnded ? "caller" : "closed";
+}
+
 /** Responds to readiness checks of the load balancer. */
 export class ReadinessListener implements kernel.Service {
   readonly #address: string;
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -135,6 +135,7 @@
       bounds: options.bounds,
       store,
       logger: createLogger("callers"),
+      metrics,
       onForwarded: (requestListener) => vmMesh.onRequest(requestListener),
       createContext: (isStopping) => ({
         profile: options.profile,
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -74,6 +74,21 @@
     this.#finalAnswer = new answers.FinalAnswer(context, response, this.#trace, isForwarded);
   }
 
+  /** Identifier that the caller sent. */
+  get id(): string {
+    return this.#trace.id;
+  }
+
+  /** Whether the request was sent to a target or to another VM. */
+  get isPassedOn(): boolean {
+    return this.#hasAttempted;
+  }
+
+  /** Whether the response announces the end of the caller's connection. */
+  get announcesEnd(): boolean {
+    return this.#finalAnswer.announcesEnd;
+  }
+
   /** Called when the caller's connection has closed. */
   onCallerClosed(): void {
     if (!this.#finalAnswer.isDecided) {
--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -249,6 +249,11 @@
   /** The trace, as JSON. */
   readonly steps?: string;
   readonly requestsPerSecond?: number;
+  /** How a caller's connection ended, and what was owed on it. */
+  readonly ending?: string;
+  readonly stopping?: boolean;
+  readonly passedOn?: string;
+  readonly waiting?: string;
 }
 
 /** Settings of a test VM. */
