--- /dev/null
+++ b/packages/proxy/test/raw_caller.ts
@@ -0,0 +1,158 @@
+/**
+ * A caller that writes its requests byte by byte and reads responses when it wants to.
+ */
+
+import * as net from "node:net";
+import * as harness from "./harness.ts";
+
+/** A response on a raw connection. */
+export interface RawAnswer {
+  readonly status: number;
+  readonly id: string;
+  readonly body: string;
+  readonly endsConnection: boolean;
+  /** False if the connection ended before the response did. */
+  readonly isWhole: boolean;
+}
+
+/** Options of a request. */
+export interface RawRequest {
+  readonly id: string;
+  readonly method?: string;
+  readonly path?: string;
+  readonly version?: string;
+  readonly headers?: readonly string[];
+  readonly body?: string;
+  readonly isChunked?: boolean;
+}
+
+/** Encodes a request. */
+export function encodeRequest(request: RawRequest): string {
+  const { body = "", method = "POST" } = request;
+  const framing = request.isChunked === true
+    ? ["Transfer-Encoding: chunked"]
+    : body === ""
+    ? []
+    : [`Content-Length: ${body.length}`];
+  const head = [
+    `${method} ${request.path ?? "/bookings/1"} HTTP/${request.version ?? "1.1"}`,
+    "Host: desk.example",
+    "Authorization: Bearer secret",
+    `${harness.PROFILE.requestId}: ${request.id}`,
+    `${harness.PROFILE.deadline}: 10000`,
+    ...framing,
+    ...(request.headers ?? []),
+  ];
+  const chunks = `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
+  return `${head.join("\r\n")}\r\n\r\n${request.isChunked === true ? chunks : body}`;
+}
+
+/** One connection of a caller. */
+export class RawCaller {
+  readonly #socket: net.Socket;
+  #received = "";
+  #hasEnded = false;
+  #error: Error | undefined;
+
+  constructor(vm: harness.TestVm) {
+    this.#socket = net.connect({ host: vm.host, port: vm.port, noDelay: true });
+    this.#socket.setEncoding("latin1");
+    this.#socket.on("data", (text: string) => this.#received += text);
+    this.#socket.on("end", () => this.#hasEnded = true);
+    this.#socket.on("close", () => this.#hasEnded = true);
+    this.#socket.on("error", (error) => this.#error = error);
+  }
+
+  /** Whether the VM has ended its side. */
+  get hasEnded(): boolean {
+    return this.#hasEnded;
+  }
+
+  /** Whether the connection was reset. */
+  get isReset(): boolean {
+    return this.#error !== undefined;
+  }
+
+  get received(): string {
+    return this.#received;
+  }
+
+  send(text: string): void {
+    this.#socket.write(text, "latin1");
+  }
+
+  pause(): void {
+    this.#socket.pause();
+  }
+
+  resume(): void {
+    this.#socket.resume();
+  }
+
+  close(): void {
+    this.#socket.destroy();
+  }
+
+  /** Waits for a number of responses, or for the end of the connection. */
+  async readAnswers(count: number): Promise<RawAnswer[]> {
+    await harness.waitFor(
+      () => this.#hasEnded || this.listAnswers().filter(({ isWhole }) => isWhole).length >= count,
+      `${count} responses`,
+      10_000,
+    );
+    return this.listAnswers();
+  }
+
+  /** The responses that have been received so far. */
+  listAnswers(): RawAnswer[] {
+    const answers: RawAnswer[] = [];
+    let left = this.#received;
+    while (left.includes("\r\n\r\n")) {
+      const headEnd = left.indexOf("\r\n\r\n");
+      const head = left.slice(0, headEnd);
+      const { body, length } = this.#readBody(head, left.slice(headEnd + 4));
+      answers.push({
+        status: Number(head.slice(9, 12)),
+        id: findHeader(head, harness.PROFILE.requestId) ?? "",
+        endsConnection: findHeader(head, "connection") === "close",
+        body,
+        isWhole: length !== undefined,
+      });
+      left = length === undefined ? "" : left.slice(headEnd + 4 + length);
+    }
+    return answers;
+  }
+
+  /** The length is that of the encoded body, undefined if its end is missing. */
+  #readBody(head: string, text: string): { body: string; length: number | undefined } {
+    const status = Number(head.slice(9, 12));
+    const declared = findHeader(head, "content-length");
+    if (declared !== undefined || status === 204 || status === 304) {
+      const length = status === 304 || status === 204 ? 0 : Number(declared);
+      return { body: text.slice(0, length), length: text.length >= length ? length : undefined };
+    }
+    if (findHeader(head, "transfer-encoding") !== "chunked") {
+      const isWhole = this.#hasEnded && this.#error === undefined;
+      return { body: text, length: isWhole ? text.length : undefined };
+    }
+    let body = "";
+    let position = 0;
+    for (;;) {
+      const lineEnd = text.indexOf("\r\n", position);
+      const size = Number.parseInt(text.slice(position, lineEnd), 16);
+      const end = lineEnd + 2 + size + 2;
+      if (lineEnd < 0 || text.length < end) {
+        return { body, length: undefined };
+      }
+      body += text.slice(lineEnd + 2, end - 2);
+      position = end;
+      if (size === 0) {
+        return { body, length: position };
+      }
+    }
+  }
+}
+
+function findHeader(head: string, name: string): string | undefined {
+  return new RegExp(`^${name}: (.*)$`, "im").exec(head)?.[1]?.trim();
+}
