A caller's connection ends without taking an owed response with it

Cause: requests of one connection were passed on as they were read, while each part of the VM that could end the connection did so without knowing what was owed on it. A stopping VM announced the end with every response; a response without a length, 204, 304, a cut response, bytes that are no request, a head that is never finished and the idle timeout ended it at any time. Node.js then closed the socket at once, and a request that arrived meanwhile made the kernel reset it and drop what it had not sent. The close of the listener took connections for idle whose responses were written and not sent.

One object now owns a connection. It handles one request at a time and begins the next one only once the connection is known to stay open behind the response, so nothing but the next response is ever owed. It announces the end with the last request that was read, ends its own side first and goes on reading within bounds until the caller has ended the other. Bytes that are no request get their response in their turn. An exception in a handler is answered with 500.

Ruled out: a shorter or longer stop, since most of these losses need no SIGTERM; passing on requests in parallel and announcing the end with the last one, since a response that breaks off or has no length still ends the connection before the others.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -357,6 +357,9 @@
 
 /** The steps of a request trace: decisions about the request with their inputs. */
 export const TraceSteps = {
+  waited_for_turn: {
+    milliseconds: "Time for which it waited for the requests before it on its connection.",
+  },
   accepted: {
     route: "Route of the request.",
     service: "Service that was selected by the weights of the route.",
--- a/packages/proxy/src/connection_record.ts
+++ b/packages/proxy/src/connection_record.ts
@@ -36,8 +36,13 @@
   readonly unsentBytes: number;
 }
 
+/** Receives how connections have ended. */
+export interface ConnectionEndListener {
+  write(end: ConnectionEnd): void;
+}
+
 /** Counts the ends of connections and logs those with unanswered requests. */
-export class ConnectionRecord {
+export class ConnectionRecord implements ConnectionEndListener {
   readonly #logger: kernel.ComponentLogger;
   readonly #ends: kernel.Counter<"ending">;
   readonly #unanswered: kernel.Counter<"ending" | "state">;
--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -5,6 +5,7 @@
 
 import type * as http from "node:http";
 import * as kernel from "@hemlockwalk/kernel";
+import type * as connections from "./caller_connection.ts";
 import * as headers from "./headers.ts";
 import type * as refusals from "./refusals.ts";
 import type * as contexts from "./request_context.ts";
@@ -16,20 +17,23 @@
   readonly #context: contexts.RequestContext;
   readonly #response: http.ServerResponse;
   readonly #trace: log.RequestTrace;
+  readonly #connection: connections.CallerConnection;
   readonly #isForwarded: boolean;
   #isDecided = false;
-  #announcesEnd = false;
+  #delimiting: connections.Delimiting = "framed";
 
   /** @param isForwarded Whether another VM has passed the request on, which counts it. */
   constructor(
     context: contexts.RequestContext,
     response: http.ServerResponse,
     trace: log.RequestTrace,
+    connection: connections.CallerConnection,
     isForwarded: boolean,
   ) {
     this.#context = context;
     this.#response = response;
     this.#trace = trace;
+    this.#connection = connection;
     this.#isForwarded = isForwarded;
   }
 
@@ -37,11 +41,6 @@
     return this.#isDecided;
   }
 
-  /** Whether the response announces the end of the caller's connection. */
-  get announcesEnd(): boolean {
-    return this.#announcesEnd;
-  }
-
   /**
    * Forwards a target's response; the rest of a long one is streamed.
    *
@@ -51,8 +50,9 @@
   forward(answer: calls.TargetAnswer, endsAt: number): void {
     const { rest } = answer;
     this.#isDecided = true;
-    this.#announcesEnd = !answer.isFramed || this.#context.isStopping();
-    const head = [...answer.headers, ...this.#createConnectionHeader()];
+    this.#delimiting = this.#getDelimiting(answer);
+    const endsConnection = this.#delimiting === "by_end";
+    const head = [...answer.headers, ...this.#createConnectionHeader(endsConnection)];
     if (!answer.isFramed) {
       // The proxy cannot know whether a response without framing is complete, so it does not frame
       // it either.
@@ -69,7 +69,7 @@
     }
     rest.pipe(this.#response);
     const timer = setTimeout(
-      () => this.#response.destroy(),
+      () => this.#breakOff(),
       Math.max(0, endsAt - kernel.getMonotonicMilliseconds()),
     );
     // A target that sends without end is not read for longer than its caller waits.
@@ -82,7 +82,7 @@
     // A truncated response must not look complete, so the caller's connection is closed with it.
     rest.once("close", () => {
       if (!rest.complete) {
-        this.#response.destroy();
+        this.#breakOff();
       }
       this.finish(rest.complete ? "answered" : "target_failed", answer.status);
     });
@@ -94,7 +94,6 @@
       return;
     }
     this.#isDecided = true;
-    this.#announcesEnd = this.#context.isStopping();
     const head: string[] = ["Content-Type", "application/problem+json"];
     if (this.#trace.id !== "") {
       head.push(this.#context.profile.requestId, this.#trace.id);
@@ -106,14 +105,38 @@
       head.push("Retry-After", String(refusal.retryAfterSeconds));
     }
     const body = JSON.stringify({ title: refusal.reason, status: refusal.status });
-    head.push("Content-Length", String(body.length), ...this.#createConnectionHeader());
+    head.push("Content-Length", String(body.length), ...this.#createConnectionHeader(false));
     this.#response.writeHead(refusal.status, head);
     this.#response.end(body);
     this.finish(refusal.reason, refusal.status);
   }
 
-  #createConnectionHeader(): string[] {
-    return this.#announcesEnd ? ["Connection", "close"] : [];
+  /** Ends a request whose handling has failed unexpectedly; it may have run. */
+  fail(): void {
+    if (!this.#response.headersSent) {
+      this.refuse({ status: 500, reason: "internal_error" });
+      return;
+    }
+    this.#breakOff();
+    this.finish("internal_error", this.#response.statusCode);
+  }
+
+  #createConnectionHeader(endsConnection: boolean): string[] {
+    return this.#connection.announcesEnd(endsConnection) ? ["Connection", "close"] : [];
+  }
+
+  /** A caller of HTTP/1.0 does not understand chunks. */
+  #getDelimiting(answer: calls.TargetAnswer): connections.Delimiting {
+    const isChunked = !answer.headers.some((name, index) =>
+      index % 2 === 0 && name.toLowerCase() === "content-length"
+    );
+    const isByEnd = !answer.isFramed || (isChunked && this.#response.req.httpVersion === "1.0");
+    return isByEnd ? "by_end" : "framed";
+  }
+
+  /** Ends a response that has begun and cannot be completed. */
+  #breakOff(): void {
+    this.#connection.breakOff(this.#delimiting);
   }
 
   /** Counts and logs the end of the request, with or without a response. */
--- /dev/null
+++ b/packages/proxy/src/http_connection.ts
@@ -0,0 +1,133 @@
+/**
+ * Binds the connections of callers to the HTTP server of Node.js.
+ *
+ * The server parses requests and writes responses in order. When it would close a connection, the
+ * `CallerConnection` decides instead: its `destroySoon` is replaced, which the server calls behind a
+ * response that ends the connection.
+ */
+
+import type * as http from "node:http";
+import type * as net from "node:net";
+import type * as connections from "./caller_connection.ts";
+import type * as handlers from "./request_handler.ts";
+
+/** The socket of a connection. */
+export class SocketTransport implements connections.ConnectionTransport {
+  readonly #socket: net.Socket;
+
+  constructor(socket: net.Socket) {
+    this.#socket = socket;
+  }
+
+  get bytesRead(): number {
+    return this.#socket.bytesRead;
+  }
+
+  get unsentBytes(): number {
+    return this.#socket.writableLength;
+  }
+
+  get hasFailed(): boolean {
+    return this.#socket.errored !== null;
+  }
+
+  get isEndedByCaller(): boolean {
+    return this.#socket.readableEnded;
+  }
+
+  pauseReading(): void {
+    this.#socket.pause();
+  }
+
+  resumeReading(): void {
+    this.#socket.resume();
+  }
+
+  end(lastBytes?: string): void {
+    this.#socket.setTimeout(0);
+    if (lastBytes === undefined) {
+      this.#socket.end();
+    } else {
+      this.#socket.end(lastBytes, "latin1");
+    }
+  }
+
+  close(): void {
+    this.#socket.destroy();
+  }
+
+  reset(): void {
+    this.#socket.resetAndDestroy();
+  }
+}
+
+/** A request of the HTTP server and its handler. */
+export class HttpExchange implements connections.ConnectionExchange {
+  readonly #request: http.IncomingMessage;
+  readonly #handler: handlers.RequestHandler;
+  readonly #run: (hasWaited: boolean) => void;
+  #isStarted = false;
+
+  /** @param run Runs the handler and takes care of its errors. */
+  constructor(
+    request: http.IncomingMessage,
+    handler: handlers.RequestHandler,
+    run: (hasWaited: boolean) => void,
+  ) {
+    this.#request = request;
+    this.#handler = handler;
+    this.#run = run;
+  }
+
+  get id(): string {
+    return this.#handler.id;
+  }
+
+  get isRead(): boolean {
+    return this.#request.complete;
+  }
+
+  get isPassedOn(): boolean {
+    return this.#handler.isPassedOn;
+  }
+
+  start(hasWaited: boolean): void {
+    this.#isStarted = true;
+    this.#run(hasWaited);
+  }
+
+  dropRest(): void {
+    this.#request.unpipe();
+    this.#request.resume();
+  }
+
+  reject(): void {
+    this.#handler.onInvalidRequest();
+  }
+
+  cancel(): void {
+    if (this.#isStarted) {
+      this.#handler.onCallerClosed();
+    }
+  }
+}
+
+/** Status lines of the responses to what is no request that this server handles. */
+const INVALID_INPUT_STATUSES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
+/** Creates the response to bytes that are no request, by the code of the parser's error. */
+export function createInvalidInputResponse(code: string | undefined): string {
+  return createEmptyResponse(INVALID_INPUT_STATUSES[code ?? ""] ?? "400 Bad Request");
+}
+
+/** Creates the response to a request to become a tunnel. */
+export function createTunnelResponse(): string {
+  return createEmptyResponse("501 Not Implemented");
+}
+
+function createEmptyResponse(status: string): string {
+  return `HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
+}
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -4,9 +4,12 @@
 
 import * as http from "node:http";
 import type * as net from "node:net";
+import type * as stream from "node:stream";
 import type * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
+import * as connections from "./caller_connection.ts";
 import * as records from "./connection_record.ts";
+import * as bindings from "./http_connection.ts";
 import type * as contexts from "./request_context.ts";
 import * as handlers from "./request_handler.ts";
 import type * as types from "./types.ts";
@@ -42,27 +45,28 @@
   readonly metrics: kernel.Metrics;
 }
 
-/** The requests of a connection. */
-interface ConnectionState {
-  readonly running: Map<handlers.RequestHandler, http.ServerResponse>;
-  answered: number;
-  hasAnnouncedEnd: boolean;
+/** Leaves it to the connections themselves when they end. */
+class CallerServer extends http.Server {
+  override closeIdleConnections(): void {
+    // Called by `close`, which takes connections for idle whose response has not been sent.
+  }
 }
 
 /** Accepts callers' connections and passes their requests to handlers. */
 export class CallerListener implements kernel.Service {
   readonly #options: ListenerOptions;
-  readonly #server: http.Server;
+  readonly #server: CallerServer;
   readonly #record: records.ConnectionRecord;
-  readonly #connections = new Map<net.Socket, ConnectionState>();
-  #runningCount = 0;
-  #isStopping = false;
+  readonly #context: contexts.RequestContext;
+  /** Open connections of callers, and those of other VMs that have passed requests on. */
+  readonly #connections = new Map<net.Socket, connections.CallerConnection>();
+  readonly #stop = { isStopping: false, isClosing: false };
 
   constructor(options: ListenerOptions) {
     this.#options = options;
     this.#record = new records.ConnectionRecord(options.logger, options.metrics);
-    const context = options.createContext(() => this.#isStopping);
-    this.#server = http.createServer({
+    this.#context = options.createContext(() => this.#stop.isStopping);
+    this.#server = new CallerServer({
       maxHeaderSize: MAX_HEAD_BYTES,
       keepAliveTimeout: DEFAULT_IDLE_MILLISECONDS,
       headersTimeout: DEFAULT_HEADER_MILLISECONDS,
@@ -70,11 +74,19 @@
       connectionsCheckingInterval: 1_000,
       noDelay: true,
     });
+    this.#server.on("connection", (socket) => this.#track(socket));
+    this.#server.on("request", (request, response) => this.#handle(request, response, false));
     this.#server.on(
-      "request",
-      (request, response) => this.#handle(context, request, response, false),
+      "timeout",
+      (socket: net.Socket) => this.#connections.get(socket)?.onIdleTimeout(),
     );
-    options.onForwarded((request, response) => this.#handle(context, request, response, true));
+    this.#server.on("clientError", (error, socket) => this.#onClientError(error, socket));
+    this.#server.on(
+      "connect",
+      (request) =>
+        this.#connections.get(request.socket)?.onInvalidInput(bindings.createTunnelResponse()),
+    );
+    options.onForwarded((request, response) => this.#handle(request, response, true));
     options.store.onVersion((view) => {
       const { idleMilliseconds, headerMilliseconds } = view.declarations.limits;
       this.#server.keepAliveTimeout = idleMilliseconds;
@@ -83,112 +95,101 @@
   }
 
   get isStopping(): boolean {
-    return this.#isStopping;
+    return this.#stop.isStopping;
   }
 
   async start(): Promise<void> {
     await kernel.listen(this.#server, this.#options.callerAddress);
   }
 
-  /** Keeps serving until the load balancer has removed this VM, then waits for running requests. */
+  /**
+   * Keeps serving until the load balancer has removed this VM, then waits until callers have their
+   * responses.
+   */
   async drain(): Promise<void> {
-    this.#isStopping = true;
+    this.#stop.isStopping = true;
     const startedAt = kernel.getMonotonicMilliseconds();
     const endsAt = startedAt + this.#options.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
     await kernel.sleep(BALANCER_LAG_MILLISECONDS);
-    // Accepts no new connections and closes idle ones; those in use close after their next
-    // response.
+    this.#stop.isClosing = true;
     this.#server.close();
-    while (this.#runningCount > 0 && kernel.getMonotonicMilliseconds() < endsAt) {
+    this.#connections.forEach((connection) => connection.endIfIdle());
+    while (this.#connections.size > 0 && kernel.getMonotonicMilliseconds() < endsAt) {
       await kernel.sleep(DRAIN_POLL_MILLISECONDS);
     }
-    this.#options.logger.write(kernel.LogMessages.drained, { running: this.#runningCount });
+    const running = [...this.#connections.values()].filter(({ isBusy }) => isBusy).length;
+    this.#options.logger.write(kernel.LogMessages.drained, { running });
   }
 
   async stop(): Promise<void> {
     // What was owed on them is logged when they have closed.
-    const closed = [...this.#connections.keys()].map((socket) =>
+    const sockets = [...this.#connections.keys()];
+    const closed = sockets.map((socket) =>
       new Promise<void>((resolve) => socket.once("close", resolve))
     );
-    this.#server.closeAllConnections();
+    sockets.forEach((socket) => socket.destroy());
     await Promise.all(closed);
   }
 
   #handle(
-    context: contexts.RequestContext,
     request: http.IncomingMessage,
     response: http.ServerResponse,
     isForwarded: boolean,
   ): void {
     response.sendDate = false;
-    const { socket } = request;
-    // A response is sent on after it was decided: a long one is streamed, and its caller reads it at
-    // its own pace.
-    const closed = new Promise<void>((resolve) => response.once("close", resolve));
-    const handler = new handlers.RequestHandler(context, request, response, isForwarded);
-    const connection = this.#connections.get(socket) ?? this.#track(socket);
-    connection.running.set(handler, response);
-    response.once("finish", () => {
-      connection.answered++;
-      connection.hasAnnouncedEnd = handler.announcesEnd || !response.shouldKeepAlive;
-    });
-    this.#runningCount++;
-    void handler.run().catch((error: unknown) => {
+    const connection = this.#connections.get(request.socket) ?? this.#track(request.socket);
+    const handler = new handlers.RequestHandler(
+      this.#context,
+      request,
+      response,
+      connection,
+      isForwarded,
+    );
+    const exchange = new bindings.HttpExchange(
+      request,
+      handler,
+      (hasWaited) => void this.#run(handler, hasWaited),
+    );
+    response.once("finish", () => connection.onResponseSent());
+    request.once("end", () => connection.onRequestRead(exchange));
+    connection.add(exchange);
+  }
+
+  async #run(handler: handlers.RequestHandler, hasWaited: boolean): Promise<void> {
+    try {
+      await handler.run(hasWaited);
+    } catch (error) {
       this.#options.logger.write(kernel.LogMessages.unexpectedRequestError, {
         error: error instanceof Error ? error.stack : String(error),
       });
-      response.destroy();
-    }).then(() => closed).finally(() => {
-      connection.running.delete(handler);
-      this.#runningCount--;
-    });
+      handler.fail();
+    }
   }
 
-  /** Starts to track the requests of a connection. */
-  #track(socket: net.Socket): ConnectionState {
-    const connection: ConnectionState = {
-      running: new Map(),
-      answered: 0,
-      hasAnnouncedEnd: false,
-    };
+  /** Starts to track a connection. */
+  #track(socket: net.Socket): connections.CallerConnection {
+    const connection = new connections.CallerConnection(
+      new bindings.SocketTransport(socket),
+      this.#record,
+      this.#stop,
+    );
     this.#connections.set(socket, connection);
-    socket.once("close", (hasError) => this.#onSocketClosed(socket, hasError));
+    socket.destroySoon = () => connection.requireEnd();
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      connection.onClosed();
+    });
     return connection;
   }
 
-  #onSocketClosed(socket: net.Socket, hasError: boolean): void {
-    const connection = this.#connections.get(socket);
-    this.#connections.delete(socket);
-    if (connection === undefined) {
+  #onClientError(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
+    const connection = this.#connections.get(socket as net.Socket);
+    if (connection === undefined || !socket.writable || error.code === "ECONNRESET") {
+      socket.destroy();
       return;
     }
-    const unanswered = [...connection.running].filter(([, response]) => !response.writableFinished)
-      .map(([{ id, isPassedOn }]) => ({ id, isPassedOn }));
-    this.#record.write({
-      ending: getEnding(socket, connection.hasAnnouncedEnd, hasError),
-      isStopping: this.#isStopping,
-      answered: connection.answered,
-      unanswered,
-      unsentBytes: socket.writableLength,
-    });
-    for (const handler of connection.running.keys()) {
-      handler.onCallerClosed();
-    }
-  }
-}
-
-function getEnding(
-  socket: net.Socket,
-  hasAnnouncedEnd: boolean,
-  hasError: boolean,
-): records.ConnectionEnding {
-  if (hasAnnouncedEnd) {
-    return "announced";
-  }
-  if (hasError) {
-    return "failed";
+    connection.onInvalidInput(bindings.createInvalidInputResponse(error.code));
   }
-  return socket.readableEnded ? "caller" : "closed";
 }
 
 /** Responds to readiness checks of the load balancer. */
--- a/packages/proxy/src/mod.ts
+++ b/packages/proxy/src/mod.ts
@@ -3,6 +3,8 @@
  */
 
 export * from "./budgets.ts";
+export * from "./caller_connection.ts";
+export * from "./connection_record.ts";
 export * from "./crash_exchange.ts";
 export * from "./listener.ts";
 export * from "./path_monitor.ts";
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -8,6 +8,7 @@
 import type * as model from "@hemlockwalk/model";
 import * as admission from "./admission.ts";
 import * as bodies from "./body.ts";
+import type * as connections from "./caller_connection.ts";
 import * as answers from "./final_answer.ts";
 import * as forwarding from "./forwarding.ts";
 import * as passingOn from "./passing_on.ts";
@@ -60,6 +61,7 @@
     context: contexts.RequestContext,
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    connection: connections.CallerConnection,
     isForwarded: boolean,
   ) {
     this.#context = context;
@@ -71,7 +73,13 @@
     this.#placer = new placers.RequestPlacer(context, this.#trace, this.#tried, signal);
     this.#peers = new passingOn.PeerCalls(context, this.#trace);
     this.#evidence = new evidence.RequestEvidence(context, this.#trace, request);
-    this.#finalAnswer = new answers.FinalAnswer(context, response, this.#trace, isForwarded);
+    this.#finalAnswer = new answers.FinalAnswer(
+      context,
+      response,
+      this.#trace,
+      connection,
+      isForwarded,
+    );
   }
 
   /** Identifier that the caller sent. */
@@ -84,11 +92,6 @@
     return this.#hasAttempted;
   }
 
-  /** Whether the response announces the end of the caller's connection. */
-  get announcesEnd(): boolean {
-    return this.#finalAnswer.announcesEnd;
-  }
-
   /** Called when the caller's connection has closed. */
   onCallerClosed(): void {
     if (!this.#finalAnswer.isDecided) {
@@ -96,7 +99,24 @@
     }
   }
 
-  async run(): Promise<void> {
+  /** Called when the rest of the request cannot be read. */
+  onInvalidRequest(): void {
+    this.#finalAnswer.refuse({ status: 400, reason: "invalid_request" });
+    this.#caller.abort("cancelled");
+  }
+
+  /** Ends the request after an unexpected error. */
+  fail(): void {
+    this.#finalAnswer.fail();
+  }
+
+  /** @param hasWaited Whether requests before it on its connection were handled first. */
+  async run(hasWaited: boolean): Promise<void> {
+    if (hasWaited) {
+      this.#trace.add("waited_for_turn", {
+        milliseconds: Math.round(kernel.getMonotonicMilliseconds() - this.#trace.arrivedAt),
+      });
+    }
     const { startGate } = this.#context;
     if (!startGate.isOpen) {
       await startGate.wait();
@@ -118,6 +138,12 @@
       this.#finalAnswer.finish("caller_left", 0);
       return;
     }
+    if (accepted.endsAt <= kernel.getMonotonicMilliseconds()) {
+      // It waited for the requests before it on its connection.
+      this.#returnRate(accepted);
+      this.#expire();
+      return;
+    }
     const limit = this.#context.store.current?.declarations.limits.bodyBytes ?? 0;
     const read = await bodies.readBody(this.#request, limit);
     if (read.kind === "aborted") {
--- a/packages/proxy/src/types.ts
+++ b/packages/proxy/src/types.ts
@@ -82,6 +82,8 @@
   "targets_limited",
   "isolated",
   "invalid_forward",
+  "invalid_request",
+  "internal_error",
   "not_reached",
   "quarantined",
   "body_too_large",
