Check a request that another VM has passed on against this VM's own knowledge

The port of the mesh took a request with the header for passing on from whoever reached it: any workspace, any service, 10^9 targets to try, 10^12 ms or a negative time for the response. It was placed and run as long as the header could be decoded. No caller has been seen to do so.

The cause: the receiver took every decision of the sender for its own. Now the sender must have the address of a known VM, from which VMs connect to each other for this; numbers have bounds; route, service and workspace must be what the receiver's declarations give for host and path; and attempts, idempotence, objective and priority come from there, which the sender can only narrow. A damaged header is 400 `invalid_forward` as before. An unknown sender and what is not declared are refused as not run with 503, so that a VM that is behind for a moment costs no caller: the sender asks the next one. Each rejection is counted by its reason, is a step of the trace, and is message 3004, one line a second at most. The sender keeps what it sends within the bounds.

The first draws 300 bad headers: fields that are missing, of another type or out of bounds, values that are no object, text that is no JSON, and headers that are cut off. The listener for callers never took the header; the test keeps it so.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -170,6 +170,17 @@
         "Time since the one before had sent anything; absent without a link to it.",
     },
   },
+  forwardRejected: {
+    code: 3004,
+    level: "warn",
+    text: "A request that came as one that another VM had accepted was rejected.",
+    fields: {
+      from: "IP address of the sender.",
+      reason: "`invalid_forward`, `unknown_peer` or `undeclared_forward`.",
+      error: "What is wrong with the request.",
+      count: "Requests rejected since the line before; there is one line a second at most.",
+    },
+  },
   targetChanged: {
     code: 4001,
     level: "info",
@@ -385,7 +396,10 @@
     attempts: "Targets to which this VM may send it.",
     left: "Milliseconds left for the response.",
   },
-  unreadable: { error: "What is wrong with the request that another VM has passed on." },
+  rejected: {
+    from: "IP address of the sender of a request that came as one that another VM had accepted.",
+    error: "What is wrong with the request.",
+  },
   peer_result: {
     vm: "The VM that the request was passed on to.",
     result: "`answered`, or why it did not serve the request.",
--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -7,7 +7,6 @@
 import * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
 import type * as budgetTypes from "./budgets.ts";
-import * as forwarding from "./forwarding.ts";
 import * as headers from "./headers.ts";
 import * as refusals from "./refusals.ts";
 import type * as contexts from "./request_context.ts";
@@ -106,25 +105,11 @@
   request: http.IncomingMessage,
   trace: log.RequestTrace,
 ): types.AcceptedRequest | refusals.Refusal {
-  const { profile, store, path } = context;
-  if (store.current === undefined) {
-    return { status: 503, reason: "no_declarations" };
-  }
+  const { forwardedRequests, profile, path } = context;
   if (path.isIsolated) {
     return { status: 503, reason: "isolated" };
   }
-  const decoded = forwarding.decodeForwarded(request, trace.id, trace.arrivedAt, profile);
-  if (decoded.isErr()) {
-    trace.add("unreadable", { error: decoded.error });
-    return { status: 400, reason: "invalid_forward" };
-  }
-  const accepted = decoded.value;
-  trace.add("received", {
-    service: accepted.service,
-    attempts: accepted.route.attempts,
-    left: Math.round(accepted.endsAt - accepted.arrivedAt),
-  });
-  return accepted;
+  return forwardedRequests.accept(request, trace, profile);
 }
 
 async function takeRate(
--- a/packages/proxy/src/forwarding.ts
+++ b/packages/proxy/src/forwarding.ts
@@ -5,32 +5,32 @@
  * places it on a target as its own and never passes it on again.
  */
 
-import type * as http from "node:http";
 import * as kernel from "@hemlockwalk/kernel";
-import * as model from "@hemlockwalk/model";
 import * as neverthrow from "neverthrow";
 import * as zod from "zod/mini";
-import * as headers from "./headers.ts";
 import type * as refusals from "./refusals.ts";
 import type * as types from "./types.ts";
 
-/**
- * Part of the time for the answer that is kept for its way back, so that the VM that took the request
- * does not give up just before it.
- */
-const RETURN_MARGIN_MILLISECONDS = 10;
+/** Most targets that one request may be sent to; far more than a route allows. */
+export const MAX_ATTEMPTS = 1_000;
 
-const envelopeSchema = zod.object({
+/** Longest time for a response. A timer of Node.js with a longer delay expires at once. */
+export const MAX_LEFT_MILLISECONDS = 2_147_483_647;
+
+const decisionsSchema = zod.object({
   route: zod.string(),
   isIdempotent: zod.boolean(),
   objective: zod.number().check(zod.positive()),
-  attempts: zod.int().check(zod.positive()),
+  attempts: zod.int().check(zod.positive(), zod.lte(MAX_ATTEMPTS)),
   workspace: zod.optional(zod.string()),
   service: zod.string(),
   priority: zod.number(),
-  left: zod.number(),
+  left: zod.int().check(zod.nonnegative(), zod.lte(MAX_LEFT_MILLISECONDS)),
 });
 
+/** The decisions about a request; identifiers and settings are those of the VM that sent them. */
+export type ForwardedDecisions = Readonly<zod.infer<typeof decisionsSchema>>;
+
 /**
  * Encodes the decisions about a request as the value of a header.
  *
@@ -38,56 +38,36 @@
  */
 export function encodeForwarded(request: types.AcceptedRequest, attempts: number): string {
   const { route, service, priority } = request;
-  const envelope: zod.infer<typeof envelopeSchema> = {
+  const left = Math.floor(request.endsAt - kernel.getMonotonicMilliseconds());
+  const decisions: ForwardedDecisions = {
     route: route.id,
     isIdempotent: route.isIdempotent,
     objective: route.objectiveMilliseconds,
-    attempts,
+    attempts: Math.min(Math.max(Math.floor(attempts), 1), MAX_ATTEMPTS),
     ...(request.workspace === undefined ? {} : { workspace: request.workspace }),
     service,
     priority,
-    left: Math.floor(request.endsAt - kernel.getMonotonicMilliseconds()),
+    left: Math.min(Math.max(left, 0), MAX_LEFT_MILLISECONDS),
   };
-  return Buffer.from(JSON.stringify(envelope)).toString("base64url");
+  return Buffer.from(JSON.stringify(decisions)).toString("base64url");
 }
 
-/** Decodes a request that another VM has passed on; the error states what is invalid. */
+/** Decodes the value of the header; the error states what is invalid. */
 export function decodeForwarded(
-  request: http.IncomingMessage,
-  id: string,
-  arrivedAt: number,
-  profile: types.HeaderProfile,
-): neverthrow.Result<types.AcceptedRequest, string> {
-  const text = request.headers[headers.FORWARDED_HEADER];
+  text: string,
+): neverthrow.Result<ForwardedDecisions, string> {
   let document: unknown;
   try {
-    document = JSON.parse(Buffer.from(String(text), "base64url").toString());
+    document = JSON.parse(Buffer.from(text, "base64url").toString());
   } catch (error) {
     return neverthrow.err(`The header is not valid JSON: ${String(error)}.`);
   }
-  const parsed = zod.safeParse(envelopeSchema, document);
+  const parsed = zod.safeParse(decisionsSchema, document);
   if (!parsed.success) {
     const issues = parsed.error.issues.map((issue) => `${issue.path.join(".")}: ${issue.message}`);
     return neverthrow.err(`The header is not valid: ${issues.join("; ")}.`);
   }
-  const { data } = parsed;
-  return neverthrow.ok({
-    id,
-    route: {
-      id: model.createRouteId(data.route),
-      isIdempotent: data.isIdempotent,
-      objectiveMilliseconds: data.objective,
-      attempts: data.attempts,
-    },
-    workspace: data.workspace === undefined ? undefined : model.createWorkspaceId(data.workspace),
-    service: model.createServiceId(data.service),
-    priority: data.priority,
-    arrivedAt,
-    endsAt: arrivedAt + data.left - RETURN_MARGIN_MILLISECONDS,
-    method: request.method ?? "GET",
-    path: request.url ?? "/",
-    headers: headers.createForwardedHeaders(request, profile),
-  });
+  return neverthrow.ok(parsed.data);
 }
 
 /** Why a VM to which a request was passed on cannot serve it, though another one may. */
@@ -95,6 +75,8 @@
   "isolated",
   "no_declarations",
   "no_target",
+  "unknown_peer",
+  "undeclared_forward",
 ]);
 
 /** Whether another VM may serve a request that one has refused. */
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -9,6 +9,7 @@
 import type * as bunyan from "bunyan";
 import * as budgets from "./budgets.ts";
 import * as crashes from "./crash_monitor.ts";
+import * as forwarded from "./forwarded_requests.ts";
 import * as publishers from "./publisher.ts";
 import * as rateStatements from "./rate_statements.ts";
 import * as listeners from "./listener.ts";
@@ -167,6 +168,7 @@
         isStopping,
         path,
         peers: servingPeers,
+        forwardedRequests: new forwarded.ForwardedRequests(store, vmMesh, createLogger("peers")),
         startGate,
       }),
     }),
--- a/packages/proxy/src/request_context.ts
+++ b/packages/proxy/src/request_context.ts
@@ -5,6 +5,7 @@
 import type * as declarations from "@hemlockwalk/declarations";
 import type * as budgets from "./budgets.ts";
 import type * as crashes from "./crash_monitor.ts";
+import type * as forwarded from "./forwarded_requests.ts";
 import type * as log from "./request_log.ts";
 import type * as gates from "./start_gate.ts";
 import type * as calls from "./target_call.ts";
@@ -41,5 +42,6 @@
   readonly isStopping: () => boolean;
   readonly path: paths.PathMonitor;
   readonly peers: peers.ServingPeers;
+  readonly forwardedRequests: forwarded.ForwardedRequests;
   readonly startGate: gates.StartGate;
 }
--- a/packages/proxy/src/serving_peers.ts
+++ b/packages/proxy/src/serving_peers.ts
@@ -23,7 +23,7 @@
 /** Chooses among the other VMs and holds the connections to them. */
 export class ServingPeers implements kernel.Service {
   readonly connectTimeoutMilliseconds = CONNECT_TIMEOUT_MILLISECONDS;
-  readonly connections = new connections.TargetConnections();
+  readonly connections: connections.TargetConnections;
   readonly #mesh: mesh.Mesh;
   readonly #path: paths.PathMonitor;
   readonly #avoidedUntil = new Map<model.VmId, number>();
@@ -32,6 +32,9 @@
   constructor(vmMesh: mesh.Mesh, path: paths.PathMonitor) {
     this.#mesh = vmMesh;
     this.#path = path;
+    // The other VMs know this one by the address of its listener for them.
+    const { host } = kernel.splitAddress(vmMesh.self.address);
+    this.connections = new connections.TargetConnections(host);
   }
 
   stop(): void {
--- a/packages/proxy/src/types.ts
+++ b/packages/proxy/src/types.ts
@@ -82,6 +82,8 @@
   "targets_limited",
   "isolated",
   "invalid_forward",
+  "unknown_peer",
+  "undeclared_forward",
   "not_reached",
   "quarantined",
   "body_too_large",
