Test a lost path on which open connections live on

A VM may also lose its path so that new connections are refused while open ones live on. Only connections that hang or are reset were tested.

--- a/packages/proxy/test/isolation_test.ts
+++ b/packages/proxy/test/isolation_test.ts
@@ -79,7 +79,7 @@
 }
 
 test.describe("VMs cut off from the targets", () => {
-  for (const mode of ["hangs", "resets"] as const) {
+  for (const mode of ["hangs", "resets", "refuses new connections"] as const) {
     test.test(`callers of a VM are not served while its path to the targets ${mode}`, async () => {
       await withFleet(async (cut, [other]) => {
         assert.ok(other !== undefined);
--- a/packages/proxy/test/partition.ts
+++ b/packages/proxy/test/partition.ts
@@ -11,7 +11,9 @@
   /** New connections hang, and open ones go silent. */
   | "hangs"
   /** Open connections are reset, and new ones are refused. */
-  | "resets";
+  | "resets"
+  /** Open connections live on, and new ones are refused. */
+  | "refuses new connections";
 
 /** Cuts off the VMs with the given addresses from the targets; returns what ends the partition. */
 export function startPartition(
@@ -37,7 +39,7 @@
       if (!isCut(options)) {
         return connect.apply(this, values);
       }
-      if (mode === "resets") {
+      if (mode !== "hangs") {
         setImmediate(() =>
           this.destroy(Object.assign(new Error("refused"), { code: "ECONNREFUSED" }))
         );
@@ -50,7 +52,7 @@
     for (const host of hosts) {
       if (mode === "hangs") {
         target.silentTo.add(host);
-      } else {
+      } else if (mode === "resets") {
         target.resetConnections(host);
       }
     }
