--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -26,7 +26,7 @@
   keyScheme: "Bearer",
 };
 
-const BOUNDS: proxy.ProxyBounds = {
+export const BOUNDS: proxy.ProxyBounds = {
   retryRatio: 0.2,
   retrySlack: 50,
   rateWindowSeconds: 5,
