--- a/packages/proxy/src/types.ts
+++ b/packages/proxy/src/types.ts
@@ -84,6 +84,8 @@
   "invalid_forward",
   "invalid_request",
   "internal_error",
+  "unknown_peer",
+  "undeclared_forward",
   "not_reached",
   "quarantined",
   "body_too_large",
