A stopping VM takes no request that another VM passes on

Callers of a VM that is cut off from its targets got 502 for requests that had run, when the VM that served them got SIGTERM. Cause: a VM tells the others that it leaves only once its last request has ended, and until then they chose it, so that the count never came to zero; at the end of the grace period it cut off what it had taken last. It now refuses such requests as not run from SIGTERM on, for a reason for which the sender asks another VM.

--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -105,7 +105,11 @@
   request: http.IncomingMessage,
   trace: log.RequestTrace,
 ): types.AcceptedRequest | refusals.Refusal {
-  const { forwardedRequests, profile, path } = context;
+  const { forwardedRequests, profile, path, stop } = context;
+  if (stop.isStopping) {
+    // Other VMs do not know, and would keep it busy until it cuts off the last of their requests.
+    return { status: 503, reason: "stopping" };
+  }
   if (path.isIsolated) {
     return { status: 503, reason: "isolated" };
   }
--- a/packages/proxy/src/forwarding.ts
+++ b/packages/proxy/src/forwarding.ts
@@ -77,6 +77,7 @@
   "no_target",
   "unknown_peer",
   "undeclared_forward",
+  "stopping",
 ]);
 
 /** Whether another VM may serve a request that one has refused. */
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -38,7 +38,7 @@
   readonly callerAddress: string;
   readonly bounds: types.ProxyBounds;
   readonly store: declarations.DeclarationStore;
-  readonly createContext: (isStopping: () => boolean) => contexts.RequestContext;
+  readonly createContext: (stop: contexts.VmStop) => contexts.RequestContext;
   /** Sets what handles the requests that other VMs pass on to this one. */
   readonly onForwarded: (listener: http.RequestListener) => void;
   readonly logger: kernel.ComponentLogger;
@@ -60,12 +60,16 @@
   readonly #context: contexts.RequestContext;
   /** Open connections of callers, and those of other VMs that have passed requests on. */
   readonly #connections = new Map<net.Socket, connections.CallerConnection>();
-  readonly #stop = { isStopping: false, isClosing: false };
+  readonly #stop = {
+    isStopping: false,
+    isClosing: false,
+    cutOffAt: Number.POSITIVE_INFINITY,
+  };
 
   constructor(options: ListenerOptions) {
     this.#options = options;
     this.#record = new records.ConnectionRecord(options.logger, options.metrics);
-    this.#context = options.createContext(() => this.#stop.isStopping);
+    this.#context = options.createContext(this.#stop);
     this.#server = new CallerServer({
       maxHeaderSize: MAX_HEAD_BYTES,
       keepAliveTimeout: DEFAULT_IDLE_MILLISECONDS,
@@ -110,6 +114,7 @@
     this.#stop.isStopping = true;
     const startedAt = kernel.getMonotonicMilliseconds();
     const endsAt = startedAt + this.#options.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
+    this.#stop.cutOffAt = endsAt;
     await kernel.sleep(BALANCER_LAG_MILLISECONDS);
     this.#stop.isClosing = true;
     this.#server.close();
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -138,7 +138,7 @@
       logger: createLogger("callers"),
       metrics,
       onForwarded: (requestListener) => vmMesh.onRequest(requestListener),
-      createContext: (isStopping) => ({
+      createContext: (stop) => ({
         profile: options.profile,
         store,
         tracker,
@@ -166,7 +166,7 @@
           "Time from the arrival of a request to its final response.",
         ),
         getConfirmedAt: () => vmMesh.lastStoreResponseAt,
-        isStopping,
+        stop,
         path,
         peers: servingPeers,
         forwardedRequests: new forwarded.ForwardedRequests(store, vmMesh, createLogger("peers")),
--- a/packages/proxy/src/refusals.ts
+++ b/packages/proxy/src/refusals.ts
@@ -12,6 +12,8 @@
   // Targets shed the request with slots free, or could not be reached: another target may well
   // accept it.
   notReached: 0.05,
+  // The load balancer has removed this VM.
+  stopping: 0.05,
 };
 
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages/proxy/src/types.ts
+++ b/packages/proxy/src/types.ts
@@ -86,6 +86,7 @@
   "internal_error",
   "unknown_peer",
   "undeclared_forward",
+  "stopping",
   "not_reached",
   "quarantined",
   "body_too_large",
