A stopping VM begins no request that it would probably cut off

A caller whose request was read late in the grace period (its body began 2.5 s and ended 5.4 s after SIGTERM) got no answer, though the request had run: it was passed on 0.3 s before the VM cut off what still ran. Such a request is now refused as not run if less than three mean processing times of its route are left, with a short Retry-After, since the load balancer sends the repetition elsewhere.

--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -33,6 +33,12 @@
 /** A retry needs at least this share of a mean processing time before the request's deadline. */
 const MIN_RETRY_TIME_IN_MEAN_TIMES = 0.6;
 
+/**
+ * A stopping VM begins a request only if this many mean processing times are left until it cuts off
+ * those that still run.
+ */
+const MIN_STOP_TIME_IN_MEAN_TIMES = 3;
+
 const NO_TARGETS: ReadonlySet<model.TargetId> = new Set();
 
 /** Handles one request until it has ended. */
@@ -154,6 +160,15 @@
       this.#finalAnswer.refuse({ status: 413, reason: "body_too_large" });
       return;
     }
+    if (!this.#mayEndBeforeStop(accepted)) {
+      this.#returnRate(accepted);
+      this.#finalAnswer.refuse({
+        status: 503,
+        reason: "stopping",
+        retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.stopping,
+      });
+      return;
+    }
     read.body.tooLarge?.addEventListener("abort", () => this.#refuseLongBody(), { once: true });
     const quarantine = this.#evidence.findRefusal(accepted, read.body);
     if (quarantine !== undefined) {
@@ -167,6 +182,14 @@
     await this.#serve(accepted, read.body);
   }
 
+  /** Whether the request is likely to end before a stop of this VM cuts it off. */
+  #mayEndBeforeStop({ route }: types.AcceptedRequest): boolean {
+    const { stop, tracker } = this.#context;
+    const mean = tracker.processingTimes.getRouteMean(route.id, route.objectiveMilliseconds);
+    const left = stop.cutOffAt - kernel.getMonotonicMilliseconds();
+    return left >= mean * MIN_STOP_TIME_IN_MEAN_TIMES;
+  }
+
   async #serve(accepted: types.AcceptedRequest, body: bodies.RequestBody): Promise<void> {
     const timer = setTimeout(
       () => this.#expire(),
