Delimit a long body of unknown length whatever the method is

Cause: a request of an HTTP client of Node.js whose headers state no framing is sent in chunks only if its method is not DELETE, GET, HEAD, OPTIONS or TRACE. For these the body was written raw behind the head. Bodies that are buffered or have a length always had a Content-Length.

The body now states how it is delimited, for every attempt: with its length, or in chunks. Requests that are passed on to another VM are written by the same code.

--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -52,6 +52,18 @@
     return bytes > 0 || this.#contentLength !== undefined ? bytes : undefined;
   }
 
+  /**
+   * The headers that delimit the body, as names and values in turn. Stated for every method, since
+   * the runtime frames a body of unknown length only for some of them.
+   */
+  createFramingHeaders(): readonly string[] {
+    const { length } = this;
+    if (length !== undefined) {
+      return ["Content-Length", String(length)];
+    }
+    return this.isBuffered ? [] : ["Transfer-Encoding", "chunked"];
+  }
+
   /** Adds the body to a hash; of a long one, as much as is always buffered. */
   updateHash(hash: crypto.Hash): void {
     let left = MAX_BUFFERED_BODY_BYTES;
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -166,9 +166,7 @@
         created.push(profile.workspace, request.workspace);
       }
     }
-    if (body.length !== undefined) {
-      created.push("Content-Length", String(body.length));
-    }
+    created.push(...body.createFramingHeaders());
     return created;
   }
 
