Break a request off at its target when its caller breaks its body off

A target went on waiting for the rest of a long body (over 262,144 bytes) whose caller had left in the middle: the call went on until the time of its route, for requests that may not run twice always, and held the target's connection and its slot.

Cause: the rest of the body was piped to the target, and a pipe neither ends nor fails with a source that is destroyed. The caller's leaving ends only calls of requests that may be repeated.

One object now stands for the body on its way to a target: it writes the end only after the caller's end, and tells the call if the body is closed before that, which breaks off the connection. So a body is never ended as if it were whole, and none is waited for in vain.

--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -14,7 +14,6 @@
   readonly #chunks: readonly Buffer[];
   readonly #rest: http.IncomingMessage | undefined;
   readonly #contentLength: number | undefined;
-  #isSent = false;
   /** Aborted once a body of unknown length exceeds the limit. */
   readonly tooLarge: AbortSignal | undefined;
 
@@ -38,11 +37,6 @@
     return this.#rest === undefined;
   }
 
-  /** Whether the complete body was written to the connection of the latest attempt. */
-  get isSent(): boolean {
-    return this.#isSent;
-  }
-
   /** Length in bytes; undefined without a body, or for a long one of unknown length. */
   get length(): number | undefined {
     if (this.#rest !== undefined) {
@@ -73,23 +67,77 @@
     }
   }
 
-  sendTo(outgoing: http.ClientRequest): void {
-    this.#isSent = false;
+  /**
+   * Writes the body to a request.
+   *
+   * @param onBroken Called if the caller breaks the body off, so that it can never be complete.
+   */
+  sendTo(outgoing: http.ClientRequest, onBroken: () => void): BodyTransfer {
     for (const chunk of this.#chunks) {
       outgoing.write(chunk);
     }
     if (this.#rest === undefined) {
       outgoing.end();
-      this.#isSent = true;
+      return { isComplete: true, stop: () => undefined };
+    }
+    return new StreamedTransfer(this.#rest, outgoing, this.tooLarge, onBroken);
+  }
+}
+
+/** The body of one attempt on its way to a target. */
+export interface BodyTransfer {
+  /** Whether the complete body was handed over to the connection. */
+  readonly isComplete: boolean;
+  /** Sends no more of it, and leaves the rest unread. */
+  stop(): void;
+}
+
+class StreamedTransfer implements BodyTransfer {
+  readonly #rest: http.IncomingMessage;
+  readonly #outgoing: http.ClientRequest;
+  readonly #onBroken: () => void;
+  #isComplete = false;
+
+  constructor(
+    rest: http.IncomingMessage,
+    outgoing: http.ClientRequest,
+    tooLarge: AbortSignal | undefined,
+    onBroken: () => void,
+  ) {
+    this.#rest = rest;
+    this.#outgoing = outgoing;
+    this.#onBroken = onBroken;
+    if (rest.destroyed) {
+      onBroken();
       return;
     }
-    const rest = this.#rest;
-    rest.once("end", () => {
-      this.#isSent = true;
-    });
-    this.tooLarge?.addEventListener("abort", () => rest.unpipe(outgoing), { once: true });
-    rest.pipe(outgoing);
+    rest.once("end", this.#onEnd);
+    rest.once("close", this.#onClose);
+    tooLarge?.addEventListener("abort", () => this.stop(), { once: true });
+    // The end is written only after a complete body.
+    rest.pipe(outgoing, { end: false });
   }
+
+  get isComplete(): boolean {
+    return this.#isComplete;
+  }
+
+  stop(): void {
+    this.#rest.off("end", this.#onEnd);
+    this.#rest.off("close", this.#onClose);
+    this.#rest.unpipe(this.#outgoing);
+  }
+
+  readonly #onEnd = (): void => {
+    this.#rest.off("close", this.#onClose);
+    this.#isComplete = true;
+    this.#outgoing.end();
+  };
+
+  readonly #onClose = (): void => {
+    this.stop();
+    this.#onBroken();
+  };
 }
 
 /** Result of reading a body. */
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -98,6 +98,7 @@
   #isConnected = false;
   #isSettled = false;
   #connectTimer: kernel.StoppableTimer | undefined;
+  #transfer: bodies.BodyTransfer | undefined;
 
   constructor(options: CallOptions, resolve: (result: CallResult) => void) {
     this.#options = options;
@@ -147,7 +148,13 @@
       this.#onAbort();
       return;
     }
-    body.sendTo(this.#outgoing);
+    this.#transfer = body.sendTo(this.#outgoing, () => this.#breakOff());
+  }
+
+  /** Ends the attempt because the request can never be complete. */
+  #breakOff(): void {
+    this.#fail("cancelled");
+    this.#outgoing.destroy();
   }
 
   readonly #onAbort = (): void => {
@@ -279,10 +286,10 @@
   }
 
   #keepConnection(incoming: http.IncomingMessage): void {
-    const { connections, body } = this.#options;
+    const { connections } = this.#options;
     const socket = kernel.getDefined(this.#socket, "An answer comes over a connection.");
     const keepAlive = incoming.headers["keep-alive"];
-    if (body.isSent && this.#outgoing.writableFinished) {
+    if (this.#transfer?.isComplete === true && this.#outgoing.writableFinished) {
       connections.recordIdleTimeout(socket, keepAlive?.toString());
     } else {
       // The target may still be reading a body that is no longer being sent.
