Close a target's connection after an early response to a long request

A target that answered or rejected a request before its long body had arrived kept a connection on which nothing came any more: it was neither used again nor closed as long as the caller kept its own.

Cause: the connection was excluded from reuse, which closes it only once the request has been written, and the rest of the body is no longer read then.

The rest of the caller's body is left unread and not piped anywhere, so whoever owns the caller's connection may read and drop it.

--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -180,6 +180,7 @@
   #handleResponse(incoming: http.IncomingMessage): void {
     const { profile, request, destination } = this.#options;
     const status = incoming.statusCode ?? 0;
+    incoming.once("end", () => this.#closeUnlessSent());
     const echoed = incoming.headers[profile.requestId.toLowerCase()];
     if (echoed !== undefined && echoed !== request.id) {
       // A late copy of the response to an earlier request; it says nothing about this one.
@@ -285,16 +286,39 @@
     return !isFramed(incoming) && (this.#socket?.errored ?? null) !== null;
   }
 
+  /** Keeps the connection for another request, unless this one was not written completely. */
   #keepConnection(incoming: http.IncomingMessage): void {
-    const { connections } = this.#options;
-    const socket = kernel.getDefined(this.#socket, "An answer comes over a connection.");
-    const keepAlive = incoming.headers["keep-alive"];
-    if (this.#transfer?.isComplete === true && this.#outgoing.writableFinished) {
-      connections.recordIdleTimeout(socket, keepAlive?.toString());
-    } else {
-      // The target may still be reading a body that is no longer being sent.
-      connections.excludeFromReuse(socket);
+    if (this.#isSent()) {
+      const socket = kernel.getDefined(this.#socket, "An answer comes over a connection.");
+      const keepAlive = incoming.headers["keep-alive"];
+      this.#options.connections.recordIdleTimeout(socket, keepAlive?.toString());
+    }
+  }
+
+  /**
+   * Closes the connection after a response to a request that was not written completely: what
+   * follows on it would be read as the rest of that request.
+   */
+  #closeUnlessSent(): void {
+    if (this.#isSent()) {
+      return;
     }
+    if (this.#socket !== undefined) {
+      this.#options.connections.excludeFromReuse(this.#socket);
+    }
+    this.#transfer?.stop();
+    if (this.#transfer?.isComplete !== true) {
+      this.#outgoing.destroy();
+      return;
+    }
+    // The target may still read the end of the request, which is on its way.
+    const timer = setTimeout(() => this.#outgoing.destroy(), MAX_DISCARD_MILLISECONDS);
+    this.#outgoing.once("close", () => clearTimeout(timer));
+  }
+
+  /** Whether the complete request was written to the connection. */
+  #isSent(): boolean {
+    return this.#transfer?.isComplete === true && this.#outgoing.writableFinished;
   }
 
   #fail(reason: FailureReason): void {
--- a/packages/proxy/test/target_call_test.ts
+++ b/packages/proxy/test/target_call_test.ts
@@ -8,7 +8,7 @@
 import * as benches from "./call_bench.ts";
 import * as harness from "./harness.ts";
 
-const { LONG_BYTES, withBench } = benches;
+const { LONG_BYTES, createHead, withBench } = benches;
 
 /** Longest time until the connection of a call that is of no more use is closed. */
 const MAX_CLOSE_MILLISECONDS = 1_500;
@@ -51,4 +51,35 @@
       assert.match(first?.text ?? "", /\r\nTransfer-Encoding: chunked\r\n/);
     });
   });
+
+  for (
+    const [what, status, headers] of [
+      ["an early answer", 200, {}],
+      ["an early rejection", 503, { [harness.PROFILE.notRun]: "1" }],
+    ] as const
+  ) {
+    test.test(`a target's connection hangs after ${what} to a long body`, async () => {
+      await withBench(async (bench) => {
+        bench.target.onData = ({ socket, text }) => {
+          if (text.length > LONG_BYTES) {
+            socket.write(createHead(status, { ...headers, "Content-Length": "0" }));
+            bench.target.onData = () => undefined;
+          }
+        };
+        const outgoing = bench.begin("POST", { "Transfer-Encoding": "chunked" });
+        outgoing.write("x".repeat(LONG_BYTES));
+        const result = await bench.waitForResult();
+        assert.equal(result.kind, status === 200 ? "answered" : "not_run");
+        await waitUntilClosed(bench);
+        assert.equal(outgoing.destroyed, false);
+        // The next request uses another connection.
+        bench.target.onData = ({ socket }) => {
+          socket.write(createHead(200, { "Content-Length": "0" }));
+        };
+        assert.equal((await bench.run("GET")).kind, "answered");
+        assert.equal(bench.target.arrivals.length, 2);
+        outgoing.destroy();
+      });
+    });
+  }
 });
