Know a long answer without a length as broken off when it is reset

Cause: the rest of a long answer was taken for whole if the runtime said `complete`. When a connection is reset, the HTTP parser of Node.js finishes first, and a response that lasts until the end of its connection becomes complete by that.

An answer now tells itself whether it is whole: only after its rest has been read to its end, and if that was no reset. A reset destroys the rest before the parser finishes, so it never ends and nothing that is piped from it does. The caller's connection is then reset as well, since an orderly end would say that the answer is whole; so does a VM that serves for another one.

--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -69,16 +69,18 @@
     // A target that sends without end is not read for longer than its caller waits.
     this.#response.once("close", () => {
       clearTimeout(timer);
-      if (!rest.complete) {
+      if (!answer.isWhole()) {
         rest.destroy();
       }
     });
     // A truncated response must not look complete, so the caller's connection is closed with it.
     rest.once("close", () => {
-      if (!rest.complete) {
+      if (!answer.isWhole()) {
+        // Without a length, an orderly end of the connection would tell the caller that it is whole.
+        this.#response.socket?.resetAndDestroy();
         this.#response.destroy();
       }
-      this.finish(rest.complete ? "answered" : "target_failed", answer.status);
+      this.finish(answer.isWhole() ? "answered" : "target_failed", answer.status);
     });
   }
 
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -28,6 +28,11 @@
   readonly rest: http.IncomingMessage | undefined;
   /** Whether its end is determined by a length or by chunks, not by the end of the connection. */
   readonly isFramed: boolean;
+  /**
+   * Whether all of it has arrived and been read, and ended in order. A response that is reset or
+   * stops short never becomes whole, and its `rest` never ends.
+   */
+  isWhole(): boolean;
 }
 
 /** Why there is no complete response of a target that may have run the request. */
@@ -99,6 +104,7 @@
   #isSettled = false;
   #connectTimer: kernel.StoppableTimer | undefined;
   #transfer: bodies.BodyTransfer | undefined;
+  #incoming: http.IncomingMessage | undefined;
 
   constructor(options: CallOptions, resolve: (result: CallResult) => void) {
     this.#options = options;
@@ -142,6 +148,10 @@
     this.#outgoing.once("response", (incoming) => this.#handleResponse(incoming));
     this.#outgoing.on("error", (error: NodeJS.ErrnoException) => {
       this.#fail(error.code?.startsWith("HPE_") === true ? "spoilt" : "reset");
+      // The runtime would take a reset for the end of a response without a length.
+      if (this.#incoming?.complete === false) {
+        this.#incoming.destroy(error);
+      }
     });
     options.signal.addEventListener("abort", this.#onAbort, { once: true });
     if (options.signal.aborted) {
@@ -180,6 +190,7 @@
   #handleResponse(incoming: http.IncomingMessage): void {
     const { profile, request, destination } = this.#options;
     const status = incoming.statusCode ?? 0;
+    this.#incoming = incoming;
     incoming.once("end", () => this.#closeUnlessSent());
     const echoed = incoming.headers[profile.requestId.toLowerCase()];
     if (echoed !== undefined && echoed !== request.id) {
@@ -244,6 +255,7 @@
   #readAnswer(incoming: http.IncomingMessage, status: number): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
+    let isWhole = false;
     const createAnswer = (rest: http.IncomingMessage | undefined): CallResult => ({
       kind: "answered",
       answer: {
@@ -252,6 +264,7 @@
         chunks,
         rest,
         isFramed: isFramed(incoming),
+        isWhole: () => isWhole,
       },
     });
     const onData = (chunk: Buffer) => {
@@ -264,8 +277,9 @@
         this.#settle(createAnswer(incoming));
       }
     };
+    incoming.once("end", () => isWhole = incoming.complete && !this.#isReset(incoming));
     const onEnd = () => {
-      if (!incoming.complete || this.#isReset(incoming)) {
+      if (!isWhole) {
         this.#fail("cut_short");
         return;
       }
--- a/packages/proxy/test/late_response_test.ts
+++ b/packages/proxy/test/late_response_test.ts
@@ -5,7 +5,7 @@
 
 import * as assert from "node:assert/strict";
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as test from "node:test";
 import * as kernel from "@hemlockwalk/kernel";
 import * as harness from "./harness.ts";
@@ -70,4 +70,30 @@
     agent.destroy();
     assert.deepEqual([answer.status, answer.isComplete, answer.body.length], [200, true, 400_003]);
   });
+
+  for (const [ending, isWhole] of [["resets", false], ["ends in order", true]] as const) {
+    test.test(`a long answer without a length that its target ${ending} looks otherwise to the caller`, async () => {
+      await harness.withVm(1, async (vm) => {
+        const [target] = vm.targets;
+        assert.ok(target !== undefined);
+        target.behaviour = ({ socket, headers }) => {
+          const id = String(headers[PROFILE.requestId]);
+          socket.write(`HTTP/1.1 200 OK\r\n${PROFILE.requestId}: ${id}\r\n`);
+          socket.write(`${PROFILE.signature}: signed\r\n\r\n${"x".repeat(400_000)}`);
+          setTimeout(() => isWhole ? socket.end() : socket.resetAndDestroy(), 50);
+        };
+        const caller = net.connect(vm.port, vm.host);
+        caller.write(
+          "GET /reads/1 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer secret\r\n" +
+            `${PROFILE.requestId}: request\r\n${PROFILE.deadline}: 3000\r\n\r\n`,
+        );
+        let hasEnded = false;
+        caller.on("error", () => undefined);
+        caller.once("end", () => hasEnded = true);
+        caller.resume();
+        await new Promise((resolve) => caller.once("close", resolve));
+        assert.equal(hasEnded, isWhole);
+      });
+    });
+  }
 });
--- a/packages/proxy/test/target_call_test.ts
+++ b/packages/proxy/test/target_call_test.ts
@@ -82,4 +82,66 @@
       });
     });
   }
+
+  for (
+    const [what, headers, ending, isWhole] of [
+      ["an answer without a length that is reset", {}, "reset", false],
+      ["an answer without a length that ends in order", {}, "end", true],
+      ["an answer with a length that stops short", { "Content-Length": "9000000" }, "end", false],
+      ["an answer with a length that is reset", { "Content-Length": "9000000" }, "reset", false],
+      ["an answer in chunks that stops short", { "Transfer-Encoding": "chunked" }, "end", false],
+      ["an answer in another coding that is reset", { "Transfer-Encoding": "x" }, "reset", false],
+    ] as const
+  ) {
+    test.test(`a long answer that breaks off counts as whole: ${what}`, async () => {
+      await withBench(async (bench) => {
+        bench.target.onData = ({ socket }) => {
+          const isInChunks = "Transfer-Encoding" in headers && headers["Transfer-Encoding"] !== "x";
+          const body = "x".repeat(LONG_BYTES);
+          socket.write(createHead(200, headers));
+          socket.write(isInChunks ? `${LONG_BYTES.toString(16)}\r\n${body}\r\n` : body);
+        };
+        const result = await bench.run("GET");
+        assert.ok(result.kind === "answered");
+        const { answer } = result;
+        assert.equal(answer.isWhole(), false);
+        let bytes = answer.chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+        let hasEnded = false;
+        let isClosed = false;
+        answer.rest?.on("data", (chunk: Buffer) => bytes += chunk.length);
+        answer.rest?.once("end", () => hasEnded = true);
+        answer.rest?.once("close", () => isClosed = true);
+        answer.rest?.resume();
+        await harness.waitFor(() => bytes === LONG_BYTES, "what was sent has been read");
+        assert.equal(answer.isWhole(), false);
+        const [first] = bench.target.arrivals;
+        if (ending === "reset") {
+          first?.socket.resetAndDestroy();
+        } else {
+          first?.socket.end();
+        }
+        await harness.waitFor(() => isClosed, "the rest is closed");
+        assert.deepEqual([answer.isWhole(), hasEnded], [isWhole, isWhole]);
+      });
+    });
+  }
+
+  for (
+    const [what, body, reason] of [
+      ["garbled", "4\r\nhalf\r\nno chunk\r\n", "spoilt"],
+      ["broken off", "4\r\nha", "reset"],
+    ] as const
+  ) {
+    test.test(`a short answer that is ${what} is taken for another failure`, async () => {
+      await withBench(async (bench) => {
+        bench.target.onData = ({ socket }) => {
+          socket.write(createHead(200, { "Transfer-Encoding": "chunked" }) + body);
+          if (reason === "reset") {
+            setTimeout(() => socket.resetAndDestroy(), 20);
+          }
+        };
+        assert.deepEqual(await bench.run("GET"), { kind: "failed", reason });
+      });
+    });
+  }
 });
