Keep a caller's connection after an answer that has no body

Answers with status 204 or 304, and answers to HEAD without a length, closed their caller's connection, and with it requests that were already sent behind.

Cause: an answer without a length was taken for one that lasts until the end of its connection. These have no body whatever their headers say (RFC 9112, section 6.3). The same rule on the other side: an answer whose last transfer coding is not `chunked` does last until the end of its connection.

--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -263,7 +263,7 @@
         headers: headers.createAnswerHeaders(incoming),
         chunks,
         rest,
-        isFramed: isFramed(incoming),
+        isFramed: isFramed(incoming, this.#options.request.method),
         isWhole: () => isWhole,
       },
     });
@@ -297,7 +297,8 @@
    * end.
    */
   #isReset(incoming: http.IncomingMessage): boolean {
-    return !isFramed(incoming) && (this.#socket?.errored ?? null) !== null;
+    return !isFramed(incoming, this.#options.request.method) &&
+      (this.#socket?.errored ?? null) !== null;
   }
 
   /** Keeps the connection for another request, unless this one was not written completely. */
@@ -363,7 +364,14 @@
   }
 }
 
-function isFramed(incoming: http.IncomingMessage): boolean {
-  return incoming.headers["content-length"] !== undefined ||
-    incoming.headers["transfer-encoding"] !== undefined;
+/** Whether the end of a response is known before that of its connection (RFC 9112, section 6.3). */
+function isFramed(incoming: http.IncomingMessage, method: string): boolean {
+  const hasNoBody = method === "HEAD" || incoming.statusCode === 204 || incoming.statusCode === 304;
+  if (hasNoBody) {
+    return true;
+  }
+  const coding = incoming.headers["transfer-encoding"];
+  return coding === undefined
+    ? incoming.headers["content-length"] !== undefined
+    : /(^|,)\s*chunked\s*$/i.test(coding);
 }
--- a/packages/proxy/test/request_path_test.ts
+++ b/packages/proxy/test/request_path_test.ts
@@ -370,4 +370,19 @@
       assert.equal(vm.targets[0]?.requests[0]?.headers["content-length"], "90000");
     });
   });
+
+  test.test("an answer that has no body closes its caller's connection", async () => {
+    await harness.withVm(1, async (vm) => {
+      const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+      for (const [method, status] of [["GET", 204], ["GET", 304], ["HEAD", 200]] as const) {
+        setAll(vm, (request, response) => {
+          response.writeHead(status, harness.createAnswerHeaders(request)).end();
+        });
+        const answer = await vm.call({ agent, method, path: "/reads/1" });
+        assert.equal(answer.status, status);
+        assert.notEqual(answer.headers.connection, "close", `${method} ${status}`);
+      }
+      agent.destroy();
+    });
+  });
 });
