Take a target to which no request can be written for one not reached

A listed target whose port or id is impossible cost the requests that were placed on it their answer: the caller's connection was closed, and the target, which looked idle, was chosen again.

Cause: creating the request throws, the exception ended the handling of the request, and nothing was learnt of the target. A test connection to such an address would have thrown as well, from a timer.

A request that can't be created is now a result like any other: not run and not arrived, as with a target that refuses the connection, so that it goes to another target and this one is avoided. If the fault isn't the target's (the name of a workspace that no header can carry), the target isn't blamed. Test connections fail in the same way. What is written to a target has moved to a module of its own, outgoing_request.ts.

--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -5,12 +5,10 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as kernel from "@hemlockwalk/kernel";
-import type * as model from "@hemlockwalk/model";
 import type * as bodies from "./body.ts";
 import * as headers from "./headers.ts";
+import * as outgoingRequests from "./outgoing_request.ts";
 import * as refusals from "./refusals.ts";
-import type * as connections from "./target_connections.ts";
-import type * as types from "./types.ts";
 
 /** Responses up to this size are buffered completely before they are forwarded to the caller. */
 const MAX_BUFFERED_ANSWER_BYTES = 262_144;
@@ -53,12 +51,6 @@
   /** The VM that the request was passed on to has refused it. */
   | { readonly kind: "refused_by_peer"; readonly refusal: refusals.Refusal };
 
-/** Where an attempt goes. */
-export type CallDestination =
-  | { readonly kind: "target"; readonly address: string; readonly id: model.TargetId }
-  /** Another VM, with the decisions about the request as a header. */
-  | { readonly kind: "peer"; readonly address: string; readonly decisions: string };
-
 /** What a target says of itself in a response, besides the response to the request. */
 export interface TargetNotice {
   /** It is about to end and wants no further requests. */
@@ -72,12 +64,7 @@
 }
 
 /** Options of one attempt. */
-export interface CallOptions {
-  readonly request: types.AcceptedRequest;
-  readonly destination: CallDestination;
-  readonly body: bodies.RequestBody;
-  readonly profile: types.HeaderProfile;
-  readonly connections: connections.TargetConnections;
+export interface CallOptions extends outgoingRequests.OutgoingRequestOptions {
   /** Connect timeout. */
   readonly connectTimeoutMilliseconds: number;
   /** Called with the time that a new connection took. */
@@ -92,9 +79,19 @@
 
 /** Sends a request to a target and waits for its response. */
 export function callTarget(options: CallOptions): Promise<CallResult> {
-  return new Promise((resolve) => new TargetCall(options, resolve));
+  return new Promise((resolve) => {
+    const outgoing = outgoingRequests.createRequest(options);
+    if (outgoing !== undefined) {
+      new TargetCall(options, outgoing, resolve);
+    } else {
+      resolve(outgoingRequests.isAddressable(options.destination) ? WITHDRAWN : UNREACHABLE);
+    }
+  });
 }
 
+const UNREACHABLE: CallResult = { kind: "not_run", reason: "unreachable", hasArrived: false };
+const WITHDRAWN: CallResult = { kind: "not_run", reason: "withdrawn", hasArrived: false };
+
 class TargetCall {
   readonly #options: CallOptions;
   readonly #resolve: (result: CallResult) => void;
@@ -106,21 +103,14 @@
   #transfer: bodies.BodyTransfer | undefined;
   #incoming: http.IncomingMessage | undefined;
 
-  constructor(options: CallOptions, resolve: (result: CallResult) => void) {
+  constructor(
+    options: CallOptions,
+    outgoing: http.ClientRequest,
+    resolve: (result: CallResult) => void,
+  ) {
     this.#options = options;
+    this.#outgoing = outgoing;
     this.#resolve = resolve;
-    const { request, destination, body } = options;
-    const { host, port } = kernel.splitAddress(destination.address);
-    options.connections.closeUnusable(host, port, request.route.isIdempotent);
-    this.#outgoing = http.request({
-      agent: options.connections,
-      host,
-      port,
-      method: request.method,
-      path: request.path,
-      headers: this.#createHeaders(),
-      setHost: false,
-    });
     this.#outgoing.once("socket", (socket) => {
       this.#socket = socket;
       if (!socket.connecting) {
@@ -158,7 +148,7 @@
       this.#onAbort();
       return;
     }
-    this.#transfer = body.sendTo(this.#outgoing, () => this.#breakOff());
+    this.#transfer = options.body.sendTo(this.#outgoing, () => this.#breakOff());
   }
 
   /** Ends the attempt because the request can never be complete. */
@@ -171,22 +161,6 @@
     this.#fail(this.#options.signal.reason === "silent" ? "silent" : "cancelled");
   };
 
-  #createHeaders(): string[] {
-    const { request, destination, body, profile } = this.#options;
-    const created = [...request.headers];
-    if (destination.kind === "peer") {
-      created.push(headers.FORWARDED_HEADER, destination.decisions);
-    } else {
-      const left = Math.max(1, Math.floor(request.endsAt - kernel.getMonotonicMilliseconds()));
-      created.push(profile.deadline, String(left), profile.expectedTarget, destination.id);
-      if (request.workspace !== undefined) {
-        created.push(profile.workspace, request.workspace);
-      }
-    }
-    created.push(...body.createFramingHeaders());
-    return created;
-  }
-
   #handleResponse(incoming: http.IncomingMessage): void {
     const { profile, request, destination } = this.#options;
     const status = incoming.statusCode ?? 0;
@@ -342,11 +316,7 @@
     }
     const isConnected = this.#isConnected;
     if (!isConnected && reason !== "cancelled") {
-      this.#settle({
-        kind: "not_run",
-        reason: "unreachable",
-        hasArrived: false,
-      });
+      this.#settle(UNREACHABLE);
     } else {
       this.#settle({ kind: "failed", reason });
     }
--- a/packages/proxy/src/test_connection.ts
+++ b/packages/proxy/src/test_connection.ts
@@ -25,11 +25,7 @@
 ): ConnectionAttempt {
   const { host, port } = kernel.splitAddress(address);
   const startedAt = kernel.getMonotonicMilliseconds();
-  const socket = net.connect({
-    host,
-    port,
-    ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
-  });
+  const socket = new net.Socket();
   const close = () => {
     timer.stop();
     socket.removeAllListeners();
@@ -49,5 +45,15 @@
     close();
     finish(kernel.getMonotonicMilliseconds() - startedAt);
   });
+  try {
+    socket.connect({
+      host,
+      port,
+      ...(sourceAddress === undefined ? {} : { localAddress: sourceAddress }),
+    });
+  } catch (error) {
+    // No address can look like this; it fails like one that nobody has.
+    socket.destroy(error instanceof Error ? error : new Error(String(error)));
+  }
   return { cancel: close };
 }
--- a/packages/proxy/test/request_path_test.ts
+++ b/packages/proxy/test/request_path_test.ts
@@ -385,4 +385,24 @@
       agent.destroy();
     });
   });
+
+  for (const [what, address, id] of [["port", "127.9.9.9:99999", "i"], ["id", "", "ü€"]] as const) {
+    test.test(`a target whose ${what} no request can have costs requests their answer`, async () => {
+      await harness.withVm(2, async (vm) => {
+        const [first] = vm.targets;
+        assert.ok(first !== undefined);
+        const forged = first.createChange(50, address === "" ? {} : { address });
+        const forgedId = model.createTargetId(id);
+        const entry = { ...kernel.getDefined(forged.entry, "It is present."), id: forgedId };
+        vm.store.put({ ...forged, id: forgedId, entry });
+        await kernel.sleep(500);
+        for (let round = 0; round < 30; round++) {
+          assert.equal((await vm.call()).status, 200);
+        }
+        assert.equal(vm.countRequests(), 30);
+        const { code } = kernel.LogMessages.unexpectedRequestError;
+        assert.equal(vm.log.filter((line) => line.code === code).length, 0);
+      });
+    });
+  }
 });
