Give up long answers that nobody gets

Cause: an answer that was not forwarded was not dropped either, and its rest is read by nobody.

An answer can now be discarded: up to 64 KB of its rest are read and dropped within 500 ms, otherwise the connection is closed. The handler does so with each answer that it doesn't forward: before the next attempt, and at the end if the caller has left or has got another answer.

--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -137,6 +137,7 @@
       do {
         const peer = this.#mayPassOn(accepted, body) ? this.#peers.choose() : undefined;
         if (peer !== undefined) {
+          calls.discardAnswer(result);
           result = await this.#passOn(accepted, body, peer);
           continue;
         }
@@ -159,10 +160,13 @@
           this.#answerUnplaced(accepted, result, quarantine);
           return;
         }
+        calls.discardAnswer(result);
         result = await this.#call(accepted, body, placed);
       } while (!this.#finalAnswer.isDecided && this.#mayRetry(accepted, body, result));
       if (!this.#finalAnswer.isDecided && result !== undefined && !this.#caller.signal.aborted) {
         this.#answer(accepted, result);
+      } else {
+        calls.discardAnswer(result);
       }
       if (this.#caller.signal.aborted && !this.#finalAnswer.isDecided) {
         this.#returnRate(accepted);
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -31,6 +31,8 @@
    * stops short never becomes whole, and its `rest` never ends.
    */
   isWhole(): boolean;
+  /** Gives up an answer that is not forwarded: reads a little more of it, or closes its connection. */
+  discard(): void;
 }
 
 /** Why there is no complete response of a target that may have run the request. */
@@ -92,6 +94,13 @@
 const UNREACHABLE: CallResult = { kind: "not_run", reason: "unreachable", hasArrived: false };
 const WITHDRAWN: CallResult = { kind: "not_run", reason: "withdrawn", hasArrived: false };
 
+/** Gives up the answer of an attempt that is not forwarded, if there is one. */
+export function discardAnswer(result: CallResult | undefined): void {
+  if (result?.kind === "answered") {
+    result.answer.discard();
+  }
+}
+
 class TargetCall {
   readonly #options: CallOptions;
   readonly #resolve: (result: CallResult) => void;
@@ -205,6 +214,9 @@
 
   /** Reads the rest of a response that is of no use, and closes the connection if it is long. */
   #discardBody(incoming: http.IncomingMessage): void {
+    if (incoming.readableEnded || incoming.destroyed) {
+      return;
+    }
     let bytes = 0;
     const timer = setTimeout(() => this.#outgoing.destroy(), MAX_DISCARD_MILLISECONDS);
     incoming.once("close", () => clearTimeout(timer));
@@ -214,6 +226,7 @@
         this.#outgoing.destroy();
       }
     });
+    incoming.resume();
   }
 
   #recordNotice(incoming: http.IncomingMessage, status: number): void {
@@ -239,6 +252,7 @@
         rest,
         isFramed: isFramed(incoming, this.#options.request.method),
         isWhole: () => isWhole,
+        discard: () => this.#discardBody(incoming),
       },
     });
     const onData = (chunk: Buffer) => {
--- a/packages/proxy/test/call_bench.ts
+++ b/packages/proxy/test/call_bench.ts
@@ -11,6 +11,7 @@
 import * as bodies from "../src/body.ts";
 import * as calls from "../src/target_call.ts";
 import * as connections from "../src/target_connections.ts";
+import type * as types from "../src/types.ts";
 import * as harness from "./harness.ts";
 
 const { PROFILE } = harness;
@@ -30,6 +31,26 @@
   return `HTTP/1.1 ${status} Status\r\n${lines.join("")}\r\n`;
 }
 
+/** A request as the proxy has accepted it. */
+export function createRequest(
+  method: string | undefined,
+  workspace: string | undefined,
+): types.AcceptedRequest {
+  const now = kernel.getMonotonicMilliseconds();
+  return {
+    id: "request",
+    route: harness.createRoute(),
+    workspace: workspace === undefined ? undefined : model.createWorkspaceId(workspace),
+    service: model.createServiceId("service"),
+    priority: 0,
+    arrivedAt: now,
+    endsAt: now + 10_000,
+    method: method ?? "GET",
+    path: "/bookings/1",
+    headers: ["Host", "desk.example"],
+  };
+}
+
 /** What a target has received on one connection. */
 export interface Arrival {
   readonly socket: net.Socket;
@@ -129,20 +150,8 @@
   async #call(request: http.IncomingMessage): Promise<void> {
     const read = await bodies.readBody(request, MAX_BODY_BYTES);
     assert.ok(read.kind === "read");
-    const now = kernel.getMonotonicMilliseconds();
     const result = await calls.callTarget({
-      request: {
-        id: "request",
-        route: harness.createRoute(),
-        workspace: undefined,
-        service: model.createServiceId("service"),
-        priority: 0,
-        arrivedAt: now,
-        endsAt: now + 10_000,
-        method: request.method ?? "",
-        path: "/bookings/1",
-        headers: ["Host", "desk.example"],
-      },
+      request: createRequest(request.method, undefined),
       destination: {
         kind: "target",
         address: this.target.address,
--- a/packages/proxy/test/late_response_test.ts
+++ b/packages/proxy/test/late_response_test.ts
@@ -96,4 +96,45 @@
       });
     });
   }
+
+  test.test("a long answer stays in memory although its caller has left", async () => {
+    await harness.withVm(1, async (vm) => {
+      const [target] = vm.targets;
+      assert.ok(target !== undefined);
+      const caller = new AbortController();
+      let hasAnswered = false;
+      let isClosed = false;
+      target.behaviour = (request, response) => {
+        request.socket.once("close", () => isClosed = true);
+        caller.abort();
+        // After the VM has seen that the caller has left.
+        setTimeout(() => {
+          response.writeHead(200, harness.createAnswerHeaders(request));
+          response.end("x".repeat(8_000_000));
+          hasAnswered = true;
+        }, 200);
+      };
+      await vm.call({ signal: caller.signal });
+      await harness.waitFor(() => hasAnswered, "the target answers");
+      await harness.waitFor(() => isClosed, "its connection is closed", 1_500);
+    });
+  });
+
+  test.test("a long error stays in memory although its request was sent to another target", async () => {
+    await harness.withVm(2, async (vm) => {
+      let calls = 0;
+      let isClosed = false;
+      const behaviour: harness.Behaviour = (request, response) => {
+        if (calls++ > 0) {
+          harness.answerSuccess(request, response);
+          return;
+        }
+        request.socket.once("close", () => isClosed = true);
+        response.writeHead(500, harness.createAnswerHeaders(request)).end("x".repeat(8_000_000));
+      };
+      vm.targets.forEach((target) => target.behaviour = behaviour);
+      assert.equal((await vm.call({ method: "GET", path: "/reads/1" })).status, 200);
+      await harness.waitFor(() => isClosed, "the first connection is closed", 1_500);
+    });
+  });
 });
--- a/packages/proxy/test/target_call_test.ts
+++ b/packages/proxy/test/target_call_test.ts
@@ -144,4 +144,15 @@
       });
     });
   }
+
+  test.test("a target is blamed for a workspace that no header can carry", async () => {
+    await withBench(async (bench) => {
+      bench.changes = { request: benches.createRequest("GET", "ü€") };
+      assert.deepEqual(await bench.run("GET"), {
+        kind: "not_run",
+        reason: "withdrawn",
+        hasArrived: false,
+      });
+    });
+  });
 });
