--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -69,22 +69,22 @@
     }
     rest.pipe(this.#response);
     const timer = setTimeout(
-      () => this.#breakOff(),
+      () => rest.destroy(),
       Math.max(0, endsAt - kernel.getMonotonicMilliseconds()),
     );
     // A target that sends without end is not read for longer than its caller waits.
     this.#response.once("close", () => {
       clearTimeout(timer);
-      if (!rest.complete) {
+      if (!answer.isWhole()) {
         rest.destroy();
       }
     });
     // A truncated response must not look complete, so the caller's connection is closed with it.
     rest.once("close", () => {
-      if (!rest.complete) {
+      if (!answer.isWhole()) {
         this.#breakOff();
       }
-      this.finish(rest.complete ? "answered" : "target_failed", answer.status);
+      this.finish(answer.isWhole() ? "answered" : "target_failed", answer.status);
     });
   }
 
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -5,12 +5,10 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as kernel from "@hemlockwalk/kernel";
-import type * as model from "@hemlockwalk/model";
 import type * as bodies from "./body.ts";
 import * as headers from "./headers.ts";
+import * as outgoingRequests from "./outgoing_request.ts";
 import * as refusals from "./refusals.ts";
-import type * as connections from "./target_connections.ts";
-import type * as types from "./types.ts";
 
 /** Responses up to this size are buffered completely before they are forwarded to the caller. */
 const MAX_BUFFERED_ANSWER_BYTES = 262_144;
@@ -28,6 +26,13 @@
   readonly rest: http.IncomingMessage | undefined;
   /** Whether its end is determined by a length or by chunks, not by the end of the connection. */
   readonly isFramed: boolean;
+  /**
+   * Whether all of it has arrived and been read, and ended in order. A response that is reset or
+   * stops short never becomes whole, and its `rest` never ends.
+   */
+  isWhole(): boolean;
+  /** Gives up an answer that is not forwarded: reads a little more of it, or closes its connection. */
+  discard(): void;
 }
 
 /** Why there is no complete response of a target that may have run the request. */
@@ -48,12 +53,6 @@
   /** The VM that the request was passed on to has refused it. */
   | { readonly kind: "refused_by_peer"; readonly refusal: refusals.Refusal };
 
-/** Where an attempt goes. */
-export type CallDestination =
-  | { readonly kind: "target"; readonly address: string; readonly id: model.TargetId }
-  /** Another VM, with the decisions about the request as a header. */
-  | { readonly kind: "peer"; readonly address: string; readonly decisions: string };
-
 /** What a target says of itself in a response, besides the response to the request. */
 export interface TargetNotice {
   /** It is about to end and wants no further requests. */
@@ -67,12 +66,7 @@
 }
 
 /** Options of one attempt. */
-export interface CallOptions {
-  readonly request: types.AcceptedRequest;
-  readonly destination: CallDestination;
-  readonly body: bodies.RequestBody;
-  readonly profile: types.HeaderProfile;
-  readonly connections: connections.TargetConnections;
+export interface CallOptions extends outgoingRequests.OutgoingRequestOptions {
   /** Connect timeout. */
   readonly connectTimeoutMilliseconds: number;
   /** Called with the time that a new connection took. */
@@ -87,7 +81,24 @@
 
 /** Sends a request to a target and waits for its response. */
 export function callTarget(options: CallOptions): Promise<CallResult> {
-  return new Promise((resolve) => new TargetCall(options, resolve));
+  return new Promise((resolve) => {
+    const outgoing = outgoingRequests.createRequest(options);
+    if (outgoing !== undefined) {
+      new TargetCall(options, outgoing, resolve);
+    } else {
+      resolve(outgoingRequests.isAddressable(options.destination) ? WITHDRAWN : UNREACHABLE);
+    }
+  });
+}
+
+const UNREACHABLE: CallResult = { kind: "not_run", reason: "unreachable", hasArrived: false };
+const WITHDRAWN: CallResult = { kind: "not_run", reason: "withdrawn", hasArrived: false };
+
+/** Gives up the answer of an attempt that is not forwarded, if there is one. */
+export function discardAnswer(result: CallResult | undefined): void {
+  if (result?.kind === "answered") {
+    result.answer.discard();
+  }
 }
 
 class TargetCall {
@@ -98,22 +109,17 @@
   #isConnected = false;
   #isSettled = false;
   #connectTimer: kernel.StoppableTimer | undefined;
+  #transfer: bodies.BodyTransfer | undefined;
+  #incoming: http.IncomingMessage | undefined;
 
-  constructor(options: CallOptions, resolve: (result: CallResult) => void) {
+  constructor(
+    options: CallOptions,
+    outgoing: http.ClientRequest,
+    resolve: (result: CallResult) => void,
+  ) {
     this.#options = options;
+    this.#outgoing = outgoing;
     this.#resolve = resolve;
-    const { request, destination, body } = options;
-    const { host, port } = kernel.splitAddress(destination.address);
-    options.connections.closeUnusable(host, port, request.route.isIdempotent);
-    this.#outgoing = http.request({
-      agent: options.connections,
-      host,
-      port,
-      method: request.method,
-      path: request.path,
-      headers: this.#createHeaders(),
-      setHost: false,
-    });
     this.#outgoing.once("socket", (socket) => {
       this.#socket = socket;
       if (!socket.connecting) {
@@ -141,40 +147,34 @@
     this.#outgoing.once("response", (incoming) => this.#handleResponse(incoming));
     this.#outgoing.on("error", (error: NodeJS.ErrnoException) => {
       this.#fail(error.code?.startsWith("HPE_") === true ? "spoilt" : "reset");
+      // The runtime would take a reset for the end of a response without a length.
+      if (this.#incoming?.complete === false) {
+        this.#incoming.destroy(error);
+      }
     });
     options.signal.addEventListener("abort", this.#onAbort, { once: true });
     if (options.signal.aborted) {
       this.#onAbort();
       return;
     }
-    body.sendTo(this.#outgoing);
+    this.#transfer = options.body.sendTo(this.#outgoing, () => this.#breakOff());
+  }
+
+  /** Ends the attempt because the request can never be complete. */
+  #breakOff(): void {
+    this.#fail("cancelled");
+    this.#outgoing.destroy();
   }
 
   readonly #onAbort = (): void => {
     this.#fail(this.#options.signal.reason === "silent" ? "silent" : "cancelled");
   };
 
-  #createHeaders(): string[] {
-    const { request, destination, body, profile } = this.#options;
-    const created = [...request.headers];
-    if (destination.kind === "peer") {
-      created.push(headers.FORWARDED_HEADER, destination.decisions);
-    } else {
-      const left = Math.max(1, Math.floor(request.endsAt - kernel.getMonotonicMilliseconds()));
-      created.push(profile.deadline, String(left), profile.expectedTarget, destination.id);
-      if (request.workspace !== undefined) {
-        created.push(profile.workspace, request.workspace);
-      }
-    }
-    if (body.length !== undefined) {
-      created.push("Content-Length", String(body.length));
-    }
-    return created;
-  }
-
   #handleResponse(incoming: http.IncomingMessage): void {
     const { profile, request, destination } = this.#options;
     const status = incoming.statusCode ?? 0;
+    this.#incoming = incoming;
+    incoming.once("end", () => this.#closeUnlessSent());
     const echoed = incoming.headers[profile.requestId.toLowerCase()];
     if (echoed !== undefined && echoed !== request.id) {
       // A late copy of the response to an earlier request; it says nothing about this one.
@@ -214,6 +214,9 @@
 
   /** Reads the rest of a response that is of no use, and closes the connection if it is long. */
   #discardBody(incoming: http.IncomingMessage): void {
+    if (incoming.readableEnded || incoming.destroyed) {
+      return;
+    }
     let bytes = 0;
     const timer = setTimeout(() => this.#outgoing.destroy(), MAX_DISCARD_MILLISECONDS);
     incoming.once("close", () => clearTimeout(timer));
@@ -223,6 +226,7 @@
         this.#outgoing.destroy();
       }
     });
+    incoming.resume();
   }
 
   #recordNotice(incoming: http.IncomingMessage, status: number): void {
@@ -238,6 +242,7 @@
   #readAnswer(incoming: http.IncomingMessage, status: number): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
+    let isWhole = false;
     const createAnswer = (rest: http.IncomingMessage | undefined): CallResult => ({
       kind: "answered",
       answer: {
@@ -245,7 +250,9 @@
         headers: headers.createAnswerHeaders(incoming),
         chunks,
         rest,
-        isFramed: isFramed(incoming),
+        isFramed: isFramed(incoming, this.#options.request.method),
+        isWhole: () => isWhole,
+        discard: () => this.#discardBody(incoming),
       },
     });
     const onData = (chunk: Buffer) => {
@@ -258,8 +265,9 @@
         this.#settle(createAnswer(incoming));
       }
     };
+    incoming.once("end", () => isWhole = incoming.complete && !this.#isReset(incoming));
     const onEnd = () => {
-      if (!incoming.complete || this.#isReset(incoming)) {
+      if (!isWhole) {
         this.#fail("cut_short");
         return;
       }
@@ -277,32 +285,52 @@
    * end.
    */
   #isReset(incoming: http.IncomingMessage): boolean {
-    return !isFramed(incoming) && (this.#socket?.errored ?? null) !== null;
+    return !isFramed(incoming, this.#options.request.method) &&
+      (this.#socket?.errored ?? null) !== null;
   }
 
+  /** Keeps the connection for another request, unless this one was not written completely. */
   #keepConnection(incoming: http.IncomingMessage): void {
-    const { connections, body } = this.#options;
-    const socket = kernel.getDefined(this.#socket, "An answer comes over a connection.");
-    const keepAlive = incoming.headers["keep-alive"];
-    if (body.isSent && this.#outgoing.writableFinished) {
-      connections.recordIdleTimeout(socket, keepAlive?.toString());
-    } else {
-      // The target may still be reading a body that is no longer being sent.
-      connections.excludeFromReuse(socket);
+    if (this.#isSent()) {
+      const socket = kernel.getDefined(this.#socket, "An answer comes over a connection.");
+      const keepAlive = incoming.headers["keep-alive"];
+      this.#options.connections.recordIdleTimeout(socket, keepAlive?.toString());
     }
   }
 
+  /**
+   * Closes the connection after a response to a request that was not written completely: what
+   * follows on it would be read as the rest of that request.
+   */
+  #closeUnlessSent(): void {
+    if (this.#isSent()) {
+      return;
+    }
+    if (this.#socket !== undefined) {
+      this.#options.connections.excludeFromReuse(this.#socket);
+    }
+    this.#transfer?.stop();
+    if (this.#transfer?.isComplete !== true) {
+      this.#outgoing.destroy();
+      return;
+    }
+    // The target may still read the end of the request, which is on its way.
+    const timer = setTimeout(() => this.#outgoing.destroy(), MAX_DISCARD_MILLISECONDS);
+    this.#outgoing.once("close", () => clearTimeout(timer));
+  }
+
+  /** Whether the complete request was written to the connection. */
+  #isSent(): boolean {
+    return this.#transfer?.isComplete === true && this.#outgoing.writableFinished;
+  }
+
   #fail(reason: FailureReason): void {
     if (this.#isSettled) {
       return;
     }
     const isConnected = this.#isConnected;
     if (!isConnected && reason !== "cancelled") {
-      this.#settle({
-        kind: "not_run",
-        reason: "unreachable",
-        hasArrived: false,
-      });
+      this.#settle(UNREACHABLE);
     } else {
       this.#settle({ kind: "failed", reason });
     }
@@ -320,7 +348,14 @@
   }
 }
 
-function isFramed(incoming: http.IncomingMessage): boolean {
-  return incoming.headers["content-length"] !== undefined ||
-    incoming.headers["transfer-encoding"] !== undefined;
+/** Whether the end of a response is known before that of its connection (RFC 9112, section 6.3). */
+function isFramed(incoming: http.IncomingMessage, method: string): boolean {
+  const hasNoBody = method === "HEAD" || incoming.statusCode === 204 || incoming.statusCode === 304;
+  if (hasNoBody) {
+    return true;
+  }
+  const coding = incoming.headers["transfer-encoding"];
+  return coding === undefined
+    ? incoming.headers["content-length"] !== undefined
+    : /(^|,)\s*chunked\s*$/i.test(coding);
 }
--- a/packages/proxy/test/late_response_test.ts
+++ b/packages/proxy/test/late_response_test.ts
@@ -5,7 +5,7 @@
 
 import * as assert from "node:assert/strict";
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as test from "node:test";
 import * as kernel from "@hemlockwalk/kernel";
 import * as harness from "./harness.ts";
@@ -70,4 +70,71 @@
     agent.destroy();
     assert.deepEqual([answer.status, answer.isComplete, answer.body.length], [200, true, 400_003]);
   });
+
+  for (const [ending, isWhole] of [["resets", false], ["ends in order", true]] as const) {
+    test.test(`a long answer without a length that its target ${ending} looks otherwise to the caller`, async () => {
+      await harness.withVm(1, async (vm) => {
+        const [target] = vm.targets;
+        assert.ok(target !== undefined);
+        target.behaviour = ({ socket, headers }) => {
+          const id = String(headers[PROFILE.requestId]);
+          socket.write(`HTTP/1.1 200 OK\r\n${PROFILE.requestId}: ${id}\r\n`);
+          socket.write(`${PROFILE.signature}: signed\r\n\r\n${"x".repeat(400_000)}`);
+          setTimeout(() => isWhole ? socket.end() : socket.resetAndDestroy(), 50);
+        };
+        const caller = net.connect(vm.port, vm.host);
+        caller.write(
+          "GET /reads/1 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer secret\r\n" +
+            `${PROFILE.requestId}: request\r\n${PROFILE.deadline}: 3000\r\n\r\n`,
+        );
+        let hasEnded = false;
+        caller.on("error", () => undefined);
+        caller.once("end", () => hasEnded = true);
+        caller.resume();
+        await new Promise((resolve) => caller.once("close", resolve));
+        assert.equal(hasEnded, isWhole);
+      });
+    });
+  }
+
+  test.test("a long answer stays in memory although its caller has left", async () => {
+    await harness.withVm(1, async (vm) => {
+      const [target] = vm.targets;
+      assert.ok(target !== undefined);
+      const caller = new AbortController();
+      let hasAnswered = false;
+      let isClosed = false;
+      target.behaviour = (request, response) => {
+        request.socket.once("close", () => isClosed = true);
+        caller.abort();
+        // After the VM has seen that the caller has left.
+        setTimeout(() => {
+          response.writeHead(200, harness.createAnswerHeaders(request));
+          response.end("x".repeat(8_000_000));
+          hasAnswered = true;
+        }, 200);
+      };
+      await vm.call({ signal: caller.signal });
+      await harness.waitFor(() => hasAnswered, "the target answers");
+      await harness.waitFor(() => isClosed, "its connection is closed", 1_500);
+    });
+  });
+
+  test.test("a long error stays in memory although its request was sent to another target", async () => {
+    await harness.withVm(2, async (vm) => {
+      let calls = 0;
+      let isClosed = false;
+      const behaviour: harness.Behaviour = (request, response) => {
+        if (calls++ > 0) {
+          harness.answerSuccess(request, response);
+          return;
+        }
+        request.socket.once("close", () => isClosed = true);
+        response.writeHead(500, harness.createAnswerHeaders(request)).end("x".repeat(8_000_000));
+      };
+      vm.targets.forEach((target) => target.behaviour = behaviour);
+      assert.equal((await vm.call({ method: "GET", path: "/reads/1" })).status, 200);
+      await harness.waitFor(() => isClosed, "the first connection is closed", 1_500);
+    });
+  });
 });
--- a/packages/proxy/test/request_path_test.ts
+++ b/packages/proxy/test/request_path_test.ts
@@ -370,4 +370,39 @@
       assert.equal(vm.targets[0]?.requests[0]?.headers["content-length"], "90000");
     });
   });
+
+  test.test("an answer that has no body closes its caller's connection", async () => {
+    await harness.withVm(1, async (vm) => {
+      const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+      for (const [method, status] of [["GET", 204], ["GET", 304], ["HEAD", 200]] as const) {
+        setAll(vm, (request, response) => {
+          response.writeHead(status, harness.createAnswerHeaders(request)).end();
+        });
+        const answer = await vm.call({ agent, method, path: "/reads/1" });
+        assert.equal(answer.status, status);
+        assert.notEqual(answer.headers.connection, "close", `${method} ${status}`);
+      }
+      agent.destroy();
+    });
+  });
+
+  for (const [what, address, id] of [["port", "127.9.9.9:99999", "i"], ["id", "", "ü€"]] as const) {
+    test.test(`a target whose ${what} no request can have costs requests their answer`, async () => {
+      await harness.withVm(2, async (vm) => {
+        const [first] = vm.targets;
+        assert.ok(first !== undefined);
+        const forged = first.createChange(50, address === "" ? {} : { address });
+        const forgedId = model.createTargetId(id);
+        const entry = { ...kernel.getDefined(forged.entry, "It is present."), id: forgedId };
+        vm.store.put({ ...forged, id: forgedId, entry });
+        await kernel.sleep(500);
+        for (let round = 0; round < 30; round++) {
+          assert.equal((await vm.call()).status, 200);
+        }
+        assert.equal(vm.countRequests(), 30);
+        const { code } = kernel.LogMessages.unexpectedRequestError;
+        assert.equal(vm.log.filter((line) => line.code === code).length, 0);
+      });
+    });
+  }
 });
