Quarantines: a VM that was cut off brings none back that a success has ended

A success refutes the ends of targets before it. It was remembered for 600 s, but ends for up to 4,200 s: a quarantine lasts an hour at most, and evidence 600 s more. A VM that was cut off before the success and came back later than 600 s after it told of the ends again, and the request was refused for up to the rest of the hour.

A success is now kept for as long as any end before it may be. Ends after a success are dropped by their own age, so that they do not count for longer than before. Requests are hashed only while there are ends, not while successes are remembered.

By reading, not seen by a caller.

--- a/packages/placement/src/crash_evidence.ts
+++ b/packages/placement/src/crash_evidence.ts
@@ -28,6 +28,12 @@
 /** Time for which evidence is kept after the last end, or after the quarantine if there is one. */
 const RETENTION_MILLISECONDS = 600_000;
 
+/**
+ * Time for which a success is kept: as long as any end before it may be kept by a VM that has not
+ * heard of the success, and that tells of the end later.
+ */
+const SUCCESS_RETENTION_MILLISECONDS = MAX_QUARANTINE_MILLISECONDS + RETENTION_MILLISECONDS;
+
 /** Requests and ends of one request that are kept; beyond them, the oldest are dropped. */
 const MAX_REQUESTS = 256;
 const MAX_ENDS_PER_REQUEST = 16;
@@ -61,12 +67,19 @@
 /** Evidence about all requests under which targets have ended. */
 export class CrashEvidence {
   readonly #byRequest = new Map<model.RequestFingerprint, RequestEvidence>();
+  /** Number of requests under which targets have ended since they last succeeded. */
+  #suspects = 0;
 
   /** Whether there is no evidence about any request. */
   get isEmpty(): boolean {
     return this.#byRequest.size === 0;
   }
 
+  /** Whether any target has ended under a request that has not succeeded since. */
+  get hasSuspects(): boolean {
+    return this.#suspects > 0;
+  }
+
   /** Lists the evidence, the request with the latest change last. */
   list(): [model.RequestFingerprint, RequestEvidence][] {
     return [...this.#byRequest];
@@ -117,27 +130,35 @@
 
   /** Drops evidence that is too old to matter. */
   discardExpired(): void {
-    const oldest = kernel.getMonotonicMilliseconds() - RETENTION_MILLISECONDS;
+    const now = kernel.getMonotonicMilliseconds();
     for (const [request, { ends, succeededAt }] of this.#byRequest) {
-      const lastAt = Math.max(
-        ends.at(-1)?.endedAt ?? Number.NEGATIVE_INFINITY,
-        succeededAt ?? Number.NEGATIVE_INFINITY,
-        getQuarantineEnd(ends),
-      );
-      if (lastAt < oldest) {
-        this.#byRequest.delete(request);
+      const lastEndAt = ends.at(-1)?.endedAt ?? Number.NEGATIVE_INFINITY;
+      const areEndsKept =
+        Math.max(lastEndAt, getQuarantineEnd(ends)) + RETENTION_MILLISECONDS >= now;
+      const isSuccessKept = succeededAt !== undefined &&
+        succeededAt + SUCCESS_RETENTION_MILLISECONDS >= now;
+      if (!areEndsKept && !isSuccessKept) {
+        this.#delete(request);
+      } else if (!areEndsKept && ends.length > 0) {
+        this.#set(request, { ends: [], succeededAt });
       }
     }
   }
 
   #set(request: model.RequestFingerprint, evidence: RequestEvidence): void {
-    this.#byRequest.delete(request);
+    this.#delete(request);
     this.#byRequest.set(request, evidence);
+    this.#suspects += evidence.ends.length > 0 ? 1 : 0;
     const [oldest] = this.#byRequest.keys();
     if (this.#byRequest.size > MAX_REQUESTS && oldest !== undefined) {
-      this.#byRequest.delete(oldest);
+      this.#delete(oldest);
     }
   }
+
+  #delete(request: model.RequestFingerprint): void {
+    this.#suspects -= this.hasEnds(request) ? 1 : 0;
+    this.#byRequest.delete(request);
+  }
 }
 
 /** Monotonic time at which the quarantine ends; negative infinity if the ends call for none. */
--- a/packages/placement/test/crash_evidence_test.ts
+++ b/packages/placement/test/crash_evidence_test.ts
@@ -80,6 +80,37 @@
     assert.equal(evidence.recordEnd(REQUEST, createEnd("a", now - 897)), false);
   });
 
+  test.test("a VM that was cut off brings back a quarantine that a success has ended", async () => {
+    const ends = ["a", "b", "c", "d", "e", "f", "g"].map((name, index) =>
+      createEnd(name, now + index * 100)
+    );
+    const evidence = createEvidence(ends);
+    assert.equal(evidence.hasSuspects, true);
+    evidence.recordSuccess(REQUEST, now + 1_000);
+    assert.equal(evidence.hasSuspects, false);
+    // As long as the ends alone would call for a quarantine, and longer.
+    for (const milliseconds of [601_000, 2_000_000, 1_500_000]) {
+      await clock.advance(milliseconds, milliseconds);
+      evidence.discardExpired();
+      ends.forEach((end) => evidence.recordEnd(REQUEST, end));
+      assert.equal(isQuarantined(evidence), false);
+      assert.equal(evidence.hasEnds(REQUEST), false);
+    }
+    await clock.advance(600_000, 600_000);
+    evidence.discardExpired();
+    assert.equal(evidence.isEmpty, true);
+  });
+
+  test.test("a success keeps the ends after it beyond their time", async () => {
+    const evidence = createEvidence([createEnd("a", now)]);
+    evidence.recordSuccess(REQUEST, now + 10);
+    evidence.recordEnd(REQUEST, createEnd("b", now + 20));
+    await clock.advance(600_021, 600_021);
+    evidence.discardExpired();
+    assert.equal(evidence.hasEnds(REQUEST), false);
+    assert.equal(evidence.isEmpty, false, "the success is kept");
+  });
+
   test.test("a quarantine ends, and one more end then begins a longer one", async () => {
     const evidence = createEvidence([
       createEnd("a", now - 900),
--- a/packages/proxy/src/crash_monitor.ts
+++ b/packages/proxy/src/crash_monitor.ts
@@ -63,7 +63,7 @@
 
   /** Whether no request needs to be looked at. */
   get isIdle(): boolean {
-    return this.#evidence.isEmpty;
+    return !this.#evidence.hasSuspects;
   }
 
   /** The quarantine of a request; undefined if it may be sent to targets. */
