Budgets: a VM that stood still tells none that starts its levels of before

A VM that starts takes over the levels of the shared buckets from each greeting of a VM that runs for 3 s or longer. A VM that has just gone on refills its buckets for the time in which it stood still, before the reports of what the others took meanwhile have arrived, so its levels are too high.

While it catches up, it now states an age of 0, with which its levels are not taken over. By reading, not seen by a caller.

--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -234,7 +234,8 @@
     const list = (buckets: ReadonlyMap<string, placement.SharedBucket>) =>
       Object.fromEntries([...buckets].map(([name, bucket]) => [name, bucket.level]));
     return {
-      age: this.#getLifetime(),
+      // What the others took while this VM stood still is not in its levels yet.
+      age: this.isCatchingUp ? 0 : this.#getLifetime(),
       rates: list(this.#rates),
       retries: list(this.#retries),
     };
--- a/packages/proxy/test/budgets_test.ts
+++ b/packages/proxy/test/budgets_test.ts
@@ -43,7 +43,11 @@
     this.sections.set(name, section);
   }
 
-  addReplicatedState(): void {}
+  readonly states = new Map<string, mesh.ReplicatedState>();
+
+  addReplicatedState(name: string, state: mesh.ReplicatedState): void {
+    this.states.set(name, state);
+  }
 
   countInContact(): number {
     return this.size;
@@ -63,10 +67,20 @@
   }
 }
 
-function createBudgets(others: SimulatedMesh, burst = BURST): proxy.Budgets {
+function createBudgets(
+  others: SimulatedMesh,
+  burst = BURST,
+  isFirstStart = true,
+): proxy.Budgets {
   const store = new declarations.DeclarationStore();
   const logger = new kernel.ComponentLogger(kernel.createSilentLogger(), "budgets");
-  const budgets = new proxy.Budgets(others as unknown as mesh.Mesh, store, BOUNDS, true, logger);
+  const budgets = new proxy.Budgets(
+    others as unknown as mesh.Mesh,
+    store,
+    BOUNDS,
+    isFirstStart,
+    logger,
+  );
   store.apply(fixtures.createDeclarations(1, { workspaces: [{ ...WORKSPACE, burst }] }));
   budgets.start();
   return budgets;
@@ -114,6 +128,33 @@
     }
   });
 
+  test.test("a VM that stood still tells one that starts its levels of before", async () => {
+    const clock = new kernelTesting.TestClock();
+    const stoodStill = new SimulatedMesh();
+    const budgets = createBudgets(stoodStill);
+    /** The level of a VM that starts and hears the other one. */
+    const startAndHear = () => {
+      const starting = new SimulatedMesh();
+      const started = createBudgets(starting, BURST, false);
+      starting.states.get("levels")?.receive(stoodStill.states.get("levels")?.createSnapshot());
+      void started.takeRate(WORKSPACE);
+      started.stop();
+      return started.describeRate(WORKSPACE).level ?? 0;
+    };
+    try {
+      assert.equal(budgets.takeRate(WORKSPACE), true);
+      await clock.advance(4_000);
+      assert.ok(startAndHear() > 0, "levels are taken over");
+      await clock.advance(4_000, 4_000);
+      assert.ok(startAndHear() <= 0, "they are out of date");
+      await clock.advance(PROPAGATION_MILLISECONDS + 100);
+      assert.ok(startAndHear() > 0, "the reports of the others have arrived");
+    } finally {
+      budgets.stop();
+      clock.restore();
+    }
+  });
+
   test.test("a VM that stood still waits for what the others have taken meanwhile", async () => {
     const clock = new kernelTesting.TestClock();
     try {
