Targets: a VM that stood still or was cut off brings back none that was removed

Cause: only tombstones told a removed target from an unknown one. A later list did not remove what it lacked either, so that the stale VM was put right only by its own read of the store, 2.3 s later.

The store is the only writer and its positions order all changes. A list now states the position as of which it is complete: after a read of the store, after a whole list that states a later one, or after an update whose digest matches. What such a list lacks has been removed, however long ago and whatever a clock says. So a change up to that position is dropped, a whole list removes what it lacks, and a list with an earlier position is not asked for. Tombstones are kept until the position passes them, 60 s at least. While removals are held back after an outage or a restore the position stays, and so do the targets that a VM which read the store meanwhile does not list. A VM that knows nothing yet still takes whatever list there is, so that nothing is lost while the store is away.

Messages stay readable for earlier versions, which take the head of a list for the removal of a target that there is not, and whose digests count as different. In tests of the mesh, digests are annotated as numbers, since the mesh no longer knows their type; nothing else of them changes.

--- a/packages/declarations/src/mod.ts
+++ b/packages/declarations/src/mod.ts
@@ -4,8 +4,10 @@
  */
 
 export * from "./declaration_store.ts";
+export * from "./list_coverage.ts";
 export * from "./route_table.ts";
 export * from "./store_position.ts";
 export * from "./target_directory.ts";
 export * from "./target_facts.ts";
+export * from "./target_list.ts";
 export type * from "./types.ts";
--- a/packages/declarations/src/target_directory.ts
+++ b/packages/declarations/src/target_directory.ts
@@ -4,7 +4,8 @@
  * Changes arrive from the store and from other VMs, in any order and more than once. For each
  * target, the change at the latest position of the store wins, so the list never reverts to an
  * older state. A removed target leaves a tombstone, so that an older change that arrives later does
- * not restore it.
+ * not restore it. The tombstone is kept at least until the list is complete as of its position;
+ * from then on, a change that is not later concerns a removed target.
  *
  * Facts about incarnations are kept apart from the changes: a new era of the store replaces the
  * changes, and what was known of the targets still binds.
@@ -12,13 +13,14 @@
 
 import * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
+import * as coverage from "./list_coverage.ts";
 import * as positions from "./store_position.ts";
 import * as facts from "./target_facts.ts";
 import type * as types from "./types.ts";
 
 /**
- * Time for which tombstones and facts are kept; longer than any message's delay and than the age of
- * a backup from which the store is restored.
+ * Time for which facts are kept, and tombstones at least; longer than the age of a backup from which
+ * the store is restored.
  */
 const RETENTION_MILLISECONDS = 60_000;
 
@@ -45,25 +47,42 @@
 export class TargetDirectory {
   readonly #appliedChanges = new Map<model.TargetId, AppliedChange>();
   readonly #facts = new Map<model.TargetId, LearnedFact>();
+  readonly #coverage = new coverage.ListCoverage();
   readonly #changeListeners: TargetChangeListener[] = [];
   readonly #leavingListeners: TargetLeavingListener[] = [];
   #byService: Map<model.ServiceId, types.TargetEntry[]> | undefined;
-  #digest: number | undefined;
   #factsDigest: number | undefined;
 
   get isEmpty(): boolean {
     return this.#appliedChanges.size === 0;
   }
 
+  /** What this list covers, as it is told to other VMs. */
+  get mark(): coverage.ListMark {
+    return this.#coverage.mark;
+  }
+
+  /** Whether this list knows everything that happened up to a position. */
+  covers(position: types.StorePosition): boolean {
+    return this.#coverage.covers(position);
+  }
+
   /**
-   * Applies a change and returns `true`, unless the same or a later one of the target is known, or
-   * the change is an earlier incarnation from a backup of the store.
+   * Applies a change and returns `true`, unless the same or a later one of the target is known, the
+   * target has been removed since, or the change is an earlier incarnation from a backup of the
+   * store.
+   *
+   * @param listAsOf Position as of which the whole list is complete that contains the change;
+   * undefined if it is not part of a whole list.
    */
-  apply(change: types.TargetChange): boolean {
+  apply(change: types.TargetChange, listAsOf?: types.StorePosition): boolean {
     const known = this.#appliedChanges.get(change.id);
     if (known !== undefined && !positions.isLaterPosition(change.position, known.change.position)) {
       return false;
     }
+    if (known?.change.entry === undefined && this.#isRemoved(change, listAsOf)) {
+      return false;
+    }
     if (isEarlierIncarnation(change, known?.change)) {
       return false;
     }
@@ -74,8 +93,8 @@
         ? known.appliedAt
         : kernel.getMonotonicMilliseconds(),
     });
+    this.#coverage.record(change, known?.change);
     this.#byService = undefined;
-    this.#digest = undefined;
     for (const listener of this.#changeListeners) {
       listener(change, known?.change.entry);
     }
@@ -162,19 +181,22 @@
 
   /** The latest era of any change; undefined without changes. */
   getLatestEra(): types.StoreEra | undefined {
-    let latest: types.StoreEra | undefined;
-    for (const { change: { position } } of this.#appliedChanges.values()) {
-      latest = latest === undefined || position.era > latest ? position.era : latest;
-    }
-    return latest;
+    return this.#coverage.mark.latest?.era;
   }
 
-  /** Digest that is equal on VMs that hold the same changes; 0 without changes. */
-  getDigest(): number {
-    this.#digest ??= createDigest(
-      this.listChanges().map(({ id, position }) => `${id} ${position.era} ${position.revision}`),
-    );
-    return this.#digest;
+  /** Whether a copy with the given mark may hold something that this list lacks. */
+  isBehind(other: coverage.ListMark): boolean {
+    return this.#coverage.isBehind(other);
+  }
+
+  /** Records that this list is the store's as of a position; an earlier one changes nothing. */
+  confirm(asOf: types.StorePosition): void {
+    this.#coverage.confirm(asOf);
+  }
+
+  /** Records what another copy covers, if it is equal to this list. */
+  confirmEqual(other: coverage.ListMark): void {
+    this.#coverage.confirmEqual(other);
   }
 
   /** Digest that is equal on VMs that hold the same facts; 0 without facts. */
@@ -205,13 +227,13 @@
     return this.#listRemovals(asOf, ({ position }) => position.era < asOf.era);
   }
 
-  /** Discards tombstones and facts that are older than any message's delay. */
+  /** Discards tombstones that this list does without, and facts that no longer matter. */
   discardExpired(): void {
     const oldest = kernel.getMonotonicMilliseconds() - RETENTION_MILLISECONDS;
     for (const [id, applied] of this.#appliedChanges) {
-      if (applied.change.entry === undefined && applied.appliedAt < oldest) {
+      const { entry, position } = applied.change;
+      if (entry === undefined && applied.appliedAt < oldest && this.covers(position)) {
         this.#appliedChanges.delete(id);
-        this.#digest = undefined;
       }
     }
     for (const [id, { fact, learnedAt }] of this.#facts) {
@@ -226,6 +248,17 @@
     }
   }
 
+  /**
+   * Whether a target that this list does not hold has been removed since a change: the list is
+   * complete as of a later position, and the change is not from a list that is as complete.
+   */
+  #isRemoved(change: types.TargetChange, listAsOf: types.StorePosition | undefined): boolean {
+    const { asOf } = this.#coverage.mark;
+    const isFromCurrentList = asOf !== undefined && listAsOf !== undefined &&
+      !positions.isLaterPosition(asOf, listAsOf);
+    return this.covers(change.position) && !isFromCurrentList;
+  }
+
   /** Records what a change states about the incarnation that it concerns and the one before. */
   #recordFacts(change: types.TargetChange, known: types.TargetChange | undefined): void {
     const { entry, position } = change;
--- a/packages/mesh/src/link.ts
+++ b/packages/mesh/src/link.ts
@@ -34,7 +34,7 @@
   /** Whether the hello was sent to the other VM, which then needs only updates. */
   hasSentHello = false;
   /** Digests of replicated states that the other VM has sent and that were not yet compared. */
-  readonly digests = new Map<string, number>();
+  readonly digests = new Map<string, unknown>();
   receivedAt = kernel.getMonotonicMilliseconds();
   sentAt = kernel.getMonotonicMilliseconds();
   /** Number of the other VM's latest report that arrived on this link. */
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -580,7 +580,7 @@
     }
   }
 
-  #receiveDigests(digests: Readonly<Record<string, number>>, link: links.Link): void {
+  #receiveDigests(digests: Readonly<Record<string, unknown>>, link: links.Link): void {
     for (const [name, digest] of Object.entries(digests)) {
       link.digests.set(name, digest);
     }
@@ -611,7 +611,7 @@
   /** Sends the members and, for each replicated state, its digest or else its snapshot. */
   #sendHello(link: links.Link): void {
     const snapshots: Record<string, unknown> = {};
-    const digests: Record<string, number> = {};
+    const digests: Record<string, unknown> = {};
     for (const [name, state] of this.#states) {
       if (state.digest === undefined) {
         snapshots[name] = state.createSnapshot();
--- a/packages/mesh/src/types.ts
+++ b/packages/mesh/src/types.ts
@@ -53,12 +53,15 @@
   receive(from: MemberIdentity, payload: unknown): void;
 }
 
-/** Digest of a replicated state, by which two VMs detect that their copies differ. */
+/**
+ * Digest of a replicated state, by which two VMs detect that their copies differ. The mesh does not
+ * read it.
+ */
 export interface StateDigest {
-  /** Returns the digest of this VM's copy; 0 while the copy is empty. */
-  get(): number;
-  /** Whether a copy with the given digest holds something that this VM's copy lacks. */
-  isBehind(other: number): boolean;
+  /** Returns the digest of this VM's copy. */
+  get(): unknown;
+  /** Whether a copy with the given digest may hold something that this VM's copy lacks. */
+  isBehind(other: unknown): boolean;
 }
 
 /** State that is replicated to all VMs and that any VM may update. */
@@ -86,10 +89,10 @@
     /** Snapshots of the replicated states without a digest. */
     readonly feeds: Readonly<Record<string, unknown>>;
     /** Digests of the other replicated states. */
-    readonly marks: Readonly<Record<string, number>>;
+    readonly marks: Readonly<Record<string, unknown>>;
   }
   /** Announces a large change of replicated states. A VM that lacks it requests a snapshot. */
-  | { readonly kind: "marks"; readonly marks: Readonly<Record<string, number>> }
+  | { readonly kind: "marks"; readonly marks: Readonly<Record<string, unknown>> }
   /** Requests snapshots of replicated states. */
   | { readonly kind: "request"; readonly feeds: readonly string[] }
   | { readonly kind: "role"; readonly role: LinkRole }
--- a/packages/mesh/test/mesh_test.ts
+++ b/packages/mesh/test/mesh_test.ts
@@ -77,7 +77,7 @@
     },
   });
   vm.mesh.addReplicatedState("versions", {
-    digest: { get: () => versions.latest, isBehind: (other) => other > versions.latest },
+    digest: { get: () => versions.latest, isBehind: (other: number) => other > versions.latest },
     createSnapshot: () => {
       versions.snapshotsSent++;
       return versions.latest;
--- a/packages/mesh/test/snapshot_requests_test.ts
+++ b/packages/mesh/test/snapshot_requests_test.ts
@@ -41,7 +41,7 @@
   const clock = new testing.TestClock();
   const open = new Set<mesh.Link>();
   const states = new Map<string, mesh.ReplicatedState>([[STATE, {
-    digest: { get: () => 0, isBehind: (other) => other > 0 },
+    digest: { get: () => 0, isBehind: (other: number) => other > 0 },
     createSnapshot: () => 0,
     receive: () => true,
   }]]);
--- a/packages/mesh/test/vm_thread.ts
+++ b/packages/mesh/test/vm_thread.ts
@@ -65,7 +65,7 @@
 }
 
 vm.addReplicatedState(STATE, {
-  digest: { get: () => latest, isBehind: (other) => other > latest },
+  digest: { get: () => latest, isBehind: (other: number) => other > latest },
   createSnapshot: () => latest,
   receive: (payload) => apply(Number(payload)),
 });
--- a/packages/proxy/src/publisher.ts
+++ b/packages/proxy/src/publisher.ts
@@ -5,23 +5,13 @@
 import * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
 import type * as mesh from "@hemlockwalk/mesh";
-import type * as model from "@hemlockwalk/model";
+import * as holds from "./removal_hold.ts";
+import * as exchange from "./target_exchange.ts";
 
 const DECLARATIONS_STATE = "declarations";
 const TARGETS_STATE = "targets";
 const FACTS_STATE = "facts";
 
-/**
- * A target change as sent to other VMs. Earlier versions of the program send neither the era nor
- * the number of a report.
- */
-interface ChangeMessage {
-  readonly id: model.TargetId;
-  readonly revision: declarations.StoreRevision;
-  readonly era?: declarations.StoreEra;
-  readonly entry: declarations.TargetEntry | undefined | null;
-}
-
 /** Applies updates from the store and from other VMs, and publishes the new ones to the fleet. */
 export class Publisher {
   readonly #store: declarations.DeclarationStore;
@@ -30,6 +20,10 @@
   readonly #logger: kernel.ComponentLogger;
   readonly #leavingCounter: kernel.Counter<"source">;
   readonly #rateCounter: kernel.Counter<"result" | "source">;
+  /** Whether removals are held back at present. */
+  readonly removalHold = new holds.RemovalHold();
+  /** Whole lists of other VMs whose removals are held back. */
+  readonly #heldLists: declarations.TargetList[] = [];
 
   constructor(
     store: declarations.DeclarationStore,
@@ -55,7 +49,7 @@
     vmMesh.addReplicatedState(DECLARATIONS_STATE, {
       digest: {
         get: () => store.current?.declarations.version ?? 0,
-        isBehind: (other) => other > (store.current?.declarations.version ?? 0),
+        isBehind: (other: number) => other > (store.current?.declarations.version ?? 0),
       },
       createSnapshot: () => store.current?.declarations,
       receive: (payload) =>
@@ -63,19 +57,20 @@
     });
     vmMesh.addReplicatedState(TARGETS_STATE, {
       digest: {
-        get: () => directory.getDigest(),
-        // The digest only shows that the two states differ. If the other VM's state is older, none
-        // of its changes is applied.
-        isBehind: (other) => other !== 0 && other !== directory.getDigest(),
+        get: () => exchange.encodeMark(directory.mark),
+        isBehind: (other) => {
+          const mark = exchange.decodeMark(other);
+          // An earlier version of the program sends a number, which is not comparable.
+          return mark === undefined ? other !== 0 : directory.isBehind(mark);
+        },
       },
-      createSnapshot: () => directory.listChanges().map(encodeChange),
-      receive: (payload) =>
-        this.#applyChanges((payload as ChangeMessage[]).map(decodeChange), "peer"),
+      createSnapshot: () => exchange.encodeList(declarations.createWholeList(directory)),
+      receive: (payload) => this.#applyList(exchange.decodeList(payload)),
     });
     vmMesh.addReplicatedState(FACTS_STATE, {
       digest: {
         get: () => directory.getFactsDigest(),
-        isBehind: (other) => other !== 0 && other !== directory.getFactsDigest(),
+        isBehind: (other: number) => other !== 0 && other !== directory.getFactsDigest(),
       },
       createSnapshot: () => directory.listFacts(),
       receive: (payload) => this.#applyFacts(payload as declarations.TargetFact[], "peer"),
@@ -98,11 +93,32 @@
     }
   }
 
-  /** Publishes target changes that this VM has read from the store. */
-  publishTargets(changes: readonly declarations.TargetChange[]): void {
-    const applied = changes.filter((change) => this.#applyChanges([change], "store"));
+  /**
+   * Publishes target changes that this VM has read from the store.
+   *
+   * @param listAsOf Position of the whole read that the changes are from; undefined for others.
+   * @param completeAsOf Position as of which the list is the store's with these changes; undefined
+   * while removals are held back.
+   */
+  publishTargets(
+    changes: readonly declarations.TargetChange[],
+    listAsOf: declarations.StorePosition | undefined,
+    completeAsOf: declarations.StorePosition | undefined,
+  ): void {
+    const applied = changes.filter((change) => this.#applyChange(change, listAsOf, "store"));
+    if (completeAsOf !== undefined) {
+      this.#directory.confirm(completeAsOf);
+    }
     if (applied.length > 0) {
-      this.#mesh.publish(TARGETS_STATE, applied.map(encodeChange));
+      const list = { mark: this.#directory.mark, isWhole: false, changes: applied };
+      this.#mesh.publish(TARGETS_STATE, exchange.encodeList(list));
+    }
+  }
+
+  /** Removes what the lists of other VMs lacked while removals were held back. */
+  releaseRemovals(): void {
+    if (!this.removalHold.isCertain) {
+      this.#heldLists.splice(0).forEach((list) => this.#applyRemovals(list));
     }
   }
 
@@ -142,16 +158,49 @@
     return true;
   }
 
-  #applyChanges(changes: readonly declarations.TargetChange[], from: string): boolean {
-    let hasApplied = false;
-    for (const change of changes) {
-      const previous = this.#directory.find(change.id);
-      if (this.#directory.apply(change)) {
-        hasApplied = true;
-        this.#logChange(change, previous, from);
-      }
+  /** Applies a list of another VM; returns whether any of it was new. */
+  #applyList(list: declarations.TargetList): boolean {
+    const hasApplied = declarations.mergeChanges(
+      list,
+      this.#directory,
+      (change, listAsOf) => this.#applyChange(change, listAsOf, "peer"),
+    );
+    if (!declarations.supersedes(list, this.#directory)) {
+      return hasApplied;
+    }
+    const knownEra = this.#directory.mark.asOf?.era;
+    const isFirstOfEra = this.#heldLists.length === 0 && knownEra !== undefined &&
+      list.mark?.asOf !== undefined && list.mark.asOf.era > knownEra;
+    if (isFirstOfEra) {
+      // The other VM may have read the restored store before targets had registered again.
+      this.removalHold.begin(true);
+    }
+    if (this.removalHold.isCertain) {
+      this.#heldLists.push(list);
+      return hasApplied;
     }
-    return hasApplied;
+    return this.#applyRemovals(list) || hasApplied;
+  }
+
+  #applyRemovals(list: declarations.TargetList): boolean {
+    return declarations.mergeRemovals(
+      list,
+      this.#directory,
+      (change, listAsOf) => this.#applyChange(change, listAsOf, "peer"),
+    );
+  }
+
+  #applyChange(
+    change: declarations.TargetChange,
+    listAsOf: declarations.StorePosition | undefined,
+    from: string,
+  ): boolean {
+    const previous = this.#directory.find(change.id);
+    if (!this.#directory.apply(change, listAsOf)) {
+      return false;
+    }
+    this.#logChange(change, previous, from);
+    return true;
   }
 
   #logChange(
@@ -213,16 +262,3 @@
   }
   return entry.isDraining ? "draining" : "ready";
 }
-
-function encodeChange({ id, position, entry }: declarations.TargetChange): ChangeMessage {
-  return { id, revision: position.revision, era: position.era, entry };
-}
-
-function decodeChange({ id, revision, era, entry }: ChangeMessage): declarations.TargetChange {
-  return {
-    id,
-    position: { era: era ?? declarations.UNSTATED_ERA, revision },
-    // An absent entry is encoded as null.
-    entry: entry ?? undefined,
-  };
-}
--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -51,12 +51,6 @@
  */
 const OUTAGE_MILLISECONDS = 2_000;
 
-/**
- * How long removals are held back after the store has recovered: entries that expired while it was
- * unavailable are registered again within two seconds.
- */
-const REMOVAL_DELAY_MILLISECONDS = 2_300;
-
 /** Settings of a follower. */
 export interface StoreFollowerOptions {
   readonly store: declarations.PublishedStore;
@@ -79,6 +73,7 @@
   readonly #logger: kernel.ComponentLogger;
   readonly #restores: kernel.Counter;
   readonly #isFirstStart: boolean;
+  readonly #pauses = new kernel.PauseDetector();
   readonly #stopping = new AbortController();
   readonly #startedAt = kernel.getMonotonicMilliseconds();
   #asOf: declarations.StorePosition | undefined;
@@ -87,7 +82,6 @@
   #reason: storeReaders.ReadingReason = "none";
   #isAvailable = true;
   #failures = 0;
-  #recoveredAt = Number.NEGATIVE_INFINITY;
   #heldRemovals: declarations.TargetChange[] = [];
 
   constructor(options: StoreFollowerOptions) {
@@ -105,11 +99,13 @@
   }
 
   start(): void {
+    this.#pauses.start();
     void this.#follow();
   }
 
   /** Does not wait for a pending watch: its result is dropped. */
   stop(): void {
+    this.#pauses.stop();
     this.#stopping.abort();
   }
 
@@ -118,6 +114,7 @@
     await this.#waitForPeers();
     while (!signal.aborted) {
       this.#publishHeldRemovals();
+      this.#publisher.releaseRemovals();
       this.#recordReason(this.#readers.chooseReason());
       if (this.#reason === "none") {
         this.#asOf = undefined;
@@ -219,7 +216,7 @@
     }
     const outdated = this.#publisher.directory.listOutdated(asOf).length;
     if (this.#era !== undefined || outdated > 0) {
-      this.#recoveredAt = kernel.getMonotonicMilliseconds();
+      this.#publisher.removalHold.begin(true);
       this.#restores.inc();
       this.#logger.write(kernel.LogMessages.storeRestored, {
         era: asOf.era,
@@ -243,34 +240,42 @@
       const present = new Set(update.changes.map((change) => change.id));
       removals.push(...this.#publisher.directory.listMissing(present, update.asOf));
     }
-    this.#publisher.publishTargets(update.changes.filter((change) => change.entry !== undefined));
-    const now = kernel.getMonotonicMilliseconds();
-    if (now - this.#recoveredAt < REMOVAL_DELAY_MILLISECONDS) {
-      this.#heldRemovals.push(...removals);
-    } else {
-      this.#publisher.publishTargets(removals);
+    this.#heldRemovals.push(...removals);
+    const listAsOf = isSnapshot ? update.asOf : undefined;
+    const entries = update.changes.filter((change) => change.entry !== undefined);
+    if (this.#publisher.removalHold.isActive) {
+      this.#publisher.publishTargets(entries, listAsOf, undefined);
+      return;
     }
+    const due = this.#takeHeldRemovals(update.asOf);
+    this.#publisher.publishTargets([...entries, ...due], listAsOf, update.asOf);
   }
 
-  /**
-   * Publishes the removal of targets that were not registered again in time, among them those of
-   * earlier eras. Later changes of a target take precedence.
-   */
+  /** Publishes the removal of targets that were not registered again in time. */
   #publishHeldRemovals(): void {
-    const now = kernel.getMonotonicMilliseconds();
-    if (now - this.#recoveredAt < REMOVAL_DELAY_MILLISECONDS) {
-      return;
+    if (!this.#publisher.removalHold.isActive) {
+      const due = this.#takeHeldRemovals(this.#asOf);
+      this.#publisher.publishTargets(due, undefined, this.#asOf);
     }
-    const outdated = this.#asOf === undefined
-      ? []
-      : this.#publisher.directory.listOutdated(this.#asOf);
-    this.#publisher.publishTargets([...this.#heldRemovals.splice(0), ...outdated]);
+  }
+
+  /**
+   * The removals that were held back, among them those of targets of earlier eras. Later changes of
+   * a target take precedence.
+   */
+  #takeHeldRemovals(
+    asOf: declarations.StorePosition | undefined,
+  ): readonly declarations.TargetChange[] {
+    const outdated = asOf === undefined ? [] : this.#publisher.directory.listOutdated(asOf);
+    return [...this.#heldRemovals.splice(0), ...outdated];
   }
 
   /** Every VM notes the end of an outage, whichever VM has had the first response. */
   #recordOutage(at: number, previousAt: number): void {
-    if (at - Math.max(previousAt, this.#startedAt) > OUTAGE_MILLISECONDS) {
-      this.#recoveredAt = kernel.getMonotonicMilliseconds();
+    const silentSince = Math.max(previousAt, this.#startedAt);
+    if (at - silentSince > OUTAGE_MILLISECONDS) {
+      const hasStoodStill = this.#pauses.lastResumeMilliseconds > silentSince;
+      this.#publisher.removalHold.begin(!hasStoodStill);
     }
   }
 
