A reset that arrives with the last bytes of a response is no end in order

A caller got half of a response without a length as a complete one, although its target had reset the connection. Cause: the runtime reports a reset as an end if it arrives together with bytes that have not been read, so nothing failed. When a connection ends that delimits a response, the VM now writes a line end to it, which servers ignore before a request: it fails after a reset and only then.

--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -255,6 +255,9 @@
         discard: () => this.#discardBody(incoming),
       },
     });
+    if (!isFramed(incoming, this.#options.request.method)) {
+      this.#probeEnd();
+    }
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
       bytes += chunk.length;
@@ -289,6 +292,17 @@
       (this.#socket?.errored ?? null) !== null;
   }
 
+  /**
+   * Tells a reset from an end in order when the connection ends. The runtime reports a reset as an
+   * end if it arrives together with the last bytes; a write fails only after a reset.
+   */
+  #probeEnd(): void {
+    const socket = kernel.getDefined(this.#socket, "An answer comes over a connection.");
+    socket.allowHalfOpen = true;
+    // Runs before the runtime ends the own side.
+    socket.prependOnceListener("end", () => socket.write("\r\n"));
+  }
+
   /** Keeps the connection for another request, unless this one was not written completely. */
   #keepConnection(incoming: http.IncomingMessage): void {
     if (this.#isSent()) {
--- a/packages/proxy/test/target_call_test.ts
+++ b/packages/proxy/test/target_call_test.ts
@@ -145,6 +145,18 @@
     });
   }
 
+  test.test("an answer without a length counts as whole though a reset came with its last bytes", async () => {
+    await withBench(async (bench) => {
+      bench.target.onData = ({ socket }) => {
+        socket.write(`${createHead(200, {})}half of it`);
+        // Both arrive before this process reads again.
+        socket.resetAndDestroy();
+      };
+      const result = await bench.run("GET");
+      assert.deepEqual(result, { kind: "failed", reason: "cut_short" });
+    });
+  });
+
   test.test("a target is blamed for a workspace that no header can carry", async () => {
     await withBench(async (bench) => {
       bench.changes = { request: benches.createRequest("GET", "ü€") };
