--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -65,12 +65,19 @@
   readonly #server: http.Server;
   readonly #sockets = new Set<net.Socket>();
   behaviour: Behaviour = answerSuccess;
+  /** Responds before the body has been read. */
+  earlyBehaviour: Behaviour | undefined;
   /** Addresses whose requests are lost on the way. */
   readonly silentTo = new Set<string>();
 
   constructor(id: string) {
     this.id = model.createTargetId(id);
     this.#server = http.createServer((request, response) => {
+      if (this.earlyBehaviour !== undefined) {
+        this.requests.push(request);
+        this.earlyBehaviour(request, response, "");
+        return;
+      }
       let body = "";
       request.on("data", (chunk: Buffer) => body += chunk.toString());
       request.on("end", () => {
