What the runtime does by itself on a caller's connection is asked of its owner

Callers could lose responses, or wait for ever, where Node.js acted without the connection's owner:

- bytes that are no request, continued while the own side had ended, destroyed the socket, and the kernel dropped the response before them;
- Node.js itself refused a request without a host or with an unknown expectation, and a request behind it was passed on and never answered;
- a response whose status is below 200 made the handler fail after it had decided, and nothing was sent;
- what waited with an unread body stopped the reading behind the end, so that the connection was reset or held up the stop;
- reading was not paused behind 16 waiting requests, since the server resumes it after each;
- a caller that closed within a request was not noticed;
- a request was started when the connection of the one before was destroyed;
- the rest of a dropped body could be ended as if it were whole.

The server no longer refuses requests by itself, the errors that concern input are told from those of the connection, reading stays paused, the queue's bodies are dropped at the end, and a body whose pipe is taken away breaks its request off. The check of the time left before a stop cuts requests off is made when a target has been found, and only once the listener has closed.

--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -38,6 +38,9 @@
   if (view === undefined) {
     return refuseUnknown(context, trace, { status: 503, reason: "no_declarations" });
   }
+  if (request.headers.host === undefined && request.httpVersion === "1.1") {
+    return { status: 400, reason: "invalid_request" };
+  }
   if (headers.countHeadBytes(request) > view.declarations.limits.headerBytes) {
     return { status: 431, reason: "head_too_large" };
   }
@@ -108,7 +111,8 @@
   const { forwardedRequests, profile, path, stop } = context;
   if (stop.isStopping) {
     // Other VMs do not know, and would keep it busy until it cuts off the last of their requests.
-    return { status: 503, reason: "stopping" };
+    const retryAfterSeconds = refusals.RETRY_AFTER_SECONDS.stopping;
+    return { status: 503, reason: "stopping", retryAfterSeconds };
   }
   if (path.isIsolated) {
     return { status: 503, reason: "isolated" };
--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -113,6 +113,8 @@
     }
     rest.once("end", this.#onEnd);
     rest.once("close", this.#onClose);
+    // The caller's side reads and drops the rest once the request has its response.
+    outgoing.once("unpipe", this.#onClose);
     tooLarge?.addEventListener("abort", () => this.stop(), { once: true });
     // The end is written only after a complete body.
     rest.pipe(outgoing, { end: false });
@@ -125,11 +127,13 @@
   stop(): void {
     this.#rest.off("end", this.#onEnd);
     this.#rest.off("close", this.#onClose);
+    this.#outgoing.off("unpipe", this.#onClose);
     this.#rest.unpipe(this.#outgoing);
   }
 
   readonly #onEnd = (): void => {
     this.#rest.off("close", this.#onClose);
+    this.#outgoing.off("unpipe", this.#onClose);
     this.#isComplete = true;
     this.#outgoing.end();
   };
--- a/packages/proxy/src/caller_connection.ts
+++ b/packages/proxy/src/caller_connection.ts
@@ -23,8 +23,9 @@
 
 import * as kernel from "@hemlockwalk/kernel";
 import type * as records from "./connection_record.ts";
+import type * as types from "./types.ts";
 
-/** Requests that are read ahead on a connection; then reading pauses. */
+/** Requests that wait on a connection before reading pauses; those already received follow. */
 const MAX_WAITING_REQUESTS = 16;
 
 /** Most bytes, and longest time, for which the rest of an answered request is read. */
@@ -92,19 +93,11 @@
 
 type State = "idle" | "handling" | "discarding" | "lingering" | "closed";
 
-/** Whether the VM stops. */
-export interface StopState {
-  /** Whether the VM has been asked to stop; it still accepts connections. */
-  readonly isStopping: boolean;
-  /** Whether it accepts no further connections, so that each response ends its connection. */
-  readonly isClosing: boolean;
-}
-
 /** One connection of a caller. */
 export class CallerConnection {
   readonly #transport: ConnectionTransport;
   readonly #record: records.ConnectionEndListener;
-  readonly #stop: StopState;
+  readonly #stop: types.StopState;
   /** The request that is handled, and those that wait. */
   readonly #queue: ConnectionExchange[] = [];
   /** The answered request whose rest is read and dropped. */
@@ -126,7 +119,7 @@
   constructor(
     transport: ConnectionTransport,
     record: records.ConnectionEndListener,
-    stop: StopState,
+    stop: types.StopState,
   ) {
     this.#transport = transport;
     this.#record = record;
@@ -144,7 +137,9 @@
 
   /** Adds a request whose head has been read. */
   add(exchange: ConnectionExchange): void {
-    if (this.#state === "lingering" || this.#state === "closed") {
+    const isOver = this.#state === "lingering" || this.#state === "closed" ||
+      this.#lastBytes !== undefined;
+    if (isOver) {
       exchange.dropRest();
       return;
     }
@@ -162,7 +157,7 @@
    *
    * @param isRequired Whether the connection has to end behind this response.
    */
-  announcesEnd(isRequired: boolean): boolean {
+  decideEnd(isRequired: boolean): boolean {
     // While new connections are accepted, requests that have been read are served as well.
     const endsWithStop = this.#stop.isClosing ||
       (this.#stop.isStopping && this.#queue.length === 1 && this.#lastBytes === undefined);
@@ -170,7 +165,7 @@
     return this.#isEndAnnounced;
   }
 
-  /** Called when the connection has to end behind the present response. */
+  /** Called when the connection has to end behind the present response, or at once without one. */
   requireEnd(): void {
     this.#mustEnd = true;
     if (this.#state === "idle") {
@@ -217,6 +212,7 @@
     if (delimiting === "framed") {
       this.#linger();
     } else {
+      this.#state = "lingering";
       this.#transport.reset();
     }
   }
@@ -239,7 +235,7 @@
     } else if (latest.isRead) {
       this.#lastBytes = response;
     } else if (this.#queue.length > 1) {
-      this.#queue.pop();
+      this.#queue.pop()?.dropRest();
       this.#lastBytes = response;
     } else {
       this.#mustEnd = true;
@@ -291,7 +287,7 @@
   }
 
   #getEnding(): records.ConnectionEnding {
-    if (this.#isEndAnnounced) {
+    if (this.#isEndAnnounced || this.#mustEnd) {
       return "announced";
     }
     if (this.#transport.hasFailed) {
@@ -327,6 +323,7 @@
     this.#state = "lingering";
     this.#transport.end(lastBytes);
     this.#transport.resumeReading();
+    this.#queue.forEach((exchange) => exchange.dropRest());
     const sinceAnswer = kernel.getMonotonicMilliseconds() - this.#answeredAt;
     const milliseconds = Math.max(
       IDLE_LINGER_MILLISECONDS,
--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -114,6 +114,7 @@
   /** Ends a request whose handling has failed unexpectedly; it may have run. */
   fail(): void {
     if (!this.#response.headersSent) {
+      this.#isDecided = false;
       this.refuse({ status: 500, reason: "internal_error" });
       return;
     }
@@ -122,7 +123,7 @@
   }
 
   #createConnectionHeader(endsConnection: boolean): string[] {
-    return this.#connection.announcesEnd(endsConnection) ? ["Connection", "close"] : [];
+    return this.#connection.decideEnd(endsConnection) ? ["Connection", "close"] : [];
   }
 
   /** A caller of HTTP/1.0 does not understand chunks. */
--- a/packages/proxy/src/http_connection.ts
+++ b/packages/proxy/src/http_connection.ts
@@ -1,22 +1,31 @@
 /**
  * Binds the connections of callers to the HTTP server of Node.js.
  *
- * The server parses requests and writes responses in order. When it would close a connection, the
- * `CallerConnection` decides instead: its `destroySoon` is replaced, which the server calls behind a
- * response that ends the connection.
+ * The server parses requests and writes responses in order. Two methods of its sockets are replaced,
+ * so that the `CallerConnection` decides in its place: `destroySoon`, which the server calls behind a
+ * response that ends the connection, and `resume`, which it calls behind each request.
  */
 
 import type * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import type * as connections from "./caller_connection.ts";
 import type * as handlers from "./request_handler.ts";
 
 /** The socket of a connection. */
 export class SocketTransport implements connections.ConnectionTransport {
   readonly #socket: net.Socket;
+  #isReadingPaused = false;
 
   constructor(socket: net.Socket) {
     this.#socket = socket;
+    socket.resume = () => this.#isReadingPaused ? socket : net.Socket.prototype.resume.call(socket);
+    // A request for a tunnel takes the server's own listener away.
+    socket.on("error", () => undefined);
+  }
+
+  /** Sets what is called when the server would end the connection. */
+  onServerEnd(listener: () => void): void {
+    this.#socket.destroySoon = listener;
   }
 
   get bytesRead(): number {
@@ -36,10 +45,12 @@
   }
 
   pauseReading(): void {
+    this.#isReadingPaused = true;
     this.#socket.pause();
   }
 
   resumeReading(): void {
+    this.#isReadingPaused = false;
     this.#socket.resume();
   }
 
@@ -118,6 +129,14 @@
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
 
+/** Code of the error when the caller ends its side within a request. */
+export const CALLER_ENDED_CODE = "HPE_INVALID_EOF_STATE";
+
+/** Whether an error of the server concerns what the caller has sent, not the connection itself. */
+export function isInputError(code: string | undefined): boolean {
+  return code !== undefined && (code.startsWith("HPE_") || code in INVALID_INPUT_STATUSES);
+}
+
 /** Creates the response to bytes that are no request, by the code of the parser's error. */
 export function createInvalidInputResponse(code: string | undefined): string {
   return createEmptyResponse(INVALID_INPUT_STATUSES[code ?? ""] ?? "400 Bad Request");
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -38,7 +38,7 @@
   readonly callerAddress: string;
   readonly bounds: types.ProxyBounds;
   readonly store: declarations.DeclarationStore;
-  readonly createContext: (stop: contexts.VmStop) => contexts.RequestContext;
+  readonly createContext: (stop: types.StopState) => contexts.RequestContext;
   /** Sets what handles the requests that other VMs pass on to this one. */
   readonly onForwarded: (listener: http.RequestListener) => void;
   readonly logger: kernel.ComponentLogger;
@@ -77,6 +77,8 @@
       requestTimeout: 0,
       connectionsCheckingInterval: 1_000,
       noDelay: true,
+      // The server would respond by itself, unknown to the connection.
+      requireHostHeader: false,
     });
     this.#server.on("connection", (socket) => this.#track(socket));
     this.#server.on("request", (request, response) => this.#handle(request, response, false));
@@ -84,6 +86,10 @@
       "timeout",
       (socket: net.Socket) => this.#connections.get(socket)?.onIdleTimeout(),
     );
+    this.#server.on(
+      "checkExpectation",
+      (request, response) => this.#handle(request, response, false),
+    );
     this.#server.on("clientError", (error, socket) => this.#onClientError(error, socket));
     this.#server.on(
       "connect",
@@ -155,7 +161,12 @@
       handler,
       (hasWaited) => void this.#run(handler, hasWaited),
     );
-    response.once("finish", () => connection.onResponseSent());
+    response.once("finish", () => {
+      // It is emitted as well when the connection is closed.
+      if (!request.socket.destroyed) {
+        connection.onResponseSent();
+      }
+    });
     request.once("end", () => connection.onRequestRead(exchange));
     connection.add(exchange);
   }
@@ -173,13 +184,14 @@
 
   /** Starts to track a connection. */
   #track(socket: net.Socket): connections.CallerConnection {
+    const transport = new bindings.SocketTransport(socket);
     const connection = new connections.CallerConnection(
-      new bindings.SocketTransport(socket),
+      transport,
       this.#record,
       this.#stop,
     );
     this.#connections.set(socket, connection);
-    socket.destroySoon = () => connection.requireEnd();
+    transport.onServerEnd(() => connection.requireEnd());
     socket.once("close", () => {
       this.#connections.delete(socket);
       connection.onClosed();
@@ -189,11 +201,13 @@
 
   #onClientError(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
     const connection = this.#connections.get(socket as net.Socket);
-    if (connection === undefined || !socket.writable || error.code === "ECONNRESET") {
+    if (connection === undefined || !bindings.isInputError(error.code)) {
       socket.destroy();
-      return;
+    } else if (error.code === bindings.CALLER_ENDED_CODE) {
+      socket.end();
+    } else {
+      connection.onInvalidInput(bindings.createInvalidInputResponse(error.code));
     }
-    connection.onInvalidInput(bindings.createInvalidInputResponse(error.code));
   }
 }
 
--- a/packages/proxy/src/request_context.ts
+++ b/packages/proxy/src/request_context.ts
@@ -16,14 +16,6 @@
 import type * as peers from "./serving_peers.ts";
 import type * as requestQueues from "./request_queues.ts";
 
-/** The stop of this VM. */
-export interface VmStop {
-  /** Whether it has been asked to stop. */
-  readonly isStopping: boolean;
-  /** Monotonic time at which running requests are cut off, in milliseconds; infinite before. */
-  readonly cutOffAt: number;
-}
-
 /** Services and settings that request handlers use. */
 export interface RequestContext {
   readonly profile: types.HeaderProfile;
@@ -47,7 +39,7 @@
   readonly recordRate: (target: declarations.TargetEntry, notice: calls.TargetNotice) => void;
   /** Monotonic time of the store's latest response to any VM. */
   readonly getConfirmedAt: () => number;
-  readonly stop: VmStop;
+  readonly stop: types.StopState;
   readonly path: paths.PathMonitor;
   readonly peers: peers.ServingPeers;
   readonly forwardedRequests: forwarded.ForwardedRequests;
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -160,15 +160,6 @@
       this.#finalAnswer.refuse({ status: 413, reason: "body_too_large" });
       return;
     }
-    if (!this.#mayEndBeforeStop(accepted)) {
-      this.#returnRate(accepted);
-      this.#finalAnswer.refuse({
-        status: 503,
-        reason: "stopping",
-        retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.stopping,
-      });
-      return;
-    }
     read.body.tooLarge?.addEventListener("abort", () => this.#refuseLongBody(), { once: true });
     const quarantine = this.#evidence.findRefusal(accepted, read.body);
     if (quarantine !== undefined) {
@@ -187,7 +178,7 @@
     const { stop, tracker } = this.#context;
     const mean = tracker.processingTimes.getRouteMean(route.id, route.objectiveMilliseconds);
     const left = stop.cutOffAt - kernel.getMonotonicMilliseconds();
-    return left >= mean * MIN_STOP_TIME_IN_MEAN_TIMES;
+    return !stop.isClosing || left >= mean * MIN_STOP_TIME_IN_MEAN_TIMES;
   }
 
   async #serve(accepted: types.AcceptedRequest, body: bodies.RequestBody): Promise<void> {
@@ -225,6 +216,16 @@
           return;
         }
         calls.discardAnswer(result);
+        if (!this.#mayEndBeforeStop(accepted)) {
+          this.#context.queues.get(accepted.service).advance();
+          const retryAfterSeconds = refusals.RETRY_AFTER_SECONDS.stopping;
+          this.#answerUnplaced(accepted, result, {
+            status: 503,
+            reason: "stopping",
+            retryAfterSeconds,
+          });
+          return;
+        }
         result = await this.#call(accepted, body, placed);
       } while (!this.#finalAnswer.isDecided && this.#mayRetry(accepted, body, result));
       if (!this.#finalAnswer.isDecided && result !== undefined && !this.#caller.signal.aborted) {
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -13,6 +13,10 @@
 /** Responses up to this size are buffered completely before they are forwarded to the caller. */
 const MAX_BUFFERED_ANSWER_BYTES = 262_144;
 
+/** Statuses of final responses. */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
+
 /** Most bytes, and longest time, for which the body of an unused response is read. */
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARD_MILLISECONDS = 500;
@@ -175,6 +179,10 @@
     const status = incoming.statusCode ?? 0;
     this.#incoming = incoming;
     incoming.once("end", () => this.#closeUnlessSent());
+    if (status < MIN_STATUS || status > MAX_STATUS) {
+      this.#fail("spoilt");
+      return;
+    }
     const echoed = incoming.headers[profile.requestId.toLowerCase()];
     if (echoed !== undefined && echoed !== request.id) {
       // A late copy of the response to an earlier request; it says nothing about this one.
--- a/packages/proxy/src/types.ts
+++ b/packages/proxy/src/types.ts
@@ -46,6 +46,16 @@
   readonly graceMilliseconds: number;
 }
 
+/** The stop of a VM. */
+export interface StopState {
+  /** Whether it has been asked to stop; it still accepts connections. */
+  readonly isStopping: boolean;
+  /** Whether it accepts no further connections, so that each response ends its connection. */
+  readonly isClosing: boolean;
+  /** Monotonic time at which running requests are cut off, in milliseconds; infinite before. */
+  readonly cutOffAt: number;
+}
+
 /** What the handling of an accepted request depends on in its route. */
 export type AcceptedRoute = Pick<
   declarations.DeclaredRoute,
--- a/packages/proxy/test/caller_connection_test.ts
+++ b/packages/proxy/test/caller_connection_test.ts
@@ -84,7 +84,7 @@
 /** A connection with all that happens around it. */
 class World {
   readonly transport = new TestTransport();
-  readonly stop = { isStopping: false, isClosing: false };
+  readonly stop = { isStopping: false, isClosing: false, cutOffAt: Number.POSITIVE_INFINITY };
   readonly exchanges: TestExchange[] = [];
   readonly ends: proxy.ConnectionEnd[] = [];
   readonly connection: proxy.CallerConnection;
@@ -131,7 +131,7 @@
     }
     assert.equal(this.exchanges.indexOf(exchange), this.#answered, "responses keep the order");
     this.#answered++;
-    this.connection.announcesEnd(isByEnd);
+    this.connection.decideEnd(isByEnd);
     exchange.isAnswered = true;
     this.connection.onResponseSent();
   }
@@ -142,7 +142,7 @@
       return;
     }
     this.hasBrokenOff = true;
-    this.connection.announcesEnd(isByEnd);
+    this.connection.decideEnd(isByEnd);
     this.connection.breakOff(isByEnd ? "by_end" : "framed");
     assert.equal(this.transport.ended, isByEnd ? "reset" : "half", "a cut response is noticed");
   }
@@ -165,6 +165,7 @@
   readHead: (world) => world.read(false),
   readRest: (world) => world.readRest(),
   answer: (world) => world.answer(false),
+  beginAnswer: (world) => world.running === undefined || world.connection.decideEnd(false),
   answerByEnd: (world) => world.answer(true),
   breakOff: (world) => world.breakOff(false),
   breakOffByEnd: (world) => world.breakOff(true),
@@ -192,6 +193,10 @@
   if (world.transport.ended !== "open" && !world.mayLose) {
     assert.deepEqual(unanswered.map(({ id }) => id), [], "the end takes no response with it");
   }
+  if (world.transport.ended === "half") {
+    const unread = world.exchanges.filter((one) => !one.isRead && !one.isDropped);
+    assert.deepEqual(unread.map(({ id }) => id), [], "what is unread behind the end is dropped");
+  }
 }
 
 test.describe("a caller's connection", () => {
@@ -240,7 +245,7 @@
     EVENTS["closeListener"]?.(world, undefined as never);
     assert.equal(world.transport.ended, "open");
     world.read(true);
-    assert.equal(world.connection.announcesEnd(false), true);
+    assert.equal(world.connection.decideEnd(false), true);
     world.answer(false);
     assert.equal(world.transport.ended, "half");
     world.close();
--- a/packages/proxy/test/lost_requests_test.ts
+++ b/packages/proxy/test/lost_requests_test.ts
@@ -114,6 +114,38 @@
   });
 });
 
+test.describe("responses of the runtime itself", () => {
+  for (
+    const head of ["GET /reads/1 HTTP/1.1", "GET /reads/1 HTTP/1.1\r\nHost: a\r\nExpect: more"]
+  ) {
+    test.test(`a request is lost behind one that the runtime refuses: ${head.length}`, async () => {
+      await harness.withVm(1, async (vm) => {
+        const caller = new raw.RawCaller(vm);
+        const [first, last] = ["a", "c"].map((id) => raw.encodeRequest({ id }));
+        caller.send(`${first}${head}\r\n${harness.PROFILE.requestId}: b\r\n\r\n${last}`);
+        const answers = await caller.readAnswers(3);
+        assert.deepEqual(answers.map(({ id }) => id), ["a", "b", "c"]);
+        assertNoneLost(vm, answers);
+        caller.close();
+      });
+    });
+  }
+
+  test.test("a response with a status that is none leaves its request unanswered", async () => {
+    await harness.withVm(1, async (vm) => {
+      const [target] = vm.targets;
+      assert.ok(target !== undefined);
+      target.behaviour = (request) =>
+        request.socket.end(
+          `HTTP/1.1 042 None\r\n${harness.PROFILE.requestId}: ${
+            String(request.headers[harness.PROFILE.requestId])
+          }\r\nContent-Length: 0\r\n\r\n`,
+        );
+      assert.equal((await vm.call()).status, 502);
+    });
+  });
+});
+
 test.describe("a response that is not delivered yet", () => {
   test.test("a request that crosses the end of a connection cuts the response before it", async () => {
     await harness.withVm(1, async (vm) => {
@@ -142,6 +174,30 @@
     });
   });
 
+  test.test("more bytes that are no request cut the response before them", async () => {
+    await harness.withVm(1, async (vm) => {
+      const [target] = vm.targets;
+      assert.ok(target !== undefined);
+      target.behaviour = (request, response) => {
+        response.writeHead(200, harness.createAnswerHeaders(request));
+        response.end(LONG_BODY.slice(0, 400_000));
+      };
+      const caller = new raw.RawCaller(vm);
+      caller.pause();
+      caller.send(raw.encodeRequest({ id: "first" }));
+      for (let round = 0; round < 10; round++) {
+        await kernel.sleep(50);
+        caller.send("no request\r\n\r\n");
+      }
+      caller.resume();
+      await harness.waitFor(() => caller.hasEnded, "the connection ends");
+      const [answer, refused] = caller.listAnswers();
+      assert.deepEqual([answer?.isWhole, answer?.body.length], [true, 400_000]);
+      assert.equal(refused?.status, 400);
+      caller.close();
+    });
+  });
+
   test.test("a caller that reads slowly loses its response when the listener closes", async () => {
     await harness.withVm(
       1,
