A stopping VM waits for an idempotent request whose target is slow

The target was at work on it. A retry was not possible. A stopping VM now gives no attempt up before the request's time is over, since a retry may not end before the stop.

--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -383,7 +383,13 @@
     const isLast = !route.isIdempotent || this.#tried.size >= route.attempts;
     const left = accepted.endsAt - now;
     const timeout = isLast ? left : Math.min(left, mean * SILENT_AFTER_MEAN_TIMES);
-    return kernel.startInputTimer(() => attempt.abort("silent"), Math.max(0, timeout));
+    return kernel.startInputTimer(() => {
+      // A retry may not end before the stop, while this attempt is under way.
+      const keepsWaiting = timeout < left && this.#context.stop.isStopping;
+      if (!keepsWaiting) {
+        attempt.abort("silent");
+      }
+    }, Math.max(0, timeout));
   }
 
   #recordResult(
--- a/packages/proxy/test/lost_requests_test.ts
+++ b/packages/proxy/test/lost_requests_test.ts
@@ -241,3 +241,32 @@
     caller.close();
   });
 });
+
+test.test("a slow request is given up while its VM stops", async () => {
+  await harness.withVm(
+    1,
+    async (vm) => {
+      const [target] = vm.targets;
+      assert.ok(target !== undefined);
+      target.behaviour = (request, response) =>
+        void setTimeout(() => harness.answerSuccess(request, response), 3_000);
+      const answer = vm.call({
+        path: "/reads/1",
+        method: "GET",
+        headers: { [harness.PROFILE.deadline]: "10000" },
+      });
+      await harness.waitFor(() => target.requests.length === 1, "the request is passed on");
+      const stopped = vm.stop();
+      assert.equal((await answer).status, 200);
+      await stopped;
+    },
+    harness.createDeclarations(1, {
+      routes: [harness.createRoute({
+        pathPrefix: "/reads/",
+        isIdempotent: true,
+        attempts: 3,
+        timeoutMilliseconds: 10_000,
+      })],
+    }),
+  );
+});
