Workspaces take turns at slots, and Retry-After tells when there is room

Cause: requests of one priority waited in order of arrival, so a workspace with many times its usual load delayed all others; a new request could take a slot ahead of those that waited; and Retry-After was 0.3 s whatever the queue held, so that refused requests came back together.

The queue takes turns between workspaces within a priority, a new request does not overtake, and Retry-After follows the pace at which slots became free.

--- a/packages/placement/test/placement_test.ts
+++ b/packages/placement/test/placement_test.ts
@@ -349,6 +349,79 @@
     }
   });
 
+  test.test("a workspace that sends ten times its usual load takes the room of the others", () => {
+    const queue = new placement.RequestQueue();
+    const placed: string[] = [];
+    let room = 0;
+    const add = (workspace: string, priority = 1) =>
+      queue.add({
+        priority,
+        workspace,
+        acceptsAnyTarget: true,
+        waitUntil: Number.POSITIVE_INFINITY,
+        tryPlace: () => {
+          if (room === 0) {
+            return false;
+          }
+          room--;
+          placed.push(`${workspace} ${priority}`);
+          return true;
+        },
+        onTimeout: () => assert.fail("the request has no time limit"),
+      });
+    const advance = (slots: number) => {
+      room = slots;
+      queue.advance();
+      return placed.splice(0);
+    };
+    Array.from({ length: 10 }, () => add("busy"));
+    add("quiet");
+    assert.deepEqual(advance(3), ["busy 1", "quiet 1", "busy 1"], "they take turns");
+    add("quiet");
+    add("third");
+    const next = advance(4);
+    const count = (name: string) => next.filter((entry) => entry === `${name} 1`).length;
+    assert.deepEqual([count("quiet"), count("third")], [1, 1], "no turn is lost by arriving late");
+    add("busy", 0);
+    add("quiet");
+    assert.deepEqual(advance(2), ["busy 0", "quiet 1"], "priority goes before turns");
+    advance(10);
+    assert.equal(queue.length, 0);
+  });
+
+  test.test("a refused request is told to return long before or after there is room for it", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const queue = new placement.RequestQueue();
+      let room = 0;
+      const add = (priority: number) =>
+        queue.add({
+          priority,
+          acceptsAnyTarget: true,
+          waitUntil: Number.POSITIVE_INFINITY,
+          tryPlace: () => room-- > 0,
+          onTimeout: () => assert.fail("the request has no time limit"),
+        });
+      Array.from({ length: 30 }, () => add(2));
+      assert.equal(queue.estimateWait(2), undefined, "nothing is known of the pace yet");
+      for (let slot = 0; slot < 10; slot++) {
+        await clock.advance(100);
+        room = 1;
+        queue.advance();
+        room = 0;
+      }
+      // A slot became free every 100 ms, and 20 requests wait.
+      const wait = queue.estimateWait(2) ?? 0;
+      assert.ok(Math.abs(wait - 2_100) <= 210, `${wait} ms for the 21st request`);
+      assert.ok((queue.estimateWait(0) ?? 0) <= 110, "a more urgent one is next");
+      room = Number.POSITIVE_INFINITY;
+      queue.advance();
+      assert.equal(queue.length, 0);
+    } finally {
+      clock.restore();
+    }
+  });
+
   test.test("room is sought once for all requests that accept any target, and for each other one", () => {
     const queue = new placement.RequestQueue();
     const tried: string[] = [];
--- a/packages/proxy/src/refusals.ts
+++ b/packages/proxy/src/refusals.ts
@@ -16,6 +16,29 @@
   stopping: 0.05,
 };
 
+/**
+ * Longest Retry-After for a lack of slots, in seconds. The pace at which slots become free says little
+ * about a later time, and a caller that is told to wait longer gives up.
+ */
+const MAX_NO_ROOM_SECONDS = 2;
+
+/** Share of a Retry-After by which it is spread, so that those refused together do not return so. */
+const SPREAD = 0.5;
+
+/**
+ * Retry-After of a request that found no slot, in seconds.
+ *
+ * @param waitMilliseconds Estimated time until it would have one; undefined if not foreseeable.
+ */
+export function getNoRoomSeconds(
+  waitMilliseconds: number | undefined,
+  random: () => number = Math.random,
+): number {
+  const seconds = Math.max(RETRY_AFTER_SECONDS.noRoom, (waitMilliseconds ?? 0) / 1_000);
+  const spread = Math.min(seconds, MAX_NO_ROOM_SECONDS) * (1 + SPREAD * random());
+  return Math.round(spread * 100) / 100;
+}
+
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** A final response of the proxy. Statuses 429 and 503 mean that the request has not run. */
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -548,9 +548,10 @@
     accepted: types.AcceptedRequest,
     reason: types.RefusalReason,
   ): refusals.Refusal {
+    const queue = this.#context.queues.get(accepted.service);
     const retryAfterSeconds = this.#getRetryAfterSeconds(
       accepted.service,
-      refusals.RETRY_AFTER_SECONDS.noRoom,
+      refusals.getNoRoomSeconds(queue.estimateWait(accepted.priority)),
     );
     // The VM that passed the request on would try another one for a reason of this VM alone.
     const hasUsedAttempts = this.#isForwarded && this.#arrivals > 0;
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -70,9 +70,12 @@
         accepted.endsAt - mean,
       ),
     );
-    const decided = this.#tryPlace(service, placementRequest, waitUntil);
+    // A request does not overtake those that wait already; the queue decides which one is next.
+    const mustQueue = this.#tried.size === 0 &&
+      this.#context.queues.get(service).countAhead(accepted.priority) > 0;
+    const decided = mustQueue ? undefined : this.#tryPlace(service, placementRequest, waitUntil);
     return decided === undefined
-      ? this.#wait(accepted, placementRequest, waitUntil)
+      ? this.#wait(accepted, placementRequest, waitUntil, mustQueue)
       : Promise.resolve(decided);
   }
 
@@ -140,6 +143,7 @@
     accepted: types.AcceptedRequest,
     placementRequest: placement.PlacementRequest,
     waitUntil: number,
+    mayBePlacedNow: boolean,
   ): Promise<Placement> {
     const { service } = accepted;
     const queue = this.#context.queues.get(service);
@@ -147,6 +151,7 @@
     return new Promise((resolve) => {
       const queued: placement.QueuedRequest = {
         priority: accepted.priority,
+        workspace: accepted.workspace,
         acceptsAnyTarget: this.#tried.size === 0,
         waitUntil,
         tryPlace: () => {
@@ -168,6 +173,9 @@
       };
       this.#caller.addEventListener("abort", onAbort, { once: true });
       queue.add(queued);
+      if (mayBePlacedNow) {
+        queue.advance();
+      }
     });
   }
 }
