--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -71,9 +71,9 @@
       ),
     );
     // A request does not overtake those that wait already; the queue decides which one is next.
-    const mustQueue = this.#tried.size === 0 &&
+    const mustQueue = this.#tried.size === 0 && accepted.homes === undefined &&
       this.#context.queues.get(service).countAhead(accepted.priority) > 0;
-    const decided = mustQueue ? undefined : this.#tryPlace(service, placementRequest, waitUntil);
+    const decided = mustQueue ? undefined : this.#tryPlace(accepted, placementRequest, waitUntil);
     return decided === undefined
       ? this.#wait(accepted, placementRequest, waitUntil, mustQueue)
       : Promise.resolve(decided);
@@ -81,25 +81,35 @@
 
   /** Places or refuses a request; undefined if it is to wait. */
   #tryPlace(
-    service: model.ServiceId,
+    accepted: types.AcceptedRequest,
     placementRequest: placement.PlacementRequest,
     waitUntil: number,
   ): Placement | undefined {
-    const choice = this.#choose(service, placementRequest);
+    const choice = this.#choose(accepted, placementRequest);
     switch (choice.kind) {
       case "chosen":
         return this.#createPlacement(choice);
       case "full":
         return undefined;
       case "none":
-        return this.#decideWithoutCandidate(service, waitUntil);
+        return this.#decideWithoutCandidate(accepted, waitUntil);
     }
   }
 
-  #decideWithoutCandidate(service: model.ServiceId, waitUntil: number): Placement | undefined {
-    const wait = this.#context.tracker.findShortestWait(service, this.#tried);
+  #decideWithoutCandidate(
+    { service, homes }: types.AcceptedRequest,
+    waitUntil: number,
+  ): Placement | undefined {
+    const { tracker } = this.#context;
+    const wait = tracker.findShortestWait(service, this.#tried, homes);
     if (wait === undefined) {
-      return { kind: "refused", reason: "no_target" };
+      const reason = tracker.findExclusion(service, homes);
+      if (reason === "evacuated") {
+        this.#trace.add("evacuated", { service });
+      } else if (reason === "outside_homes") {
+        this.#trace.add("outside_homes", { service, homes: homes?.join(",") });
+      }
+      return { kind: "refused", reason: reason ?? "no_target" };
     }
     const maxWait = waitUntil - kernel.getMonotonicMilliseconds();
     if (placement.decideWithoutTarget(wait.milliseconds, maxWait) === "wait") {
@@ -117,10 +127,10 @@
   }
 
   #choose(
-    service: model.ServiceId,
+    { service, homes }: types.AcceptedRequest,
     placementRequest: placement.PlacementRequest,
   ): placement.Choice {
-    const candidates = this.#context.tracker.listCandidates(service, this.#tried);
+    const candidates = this.#context.tracker.listCandidates(service, this.#tried, homes);
     return placement.chooseTarget(candidates, placementRequest);
   }
 
@@ -152,10 +162,10 @@
       const queued: placement.QueuedRequest = {
         priority: accepted.priority,
         workspace: accepted.workspace,
-        acceptsAnyTarget: this.#tried.size === 0,
+        acceptsAnyTarget: this.#tried.size === 0 && accepted.homes === undefined,
         waitUntil,
         tryPlace: () => {
-          const decided = this.#tryPlace(service, placementRequest, waitUntil);
+          const decided = this.#tryPlace(accepted, placementRequest, waitUntil);
           if (decided !== undefined) {
             this.#caller.removeEventListener("abort", onAbort);
             resolve(decided);
