Cold targets: the rate of a target in warm-up is divided among a few VMs

Cause: targets receive requests at full rate while they warm up, and crash above their declared cold rate. A fleet in several parts also had several times the holders of a stated rate.

TargetTracker takes the lower of the stated and the cold rate; TargetRates has as many holders in a part of a fleet as its share allows; tokens of requests that were not sent are returned; refusals count the requests that wait ahead.

--- a/packages/declarations/src/declaration_store.ts
+++ b/packages/declarations/src/declaration_store.ts
@@ -14,10 +14,12 @@
   readonly #routes: routes.RouteTable;
   readonly #workspaceByKey = new Map<string, types.DeclaredWorkspace>();
   readonly #workspaceById = new Map<model.WorkspaceId, types.DeclaredWorkspace>();
+  readonly #serviceById: ReadonlyMap<model.ServiceId, types.DeclaredService>;
 
   constructor(declarations: types.Declarations) {
     this.declarations = declarations;
     this.#routes = new routes.RouteTable(declarations.routes);
+    this.#serviceById = new Map(declarations.services.map((service) => [service.id, service]));
     for (const workspace of declarations.workspaces) {
       this.#workspaceById.set(workspace.id, workspace);
       for (const key of workspace.keys) {
@@ -39,6 +41,10 @@
     return this.#workspaceByKey.get(key);
   }
 
+  findService(id: model.ServiceId): types.DeclaredService | undefined {
+    return this.#serviceById.get(id);
+  }
+
   getWorkspaceById(id: model.WorkspaceId): types.DeclaredWorkspace | undefined {
     return this.#workspaceById.get(id);
   }
--- a/packages/declarations/src/target_directory.ts
+++ b/packages/declarations/src/target_directory.ts
@@ -36,6 +36,8 @@
 interface AppliedChange {
   readonly change: types.TargetChange;
   readonly appliedAt: number;
+  /** Monotonic time at which the target is warm, in milliseconds. */
+  readonly warmAt: number;
 }
 
 interface LearnedFact {
@@ -87,11 +89,11 @@
       return false;
     }
     this.#recordFacts(change, known?.change);
+    const now = kernel.getMonotonicMilliseconds();
     this.#appliedChanges.set(change.id, {
       change,
-      appliedAt: known !== undefined && isSameReport(change.entry, known.change.entry)
-        ? known.appliedAt
-        : kernel.getMonotonicMilliseconds(),
+      appliedAt: now,
+      warmAt: getWarmAt(change, known, now),
     });
     this.#coverage.record(change, known?.change);
     this.#byService = undefined;
@@ -153,9 +155,13 @@
     return this.#appliedChanges.get(id)?.change.position;
   }
 
-  /** Monotonic time, in milliseconds, at which the latest report of a target was applied. */
-  getAppliedAt(id: model.TargetId): number | undefined {
-    return this.#appliedChanges.get(id)?.appliedAt;
+  /**
+   * Time until a target is warm, in milliseconds; 0 if it is. It counts from the time at which this
+   * VM learnt of the report, so that a late VM never takes a target for warm before it is.
+   */
+  getWarmUpLeft(id: model.TargetId): number {
+    const warmAt = this.#appliedChanges.get(id)?.warmAt ?? 0;
+    return Math.max(0, warmAt - kernel.getMonotonicMilliseconds());
   }
 
   /** Targets of a service that accept new requests. */
@@ -344,13 +350,27 @@
     change.position.era > known.position.era && startedAt < knownStart;
 }
 
-/** Whether two entries are the same report, read again in a later era. */
-function isSameReport(
-  left: types.TargetEntry | undefined,
-  right: types.TargetEntry | undefined,
-): boolean {
-  return left !== undefined && right !== undefined && left.startedAt === right.startedAt &&
-    left.reportNumber !== undefined && left.reportNumber === right.reportNumber;
+/**
+ * Monotonic time at which the target of a change is warm, in milliseconds. Within an era each change
+ * states it anew. A change of a later era may be an earlier report, from a backup of the store.
+ */
+function getWarmAt(
+  { position, entry }: types.TargetChange,
+  known: AppliedChange | undefined,
+  now: number,
+): number {
+  const announced = now + (entry?.warmUpMilliseconds ?? 0);
+  const before = known?.change.entry;
+  const isFromLaterEra = known !== undefined && position.era > known.change.position.era;
+  if (!isFromLaterEra || before === undefined || entry?.startedAt !== before.startedAt) {
+    return announced;
+  }
+  const isNumbered = entry?.startedAt !== undefined && entry.reportNumber !== undefined &&
+    before.reportNumber !== undefined;
+  if (!isNumbered) {
+    return Math.max(announced, known.warmAt);
+  }
+  return Number(entry.reportNumber) > Number(before.reportNumber) ? announced : known.warmAt;
 }
 
 /** Hashes lines irrespective of their order, which differs between VMs. */
--- a/packages/declarations/src/types.ts
+++ b/packages/declarations/src/types.ts
@@ -66,6 +66,11 @@
   readonly id: model.ServiceId;
   /** Connections that one target accepts from all VMs together. */
   readonly connectionsPerTarget: number;
+  /**
+   * Requests per second that a target can handle from all VMs together while it warms up; undefined
+   * for no limit.
+   */
+  readonly coldRequestsPerSecond?: number | undefined;
 }
 
 /** A workspace with its keys and its rate over all VMs. */
--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -253,6 +253,16 @@
     text: "A target stated an invalid rate, which is ignored.",
     fields: { target: "The target.", stated: "What the target stated." },
   },
+  targetCold: {
+    code: 4009,
+    level: "info",
+    text: "A target is cold; all VMs together keep to the rate of its service until it is warm.",
+    fields: {
+      target: "The target.",
+      milliseconds: "Time until it is warm, as announced.",
+      requestsPerSecond: "The rate that its service declares for cold targets.",
+    },
+  },
   targetSuspected: {
     code: 4101,
     level: "info",
@@ -401,6 +411,7 @@
     evidenceAge:
       "Milliseconds since the start of the latest call of any VM that showed its health.",
     lookAfter: "Whether the target was chosen as a probe of its health.",
+    coldLeft: "Milliseconds until the target is warm; absent if it is.",
     confirmedAge: "Milliseconds since the latest response of the store to any VM.",
   },
   passed_on: {
--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -30,6 +30,8 @@
   readonly isRemote: boolean;
   /** Remaining warm-up time, in milliseconds. */
   readonly warmUpMilliseconds: number;
+  /** Whether the requests during its warm-up are limited to a rate that it can handle. */
+  readonly isColdRateLimited?: boolean;
 }
 
 /** What the choice of a target depends on in a request. */
@@ -62,6 +64,8 @@
 
 /**
  * Additional cost during the warm-up, in processing times: requests take about twice as long then.
+ * Where a rate protects the cold targets, the cost falls as the warm ones run out of free slots.
+ * Otherwise cold targets would get requests only once every warm target was overloaded.
  */
 const WARM_UP_WEIGHT = 1;
 
@@ -125,6 +129,7 @@
   if (probed !== undefined) {
     return { kind: "chosen", candidate: probed, isProbe: true };
   }
+  const freeShare = getWarmFreeShare(candidates);
   let best: Candidate | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
@@ -132,7 +137,7 @@
       continue;
     }
     // Random noise prevents VMs with the same information from choosing the same target at once.
-    const cost = getCost(candidate, request) +
+    const cost = getCost(candidate, request, freeShare) +
       random() * UTILIZATION_WEIGHT * request.meanProcessingMilliseconds /
         Math.max(candidate.slots, 1);
     if (cost < bestCost) {
@@ -145,8 +150,16 @@
     : { kind: "chosen", candidate: best, isProbe: false };
 }
 
-/** Cost of a candidate in milliseconds. */
-export function getCost(candidate: Candidate, request: PlacementRequest): number {
+/**
+ * Cost of a candidate in milliseconds.
+ *
+ * @param warmFreeShare Share of the slots of the warm candidates that are free, from 0 to 1.
+ */
+export function getCost(
+  candidate: Candidate,
+  request: PlacementRequest,
+  warmFreeShare = 1,
+): number {
   const slots = Math.max(candidate.slots, 1);
   const processingTime = request.meanProcessingMilliseconds * candidate.relativeProcessingTime;
   const wait = Math.max(0, candidate.load + 1 - slots) / slots * processingTime;
@@ -154,7 +167,8 @@
   const failureCost = request.mayRetry
     ? request.meanProcessingMilliseconds + request.objectiveMilliseconds / 4
     : request.objectiveMilliseconds * FAILURE_COST_IN_OBJECTIVES;
-  const warmUp = candidate.warmUpMilliseconds > 0 ? WARM_UP_WEIGHT * processingTime : 0;
+  const warmUpWeight = WARM_UP_WEIGHT * (candidate.isColdRateLimited === true ? warmFreeShare : 1);
+  const warmUp = candidate.warmUpMilliseconds > 0 ? warmUpWeight * processingTime : 0;
   return wait + (processingTime - request.meanProcessingMilliseconds) +
     utilization * utilization * UTILIZATION_WEIGHT * processingTime +
     candidate.failureProbability * failureCost + warmUp +
@@ -162,6 +176,19 @@
     (candidate.isUnreachable ? UNREACHABLE_COST_IN_OBJECTIVES * request.objectiveMilliseconds : 0);
 }
 
+/** Share of the slots of the candidates without a warm-up that are free, from 0 to 1. */
+function getWarmFreeShare(candidates: readonly Candidate[]): number {
+  let slots = 0;
+  let free = 0;
+  for (const candidate of candidates) {
+    if (candidate.warmUpMilliseconds === 0) {
+      slots += candidate.slots;
+      free += Math.max(0, candidate.slots - candidate.load);
+    }
+  }
+  return slots === 0 ? 0 : free / slots;
+}
+
 /** Returns the target that a retryable request is to probe, if any. */
 function findProbeTarget(
   candidates: readonly Candidate[],
--- a/packages/placement/src/target_pauses.ts
+++ b/packages/placement/src/target_pauses.ts
@@ -68,6 +68,44 @@
   readonly isPause: boolean;
 }
 
+/** When a target will accept requests of this VM, one after another. */
+export interface TargetSchedule extends TargetWait {
+  /** Requests per second that it accepts from then on. */
+  readonly requestsPerSecond: number;
+  /** Time after which it accepts any number of requests; infinity if it is not foreseeable. */
+  readonly unlimitedAfterMilliseconds: number;
+}
+
+/**
+ * Finds when targets that accept no request now will accept the next one beyond those that wait for
+ * them already; undefined if there are no targets.
+ */
+export function findWait(
+  schedules: readonly TargetSchedule[],
+  ahead: number,
+): TargetWait | undefined {
+  const next = schedules.map((schedule) => ({ ...schedule }));
+  const findFirst = () =>
+    next.reduce<typeof next[number] | undefined>(
+      (first, one) => first === undefined || one.milliseconds < first.milliseconds ? one : first,
+      undefined,
+    );
+  for (let taken = 0; taken < ahead; taken++) {
+    const first = findFirst();
+    if (first === undefined || first.milliseconds >= first.unlimitedAfterMilliseconds) {
+      break;
+    }
+    const interval = first.requestsPerSecond === 0
+      ? Number.POSITIVE_INFINITY
+      : 1_000 / first.requestsPerSecond;
+    first.milliseconds = Math.min(first.milliseconds + interval, first.unlimitedAfterMilliseconds);
+  }
+  const found = findFirst();
+  return found === undefined
+    ? undefined
+    : { milliseconds: found.milliseconds, isPause: found.isPause };
+}
+
 /** What happens to a request while no target that it may still use accepts one. */
 export type WaitDecision = "wait" | "refuse";
 
--- a/packages/placement/src/target_rates.ts
+++ b/packages/placement/src/target_rates.ts
@@ -1,10 +1,15 @@
 /**
- * Request rates that targets have stated for all VMs together.
+ * Request rates of targets that bind all VMs together: those that targets have stated, and those of
+ * cold targets.
  *
  * Designed for a target in need that accepts a few requests a second, in front of which are tens to
  * hundreds of VMs. A bucket that all VMs draw on would be overdrawn by the requests that several VMs
  * send before they hear of each other. Instead a few VMs, ranked alike by all others, divide the
  * rate among them, and the rest send the target nothing. The holders spend it without a message.
+ *
+ * A part of a fleet that has lost the others has as many holders as its share of the fleet allows,
+ * because each holder may send one request at once, whatever its part of the rate is. Counted over
+ * all parts of a fleet, the holders are at most a third more than those of the whole.
  */
 
 import * as kernel from "@hemlockwalk/kernel";
@@ -23,6 +28,12 @@
  */
 const MIN_RATE = 0.2;
 
+/**
+ * Part of a holder by which the number of holders is rounded up, so that the loss of a few VMs of a
+ * large fleet does not cost a holder.
+ */
+const HOLDER_TOLERANCE = 0.25;
+
 /** A VM that may hold a part of a rate. */
 export interface RateHolder {
   readonly vm: model.VmId;
@@ -35,6 +46,11 @@
   readonly members: readonly RateHolder[];
   /** Share of the VMs known within the recent past that are in contact, from 0 to 1. */
   readonly presentShare: number;
+  /**
+   * Time until the members are taken to be all of the fleet, in milliseconds; 0 by default. Until
+   * then, tokens accrue and none is spent.
+   */
+  readonly settlesInMilliseconds?: number;
 }
 
 /** Parses a stated rate, in requests per second; undefined if it is no decimal number. */
@@ -51,6 +67,7 @@
   dataCentre: model.DataCentreId,
   requestsPerSecond: number,
   members: readonly RateHolder[],
+  presentShare = 1,
 ): RateHolder[] {
   const ranked = members.map((member) => ({
     member,
@@ -60,7 +77,21 @@
   ranked.sort((left, right) =>
     Number(left.isRemote) - Number(right.isRemote) || left.rank - right.rank
   );
-  return ranked.slice(0, MIN_HOLDERS + Math.floor(requestsPerSecond)).map(({ member }) => member);
+  const holders = MIN_HOLDERS + Math.floor(requestsPerSecond);
+  return ranked.slice(0, Math.floor(holders * presentShare + HOLDER_TOLERANCE))
+    .map(({ member }) => member);
+}
+
+/** A request's claim on the rate of its target, by which it can be returned. */
+export class RateToken {
+  readonly part: object;
+  readonly period: number;
+  isReturned = false;
+
+  constructor(part: object, period: number) {
+    this.part = part;
+    this.period = period;
+  }
 }
 
 /** This VM's part of the rate of one target. */
@@ -72,6 +103,10 @@
   tokens: number;
   refilledAt: number;
   rankedAt: number;
+  /** Monotonic time from which tokens may be spent, in milliseconds. */
+  spendableFrom: number;
+  /** Number of times that this VM has lost its part, with the tokens. */
+  period: number;
 }
 
 /** The rates of all targets, as one VM may use them. */
@@ -88,25 +123,57 @@
   /**
    * Time until this VM may send a request to a target, in milliseconds: 0 if it may now, infinity if
    * it holds no part of the rate.
+   *
+   * @param isSpread Whether the holders of a limit that is new to this VM begin spread over the
+   * interval of their requests. Otherwise each waits a whole interval first, since the requests of
+   * the last moments may have exceeded the rate already.
    */
   getWait(
     target: model.TargetId,
     dataCentre: model.DataCentreId,
     requestsPerSecond: number,
+    isSpread = false,
   ): number {
-    const part = this.#update(target, dataCentre, requestsPerSecond);
-    if (part.tokens >= 1) {
-      return 0;
+    const part = this.#update(target, dataCentre, requestsPerSecond, isSpread);
+    if (part.ownRate === 0) {
+      return Number.POSITIVE_INFINITY;
     }
-    return part.ownRate === 0 ? Number.POSITIVE_INFINITY : (1 - part.tokens) / part.ownRate * 1_000;
+    const tokenWait = Math.max(0, 1 - part.tokens) / part.ownRate * 1_000;
+    return Math.max(tokenWait, part.spendableFrom - part.refilledAt);
+  }
+
+  /** This VM's part of a target's rate in requests per second, as of the latest `getWait`. */
+  getOwnRate(target: model.TargetId): number {
+    return this.#parts.get(target)?.ownRate ?? 0;
   }
 
-  /** Takes the token of a request that is sent to a target whose rate is limited. */
-  take(target: model.TargetId): void {
+  /**
+   * Takes the token of a request that is sent to a target; undefined if its rate is not limited.
+   */
+  take(target: model.TargetId): RateToken | undefined {
     const part = this.#parts.get(target);
-    if (part !== undefined) {
-      part.tokens -= 1;
+    if (part === undefined) {
+      return undefined;
     }
+    part.tokens -= 1;
+    return new RateToken(part, part.period);
+  }
+
+  /** Whether a token was taken from the limit of a target that is in force now. */
+  isValid(target: model.TargetId, token: RateToken | undefined): boolean {
+    return token !== undefined && token.part === this.#parts.get(target);
+  }
+
+  /**
+   * Returns the token of a request that was not sent, once. Nothing is returned to a part that this
+   * VM has lost meanwhile, with all its tokens.
+   */
+  returnToken(target: model.TargetId, token: RateToken): void {
+    const part = this.#parts.get(target);
+    if (part !== undefined && part === token.part && part.period === token.period) {
+      part.tokens = Math.min(1, part.tokens + (token.isReturned ? 0 : 1));
+    }
+    token.isReturned = true;
   }
 
   /** Discards the rate of a target that states none any more or is gone. */
@@ -117,19 +184,22 @@
   #update(
     target: model.TargetId,
     dataCentre: model.DataCentreId,
-    stated: number,
+    limit: number,
+    isSpread: boolean,
   ): RatePart {
     const now = kernel.getMonotonicMilliseconds();
-    const requestsPerSecond = Math.max(stated, MIN_RATE);
+    const requestsPerSecond = Math.max(limit, MIN_RATE);
     let part = this.#parts.get(target);
+    const isNew = part === undefined;
     if (part === undefined) {
-      // Without tokens, since requests of the last moments may have exceeded the rate already.
       part = {
         requestsPerSecond,
         ownRate: 0,
         tokens: 0,
         refilledAt: now,
         rankedAt: Number.NEGATIVE_INFINITY,
+        spendableFrom: now,
+        period: 0,
       };
       this.#parts.set(target, part);
     }
@@ -139,24 +209,25 @@
     if (isRankingOld || part.requestsPerSecond !== requestsPerSecond) {
       part.requestsPerSecond = requestsPerSecond;
       part.rankedAt = now;
-      part.ownRate = this.#getOwnRate(target, dataCentre, requestsPerSecond);
-      if (part.ownRate === 0) {
+      const { members, presentShare, settlesInMilliseconds = 0 } = this.#getFleet();
+      part.spendableFrom = now + settlesInMilliseconds;
+      const holders = presentShare === 0
+        ? []
+        : listRateHolders(target, dataCentre, requestsPerSecond, members, presentShare);
+      const index = holders.findIndex(({ vm }) => vm === this.#self);
+      if (index < 0) {
+        part.ownRate = 0;
         part.tokens = 0;
+        part.period++;
+      } else {
+        part.ownRate = requestsPerSecond / holders.length * presentShare;
+        if (isNew && isSpread) {
+          part.tokens = index / holders.length;
+        }
       }
     }
     return part;
   }
-
-  #getOwnRate(
-    target: model.TargetId,
-    dataCentre: model.DataCentreId,
-    requestsPerSecond: number,
-  ): number {
-    const { members, presentShare } = this.#getFleet();
-    const holders = listRateHolders(target, dataCentre, requestsPerSecond, members);
-    const isHolder = holders.some(({ vm }) => vm === this.#self);
-    return isHolder ? requestsPerSecond / holders.length * presentShare : 0;
-  }
 }
 
 /** Spreads a hash over all bits, so that neighbouring texts get unrelated ranks. */
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -81,8 +81,9 @@
     vmMesh,
     createLogger("targets"),
     metrics,
-    () => sharedBudgets.presentShare,
+    () => isCutOff(vmMesh, options.listSeeds()) ? 0 : sharedBudgets.presentShare,
     sourceAddress,
+    (service) => store.current?.findService(service)?.coldRequestsPerSecond,
   );
   const statements = new rateStatements.RateStatements(publisher, createLogger("targets"));
   const path = vm.register(
@@ -186,6 +187,11 @@
   };
 }
 
+/** Whether a VM knows no other one although there should be some. */
+function isCutOff(vmMesh: mesh.Mesh, seeds: readonly string[]): boolean {
+  return vmMesh.size === 1 && seeds.some((seed) => seed !== vmMesh.self.address);
+}
+
 function createHousekeeping(
   tracker: trackers.TargetTracker,
   directory: declarations.TargetDirectory,
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -198,6 +198,7 @@
         }
         const placed = await this.#placer.place(accepted);
         if (this.#caller.signal.aborted || this.#finalAnswer.isDecided) {
+          this.#returnTargetRate(placed);
           break;
         }
         if (placed.kind === "refused") {
@@ -211,12 +212,14 @@
         // Targets may have ended under its repetitions while the request was queued.
         const quarantine = this.#evidence.findRefusal(accepted, body);
         if (quarantine !== undefined) {
+          this.#returnTargetRate(placed);
           this.#context.queues.get(accepted.service).advance();
           this.#answerUnplaced(accepted, result, quarantine);
           return;
         }
         calls.discardAnswer(result);
         if (!this.#mayEndBeforeStop(accepted)) {
+          this.#returnTargetRate(placed);
           this.#context.queues.get(accepted.service).advance();
           const retryAfterSeconds = refusals.RETRY_AFTER_SECONDS.stopping;
           this.#answerUnplaced(accepted, result, {
@@ -244,9 +247,9 @@
 
   /** Value of Retry-After: the time until the first target accepts requests, if none does now. */
   #getRetryAfterSeconds(service: model.ServiceId, otherwise: number): number {
-    const { tracker } = this.#context;
+    const { tracker, queues } = this.#context;
     const wait = tracker.listCandidates(service, NO_TARGETS).length === 0
-      ? tracker.findShortestWait(service, NO_TARGETS)
+      ? tracker.findShortestWait(service, NO_TARGETS, queues.get(service).length)
       : undefined;
     return wait === undefined || !Number.isFinite(wait.milliseconds)
       ? otherwise
@@ -281,7 +284,7 @@
         connectTimeoutMilliseconds: tracker.reachability.getConnectTimeout(target.id),
         recordConnectTime: (milliseconds) =>
           tracker.reachability.recordConnected(target.id, milliseconds),
-        isStillAccepted: () => tracker.accepts(target),
+        isStillAccepted: () => tracker.accepts(target, placed.rateToken),
         recordNotice: (notice) => this.#recordNotice(target, notice),
         signal: attempt.signal,
       });
@@ -292,6 +295,10 @@
       tracker.endCall(target.id);
       this.#context.queues.get(accepted.service).advance();
     }
+    // Another target at the address is the only one that responds without having got the request.
+    if (result.kind === "not_run" && (!result.hasArrived || result.reason === "other_target")) {
+      this.#returnTargetRate(placed);
+    }
     this.#recordResult(accepted, body, target, result, startedAt);
     return result;
   }
@@ -578,6 +585,13 @@
     this.#caller.abort("cancelled");
   }
 
+  /** Returns what was taken of the rate of a target that does not get the request. */
+  #returnTargetRate(placed: placers.Placement): void {
+    if (placed.kind === "placed") {
+      this.#context.tracker.returnRate(placed.target, placed.rateToken);
+    }
+  }
+
   #returnRate(accepted: types.AcceptedRequest): void {
     if (accepted.workspace !== undefined && !this.#hasAttempted && !this.#isForwarded) {
       this.#context.budgets.returnRate(accepted.workspace);
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -23,7 +23,12 @@
 
 /** The target of a request, or why it has none. */
 export type Placement =
-  | { readonly kind: "placed"; readonly target: model.TargetId }
+  | {
+    readonly kind: "placed";
+    readonly target: model.TargetId;
+    /** What was taken of the target's rate; undefined if it is not limited. */
+    readonly rateToken: placement.RateToken | undefined;
+  }
   | { readonly kind: "refused"; readonly reason: types.RefusalReason };
 
 /** Chooses the targets of one request, one after another. */
@@ -70,17 +75,23 @@
         accepted.endsAt - mean,
       ),
     );
-    const decided = this.#tryPlace(service, placementRequest, waitUntil);
+    const ahead = this.#context.queues.get(service).countAhead(accepted.priority);
+    const decided = this.#tryPlace(service, placementRequest, waitUntil, ahead);
     return decided === undefined
       ? this.#wait(accepted, placementRequest, waitUntil)
       : Promise.resolve(decided);
   }
 
-  /** Places or refuses a request; undefined if it is to wait. */
+  /**
+   * Places or refuses a request; undefined if it is to wait.
+   *
+   * @param ahead Queued requests that are to be placed before it.
+   */
   #tryPlace(
     service: model.ServiceId,
     placementRequest: placement.PlacementRequest,
     waitUntil: number,
+    ahead: number,
   ): Placement | undefined {
     const choice = this.#choose(service, placementRequest);
     switch (choice.kind) {
@@ -89,12 +100,16 @@
       case "full":
         return undefined;
       case "none":
-        return this.#decideWithoutCandidate(service, waitUntil);
+        return this.#decideWithoutCandidate(service, waitUntil, ahead);
     }
   }
 
-  #decideWithoutCandidate(service: model.ServiceId, waitUntil: number): Placement | undefined {
-    const wait = this.#context.tracker.findShortestWait(service, this.#tried);
+  #decideWithoutCandidate(
+    service: model.ServiceId,
+    waitUntil: number,
+    ahead: number,
+  ): Placement | undefined {
+    const wait = this.#context.tracker.findShortestWait(service, this.#tried, ahead);
     if (wait === undefined) {
       return { kind: "refused", reason: "no_target" };
     }
@@ -123,7 +138,7 @@
 
   #createPlacement(choice: Extract<placement.Choice, { kind: "chosen" }>): Placement {
     const { candidate } = choice;
-    this.#context.tracker.takeRate(candidate.id);
+    const rateToken = this.#context.tracker.takeRate(candidate.id);
     this.#trace.add("placed", {
       target: candidate.id,
       load: candidate.load,
@@ -131,9 +146,12 @@
       sickness: Number(candidate.failureProbability.toFixed(3)),
       evidenceAge: Math.round(Math.min(candidate.evidenceAgeMilliseconds, 1e6)),
       lookAfter: choice.isProbe,
+      coldLeft: candidate.warmUpMilliseconds > 0
+        ? Math.round(candidate.warmUpMilliseconds)
+        : undefined,
       confirmedAge: Math.round(kernel.getMonotonicMilliseconds() - this.#context.getConfirmedAt()),
     });
-    return { kind: "placed", target: candidate.id };
+    return { kind: "placed", target: candidate.id, rateToken };
   }
 
   #wait(
@@ -150,7 +168,8 @@
         acceptsAnyTarget: this.#tried.size === 0,
         waitUntil,
         tryPlace: () => {
-          const decided = this.#tryPlace(service, placementRequest, waitUntil);
+          // It was queued because its turn comes in time after those ahead of it.
+          const decided = this.#tryPlace(service, placementRequest, waitUntil, 0);
           if (decided !== undefined) {
             this.#caller.removeEventListener("abort", onAbort);
             resolve(decided);
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -46,6 +46,14 @@
 
 type OutcomeTable = Map<placement.Outcome, OutcomeSummary>;
 
+/** The rate that binds all VMs' requests to one target at present. */
+interface TargetLimit {
+  readonly requestsPerSecond: number;
+  /** Time until the target is warm and no limit remains; infinity if it has stated a rate. */
+  readonly endsInMilliseconds: number;
+  readonly isCold: boolean;
+}
+
 interface TargetRecord {
   health: placement.HealthEstimate;
   ownLoad: number;
@@ -69,7 +77,17 @@
   readonly reachability: reach.Reachability;
   readonly #pauses = new placement.TargetPauses();
   readonly #rates: placement.TargetRates;
+  readonly #fleet = new placement.FleetMemory();
+  readonly #getPresentShare: () => number;
+  readonly #getColdRate: (service: model.ServiceId) => number | undefined;
+  readonly #coldCounter: kernel.Counter<never>;
 
+  /**
+   * @param getPresentShare Share of the VMs known within the recent past that are in contact, from 0
+   * to 1; 0 if this VM cannot know it.
+   * @param getColdRate Requests per second that a cold target of a service can handle from all VMs
+   * together; undefined for no limit.
+   */
   constructor(
     directory: declarations.TargetDirectory,
     vmMesh: mesh.Mesh,
@@ -77,7 +95,10 @@
     metrics: kernel.Metrics,
     getPresentShare: () => number,
     sourceAddress: string,
+    getColdRate: (service: model.ServiceId) => number | undefined,
   ) {
+    this.#getPresentShare = getPresentShare;
+    this.#getColdRate = getColdRate;
     this.#directory = directory;
     this.#mesh = vmMesh;
     this.#logger = logger;
@@ -86,16 +107,20 @@
       "Pauses requested by targets, by result.",
       ["result"],
     );
-    this.#rates = new placement.TargetRates(
-      vmMesh.self.vm,
-      () => ({ members: [vmMesh.self, ...vmMesh.listOthers()], presentShare: getPresentShare() }),
+    this.#coldCounter = metrics.createCounter(
+      "hemlockwalk_targets_cold_total",
+      "Warm-ups of targets of services that declare a rate for cold targets.",
     );
+    this.#rates = new placement.TargetRates(vmMesh.self.vm, () => this.#recordFleet());
     this.reachability = new reach.Reachability(
       (target) => directory.find(target)?.address,
       logger,
       sourceAddress,
     );
-    directory.onChange((change, previous) => this.#resetReplacedTarget(change, previous));
+    directory.onChange((change, previous) => {
+      this.#resetReplacedTarget(change, previous);
+      this.#recordWarmUp(change, previous);
+    });
     vmMesh.addSection("outcomes", {
       collect: () => this.#collectOutcomes(),
       receive: (_from, payload) => this.#receiveOutcomes(payload),
@@ -120,44 +145,101 @@
   /**
    * Finds the first target of a service that will accept requests from this VM, among those that
    * accept none now; undefined if there are none but the excluded ones.
+   *
+   * @param ahead Requests that wait for these targets already.
    */
   findShortestWait(
     service: model.ServiceId,
     excluded: ReadonlySet<model.TargetId>,
+    ahead = 0,
   ): placement.TargetWait | undefined {
-    const waits = this.#directory.listServing(service)
+    const schedules = this.#directory.listServing(service)
       .filter(({ id }) => !excluded.has(id))
-      .map((entry) => ({
-        milliseconds: this.#getWait(entry),
-        isPause: this.#pauses.getRemaining(entry.id) > 0,
-      }))
+      .map((entry) => this.#getSchedule(entry))
       .filter(({ milliseconds }) => milliseconds > 0);
-    return waits.length === 0
-      ? undefined
-      : waits.reduce((first, wait) => wait.milliseconds < first.milliseconds ? wait : first);
+    return placement.findWait(schedules, ahead);
+  }
+
+  /**
+   * Takes this VM's part of a limited target's rate for a request that is sent to it; undefined if
+   * its rate is not limited.
+   */
+  takeRate(target: model.TargetId): placement.RateToken | undefined {
+    return this.#rates.take(target);
   }
 
-  /** Takes this VM's part of a limited target's rate for a request that is sent to it. */
-  takeRate(target: model.TargetId): void {
-    this.#rates.take(target);
+  /** Returns the part of a rate that was taken for a request that did not reach its target. */
+  returnRate(target: model.TargetId, token: placement.RateToken | undefined): void {
+    if (token !== undefined) {
+      this.#rates.returnToken(target, token);
+    }
   }
 
   /** Time until a target accepts a request from this VM; infinity if that is not foreseeable. */
   #getWait(entry: declarations.TargetEntry): number {
+    return this.#getSchedule(entry).milliseconds;
+  }
+
+  #getSchedule(entry: declarations.TargetEntry): placement.TargetSchedule {
     const pause = this.#pauses.getRemaining(entry.id);
-    const rate = this.#directory.findRate(entry.id);
-    if (rate === undefined) {
+    const isPause = pause > 0;
+    const limit = this.#findLimit(entry);
+    if (limit === undefined) {
       this.#rates.removeTarget(entry.id);
-      return pause;
+      return {
+        milliseconds: pause,
+        isPause,
+        requestsPerSecond: 0,
+        unlimitedAfterMilliseconds: pause,
+      };
     }
-    return Math.max(pause, this.#rates.getWait(entry.id, entry.dataCentre, rate));
+    const { requestsPerSecond, endsInMilliseconds, isCold } = limit;
+    const wait = this.#rates.getWait(entry.id, entry.dataCentre, requestsPerSecond, isCold);
+    return {
+      milliseconds: Math.max(pause, Math.min(wait, endsInMilliseconds)),
+      isPause,
+      requestsPerSecond: this.#rates.getOwnRate(entry.id),
+      unlimitedAfterMilliseconds: Math.max(pause, endsInMilliseconds),
+    };
   }
 
-  /** Whether an incarnation of a target still accepts requests from this VM. */
-  accepts(target: declarations.TargetEntry): boolean {
+  /** The lower of the rate that a target has stated and, while it is cold, that of its service. */
+  #findLimit(entry: declarations.TargetEntry): TargetLimit | undefined {
+    const stated = this.#directory.findRate(entry.id);
+    const warmUpLeft = this.#directory.getWarmUpLeft(entry.id);
+    const cold = warmUpLeft > 0 ? this.#getColdRate(entry.service) : undefined;
+    if (stated === undefined && cold === undefined) {
+      return undefined;
+    }
+    return {
+      requestsPerSecond: Math.min(
+        stated ?? Number.POSITIVE_INFINITY,
+        cold ?? Number.POSITIVE_INFINITY,
+      ),
+      endsInMilliseconds: stated === undefined ? warmUpLeft : Number.POSITIVE_INFINITY,
+      isCold: cold !== undefined,
+    };
+  }
+
+  #recordFleet(): placement.RateFleet {
+    const members = [this.#mesh.self, ...this.#mesh.listOthers()];
+    return this.#fleet.record(members, this.#getPresentShare());
+  }
+
+  /**
+   * Whether an incarnation of a target still accepts a request from this VM. A request that was
+   * placed before the rate of the target was limited has no part of it.
+   *
+   * @param token What was taken for the request.
+   */
+  accepts(
+    target: declarations.TargetEntry,
+    token: placement.RateToken | undefined,
+  ): boolean {
     const known = this.#directory.find(target.id);
     return known !== undefined && !known.isDraining && known.startedAt === target.startedAt &&
-      this.#pauses.getRemaining(target.id) === 0;
+      this.#pauses.getRemaining(target.id) === 0 &&
+      (this.#findLimit(known) === undefined || this.#rates.isValid(target.id, token));
   }
 
   /**
@@ -244,6 +326,7 @@
 
   /** Drops the loads of VMs that have left, and the state of targets that are gone. */
   dropDepartedVms(): void {
+    this.#recordFleet();
     const present = new Set(this.#mesh.listOthers().map((member) => member.vm));
     for (const [target, record] of this.#records) {
       for (const [vm, load] of record.loadByVm) {
@@ -268,7 +351,6 @@
     const record = this.#getRecord(entry.id);
     const isFull = record.fullUntil > now;
     const load = record.ownLoad + record.othersLoad;
-    const knownFor = now - (this.#directory.getAppliedAt(entry.id) ?? now);
     return {
       id: entry.id,
       slots: entry.slots,
@@ -279,7 +361,8 @@
       relativeProcessingTime: this.processingTimes.getRelativeTime(entry.id),
       isUnreachable: record.avoidedUntil > now || !this.reachability.isReachable(entry.id),
       isRemote: entry.dataCentre !== this.#mesh.self.dataCentre,
-      warmUpMilliseconds: Math.max(0, entry.warmUpMilliseconds - knownFor),
+      warmUpMilliseconds: this.#directory.getWarmUpLeft(entry.id),
+      isColdRateLimited: this.#getColdRate(entry.service) !== undefined,
     };
   }
 
@@ -315,6 +398,26 @@
     }
   }
 
+  #recordWarmUp(
+    { entry }: declarations.TargetChange,
+    previous: declarations.TargetEntry | undefined,
+  ): void {
+    const rate = entry === undefined ? undefined : this.#getColdRate(entry.service);
+    if (entry === undefined || rate === undefined || entry.warmUpMilliseconds === 0) {
+      return;
+    }
+    const isRenewed = previous !== undefined && previous.warmUpMilliseconds > 0 &&
+      previous.startedAt === entry.startedAt;
+    if (!isRenewed) {
+      this.#coldCounter.inc();
+      this.#logger.write(kernel.LogMessages.targetCold, {
+        target: entry.id,
+        milliseconds: Math.round(this.#directory.getWarmUpLeft(entry.id)),
+        requestsPerSecond: rate,
+      });
+    }
+  }
+
   #collectOutcomes(): unknown {
     if (this.#unreportedOutcomes.size === 0) {
       return undefined;
@@ -345,6 +448,7 @@
   }
 
   #collectLoads(): LoadPayload | undefined {
+    this.#recordFleet();
     const now = kernel.getMonotonicMilliseconds();
     if (this.#unreportedLoads.size === 0) {
       return undefined;
