--- a/packages/declarations/test/store_era_test.ts
+++ b/packages/declarations/test/store_era_test.ts
@@ -43,6 +43,52 @@
     assert.equal(directory.getLatestEra(), 2);
   });
 
+  test.test("a target counts as warm too early, or a late VM shortens the time until it is", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const cold = (milliseconds: number) => ({ warmUpMilliseconds: milliseconds });
+      const directory = createDirectory(report(1, 50, 1, cold(3_000)));
+      assert.equal(directory.getWarmUpLeft(TARGET), 3_000);
+      await clock.advance(1_000);
+      assert.equal(directory.getWarmUpLeft(TARGET), 2_000);
+      const late = new declarations.TargetDirectory();
+      directory.listChanges().forEach((change) => late.apply(change));
+      assert.equal(late.getWarmUpLeft(TARGET), 3_000, "from a snapshot of another VM");
+      directory.apply(report(1, 60, 1, cold(3_000)));
+      assert.equal(directory.getWarmUpLeft(TARGET), 3_000, "renewed under the same number");
+      directory.apply(report(2, 70, 1, cold(500)));
+      assert.equal(directory.getWarmUpLeft(TARGET), 500, "the target is warm sooner");
+      assert.equal(directory.getWarmUpLeft(model.createTargetId("unknown")), 0);
+    } finally {
+      clock.restore();
+    }
+  });
+
+  test.test("a backup from before a target turned cold makes it warm", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const cold = { warmUpMilliseconds: 3_000 };
+      const directory = createDirectory(report(4, 80, 1), report(5, 90, 1, cold));
+      await clock.advance(1_000);
+      directory.apply(report(4, 80, 2));
+      assert.equal(directory.getWarmUpLeft(TARGET), 2_000, "an earlier report");
+      directory.apply(report(5, 91, 2, cold));
+      assert.equal(directory.getWarmUpLeft(TARGET), 3_000, "the target has reported again");
+      await clock.advance(1_000);
+      directory.apply(report(5, 91, 3, cold));
+      assert.equal(directory.getWarmUpLeft(TARGET), 2_000, "the same report");
+      directory.apply(report(6, 92, 3));
+      assert.equal(directory.getWarmUpLeft(TARGET), 0, "the target has reported again");
+      const unnumbered = createDirectory(
+        fixtures.createChange(TARGET, 90, cold, 1),
+        fixtures.createChange(TARGET, 80, {}, 2),
+      );
+      assert.equal(unnumbered.getWarmUpLeft(TARGET), 3_000);
+    } finally {
+      clock.restore();
+    }
+  });
+
   test.test("a known drain outlives a backup that lists the target as ready", () => {
     const directory = createDirectory(
       report(5, 50, 1),
--- a/packages/placement/src/fleet_memory.ts
+++ b/packages/placement/src/fleet_memory.ts
@@ -5,7 +5,7 @@
  * are cut off from the others for up to an hour. Several VMs that each took itself for the whole
  * fleet would exceed the rate of a target together. So a VM sends nothing of its part until its view
  * has stopped growing after its start, and it counts VMs that have disappeared as a part of the fleet
- * for a long time.
+ * for a long time. VMs that start in a part of a fleet learn from the others how large it was.
  */
 
 import * as kernel from "@hemlockwalk/kernel";
@@ -24,13 +24,21 @@
  */
 const MEMORY_MILLISECONDS = 600_000;
 
+/** The largest size of a fleet that a VM remembers, and how long ago it was known. */
+export type RememberedSize = readonly [size: number, agoMilliseconds: number];
+
+interface SizeSample {
+  readonly at: number;
+  readonly size: number;
+}
+
 /** What one VM remembers of the members of its fleet. */
 export class FleetMemory {
   readonly #startedAt = kernel.getMonotonicMilliseconds();
   #known: ReadonlySet<model.VmId> = new Set();
   #grownAt = Number.NEGATIVE_INFINITY;
   /** Sizes within the retention period that no later one has reached, the largest first. */
-  #sizes: { readonly at: number; readonly size: number }[] = [];
+  #sizes: SizeSample[] = [];
 
   /**
    * Records the members that are known now; to be called at least every few seconds.
@@ -44,10 +52,7 @@
     }
     this.#known = new Set(members.map(({ vm }) => vm));
     const size = members.length;
-    this.#sizes = this.#sizes.filter((sample) =>
-      sample.at > now - MEMORY_MILLISECONDS && sample.size > size
-    );
-    this.#sizes.push({ at: now, size });
+    this.#remember({ at: now, size });
     const largest = this.#sizes[0]?.size ?? size;
     const settledAt = Math.min(
       this.#grownAt + SETTLE_MILLISECONDS,
@@ -59,4 +64,27 @@
       settlesInMilliseconds: Math.max(0, settledAt - now),
     };
   }
+
+  /** The largest size, to be told to the other VMs; undefined before the first record. */
+  get largest(): RememberedSize | undefined {
+    const [first] = this.#sizes;
+    return first === undefined
+      ? undefined
+      : [first.size, Math.round(kernel.getMonotonicMilliseconds() - first.at)];
+  }
+
+  /** Records what another VM remembers. Its age stays, so that VMs do not remind each other for ever. */
+  adopt([size, agoMilliseconds]: RememberedSize): void {
+    this.#remember({ at: kernel.getMonotonicMilliseconds() - agoMilliseconds, size });
+  }
+
+  /** Keeps the sizes that no later one has reached. */
+  #remember(added: SizeSample): void {
+    const oldest = kernel.getMonotonicMilliseconds() - MEMORY_MILLISECONDS;
+    const sizes = [...this.#sizes, added].filter(({ at }) => at > oldest)
+      .sort((left, right) => left.at - right.at);
+    this.#sizes = sizes.filter(({ size }, index) =>
+      sizes.slice(index + 1).every((later) => later.size < size)
+    );
+  }
 }
--- a/packages/placement/test/placement_test.ts
+++ b/packages/placement/test/placement_test.ts
@@ -384,3 +384,26 @@
     requests.forEach((request) => queue.remove(request));
   });
 });
+
+test.describe("cold targets whose rate is limited", () => {
+  const COLD = { warmUpMilliseconds: 2_000, isColdRateLimited: true };
+  /** No probes, and no noise. */
+  const calmly = () => 0.99;
+
+  test.test("they get nothing until every warm target is overloaded", () => {
+    const cold = createCandidate("cold", COLD);
+    const warm = (load: number) => [createCandidate("w1", { load }), createCandidate("w2", { load })];
+    assert.equal(choose([cold, ...warm(1)], WRITE, calmly), "w1", "warm targets have free slots");
+    assert.equal(choose([cold, ...warm(4)], WRITE, calmly), "cold");
+    const unlimited = { ...cold, isColdRateLimited: false };
+    assert.equal(choose([unlimited, ...warm(4)], WRITE, calmly), "w1", "as without a rate");
+  });
+
+  test.test("warm targets get more than their slots and the overflow because the cold ones take no more", () => {
+    const warm = createCandidate("warm", { load: 5 });
+    assert.equal(choose([warm], WRITE), "full");
+    assert.equal(choose([warm, createCandidate("cold", COLD)], WRITE), "cold");
+    const full = createCandidate("cold", { ...COLD, load: 5 });
+    assert.equal(choose([warm, full], WRITE), "full");
+  });
+});
--- a/packages/placement/test/target_pauses_test.ts
+++ b/packages/placement/test/target_pauses_test.ts
@@ -55,3 +55,23 @@
     assert.equal(placement.decideWithoutTarget(300, 250), "refuse");
   });
 });
+
+test.describe("the wait for a target", () => {
+  test.test("many requests wait for the same token and are refused only when their time is over", () => {
+    const cold: placement.TargetSchedule = {
+      milliseconds: 300,
+      isPause: false,
+      requestsPerSecond: 0.5,
+      unlimitedAfterMilliseconds: 3_000,
+    };
+    const other = { ...cold, milliseconds: 900 };
+    const getWaits = (schedules: readonly placement.TargetSchedule[]) =>
+      [0, 1, 2, 3, 4, 9].map((ahead) => placement.findWait(schedules, ahead)?.milliseconds);
+    assert.deepEqual(getWaits([cold, other]), [300, 900, 2_300, 2_900, 3_000, 3_000]);
+    const withoutPart = { ...cold, milliseconds: 3_000, requestsPerSecond: 0 };
+    assert.deepEqual(getWaits([withoutPart]), [3_000, 3_000, 3_000, 3_000, 3_000, 3_000]);
+    const stated = { ...cold, unlimitedAfterMilliseconds: Number.POSITIVE_INFINITY };
+    assert.equal(placement.findWait([stated], 10)?.milliseconds, 20_300);
+    assert.equal(placement.findWait([], 0), undefined);
+  });
+});
--- a/packages/placement/test/target_rates_test.ts
+++ b/packages/placement/test/target_rates_test.ts
@@ -150,4 +150,124 @@
       clock.restore();
     }
   });
+
+  test.test("a token is returned more than once, or to a part that was lost meanwhile", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const [self, other] = createFleet(2, 1);
+      assert.ok(self !== undefined && other !== undefined);
+      let members = [self];
+      let presentShare = 1;
+      const rates = new placement.TargetRates(self.vm, () => ({ members, presentShare }));
+      const getWait = () => rates.getWait(TARGET, self.dataCentre, 2);
+      const take = () => rates.take(TARGET) ?? assert.fail();
+      getWait();
+      await clock.advance(500);
+      assert.equal(getWait(), 0);
+      const withdrawn = take();
+      assert.ok(getWait() > 0);
+      rates.returnToken(TARGET, withdrawn);
+      assert.equal(getWait(), 0, "the request was not sent");
+      take();
+      rates.returnToken(TARGET, withdrawn);
+      assert.equal(getWait(), 500, "it was returned before");
+      await clock.advance(500);
+      assert.equal(getWait(), 0);
+      const lost = take();
+      members = [other];
+      presentShare = 0;
+      await clock.advance(300);
+      assert.equal(getWait(), Number.POSITIVE_INFINITY);
+      rates.returnToken(TARGET, lost);
+      members = [self];
+      presentShare = 1;
+      await clock.advance(300);
+      assert.equal(getWait(), 500);
+    } finally {
+      clock.restore();
+    }
+  });
+
+  test.test("the holders of a new limit all send at the same moment", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const members = createFleet(6, 1);
+      const waits = members.map(({ vm, dataCentre }) =>
+        new placement.TargetRates(vm, () => ({ members, presentShare: 1 }))
+          .getWait(TARGET, dataCentre, 3, true)
+      ).sort((left, right) => left - right);
+      waits.forEach((wait, index) =>
+        assert.ok(Math.abs(wait - (index + 1) * 1_000 / 3) < 1, `${wait} ms`)
+      );
+      await clock.advance(1);
+    } finally {
+      clock.restore();
+    }
+  });
+
+  test.test("the parts of a divided fleet have several times the holders of the whole", () => {
+    const fleet = createFleet(120, 3);
+    const whole = placement.listRateHolders(TARGET, model.createDataCentreId("dc-1"), 3.3, fleet);
+    assert.equal(whole.length, 6);
+    for (const parts of [2, 3, 4, 6, 12, 120]) {
+      const holders = Array.from({ length: parts }, (_, part) => {
+        const members = fleet.filter((__, index) => index % parts === part);
+        const dataCentre = model.createDataCentreId("dc-1");
+        return placement.listRateHolders(TARGET, dataCentre, 3.3, members, 1 / parts).length;
+      }).reduce((sum, count) => sum + count, 0);
+      assert.ok(holders <= 8, `${holders} holders in ${parts} parts`);
+    }
+  });
+});
+
+test.describe("the fleet that a VM remembers", () => {
+  const fleet = createFleet(40, 2);
+
+  test.test("a VM that starts takes the first VMs that it learns of for the whole fleet", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const memory = new placement.FleetMemory();
+      for (let known = 1; known <= 40; known += 3) {
+        assert.ok(Number(memory.record(fleet.slice(0, known), 1).settlesInMilliseconds) > 0);
+        await clock.advance(100);
+      }
+      assert.ok(Number(memory.record(fleet, 1).settlesInMilliseconds) > 0);
+      await clock.advance(600);
+      assert.deepEqual(
+        memory.record(fleet, 1),
+        { members: fleet, presentShare: 1, settlesInMilliseconds: 0 },
+      );
+      const replaced = [...fleet.slice(1), ...createFleet(41, 2).slice(40)];
+      await clock.advance(5_000);
+      assert.equal(
+        memory.record(replaced, 1).settlesInMilliseconds,
+        0,
+        "a VM that has run for long is not held up by others that start",
+      );
+    } finally {
+      clock.restore();
+    }
+  });
+
+  test.test("a part of a fleet takes itself for the whole after a while, or for ever for a part", async () => {
+    const clock = new testing.TestClock();
+    try {
+      const memory = new placement.FleetMemory();
+      memory.record(fleet, 1);
+      await clock.advance(60_000, 10_000);
+      const part = fleet.slice(0, 10);
+      assert.equal(memory.record(part, 1).presentShare, 0.25);
+      await clock.advance(300_000, 100_000);
+      const started = new placement.FleetMemory();
+      started.record(part, 1);
+      started.adopt(memory.largest ?? assert.fail());
+      assert.equal(started.record(part, 1).presentShare, 0.25, "a VM that started in the part");
+      assert.equal(started.record(part, 0.1).presentShare, 0.1, "the lower share counts");
+      await clock.advance(300_000, 100_000);
+      memory.adopt(started.largest ?? assert.fail());
+      assert.equal(memory.record(part, 1).presentShare, 1, "the fleet was made smaller");
+    } finally {
+      clock.restore();
+    }
+  });
 });
--- a/packages/proxy/src/mod.ts
+++ b/packages/proxy/src/mod.ts
@@ -14,4 +14,5 @@
 export * from "./request_log.ts";
 export * from "./start_gate.ts";
 export * from "./store_follower.ts";
+export * from "./target_tracker.ts";
 export * from "./types.ts";
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -12,6 +12,12 @@
 /** A request waits for a slot for at most this share of its objective. */
 const MAX_WAIT_IN_OBJECTIVES = 0.5;
 
+/**
+ * A request waits for a target only if its turn comes this much before its time is over. The queue is
+ * processed every 25 ms, so a later turn would often come too late.
+ */
+const TURN_MARGIN_MILLISECONDS = 50;
+
 /** Requests that may wait at a target beyond its slots. */
 const ALLOWED_OVERFLOW = 1;
 
@@ -114,7 +120,8 @@
       return { kind: "refused", reason: "no_target" };
     }
     const maxWait = waitUntil - kernel.getMonotonicMilliseconds();
-    if (placement.decideWithoutTarget(wait.milliseconds, maxWait) === "wait") {
+    const turn = wait.milliseconds + TURN_MARGIN_MILLISECONDS;
+    if (placement.decideWithoutTarget(turn, maxWait) === "wait") {
       return undefined;
     }
     const milliseconds = Number.isFinite(wait.milliseconds)
@@ -168,7 +175,7 @@
         acceptsAnyTarget: this.#tried.size === 0,
         waitUntil,
         tryPlace: () => {
-          // It was queued because its turn comes in time after those ahead of it.
+          // Its turn was found to come in time, before those behind it.
           const decided = this.#tryPlace(service, placementRequest, waitUntil, 0);
           if (decided !== undefined) {
             this.#caller.removeEventListener("abort", onAbort);
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -27,6 +27,12 @@
 /** Interval in which all loads are reported, in case a report was lost while its path changed. */
 const FULL_LOADS_INTERVAL_MILLISECONDS = 2_000;
 
+/**
+ * Interval at which the largest known size of the fleet is reported, for VMs that have started since
+ * then. It is short compared with the time that a VM takes to get the first part of a rate.
+ */
+const FLEET_SIZE_INTERVAL_MILLISECONDS = 500;
+
 /** Loads of one VM: all that are not zero, or only those that have changed. */
 type LoadPayload = readonly [isFull: boolean, loads: Record<string, number>];
 
@@ -78,6 +84,7 @@
   readonly #pauses = new placement.TargetPauses();
   readonly #rates: placement.TargetRates;
   readonly #fleet = new placement.FleetMemory();
+  #fleetSizeAt = Number.NEGATIVE_INFINITY;
   readonly #getPresentShare: () => number;
   readonly #getColdRate: (service: model.ServiceId) => number | undefined;
   readonly #coldCounter: kernel.Counter<never>;
@@ -125,6 +132,10 @@
       collect: () => this.#collectOutcomes(),
       receive: (_from, payload) => this.#receiveOutcomes(payload),
     });
+    vmMesh.addSection("fleet-size", {
+      collect: () => this.#collectFleetSize(),
+      receive: (_from, payload) => this.#receiveFleetSize(payload),
+    });
     vmMesh.addSection("loads", {
       collect: () => this.#collectLoads(),
       receive: (from, payload) => this.#receiveLoads(from.vm, payload),
@@ -447,8 +458,26 @@
     }
   }
 
-  #collectLoads(): LoadPayload | undefined {
+  #collectFleetSize(): placement.RememberedSize | undefined {
     this.#recordFleet();
+    const now = kernel.getMonotonicMilliseconds();
+    if (now - this.#fleetSizeAt < FLEET_SIZE_INTERVAL_MILLISECONDS) {
+      return undefined;
+    }
+    this.#fleetSizeAt = now;
+    return this.#fleet.largest;
+  }
+
+  #receiveFleetSize(payload: unknown): void {
+    const [size, agoMilliseconds]: readonly unknown[] = Array.isArray(payload) ? payload : [];
+    const isValid = Number.isFinite(size) && Number.isFinite(agoMilliseconds) &&
+      Number(agoMilliseconds) >= 0;
+    if (isValid) {
+      this.#fleet.adopt([Number(size), Number(agoMilliseconds)]);
+    }
+  }
+
+  #collectLoads(): LoadPayload | undefined {
     const now = kernel.getMonotonicMilliseconds();
     if (this.#unreportedLoads.size === 0) {
       return undefined;
