--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -12,6 +12,12 @@
 /** A request waits for a slot for at most this share of its objective. */
 const MAX_WAIT_IN_OBJECTIVES = 0.5;
 
+/**
+ * A request waits for a target only if its turn comes this much before its time is over. The queue is
+ * processed every 25 ms, so a later turn would often come too late.
+ */
+const TURN_MARGIN_MILLISECONDS = 50;
+
 /** Requests that may wait at a target beyond its slots. */
 const ALLOWED_OVERFLOW = 1;
 
@@ -23,7 +29,12 @@
 
 /** The target of a request, or why it has none. */
 export type Placement =
-  | { readonly kind: "placed"; readonly target: model.TargetId }
+  | {
+    readonly kind: "placed";
+    readonly target: model.TargetId;
+    /** What was taken of the target's rate; undefined if it is not limited. */
+    readonly rateToken: placement.RateToken | undefined;
+  }
   | { readonly kind: "refused"; readonly reason: types.RefusalReason };
 
 /** Chooses the targets of one request, one after another. */
@@ -71,19 +82,26 @@
       ),
     );
     // A request does not overtake those that wait already; the queue decides which one is next.
-    const mustQueue = this.#tried.size === 0 && accepted.homes === undefined &&
-      this.#context.queues.get(service).countAhead(accepted.priority) > 0;
-    const decided = mustQueue ? undefined : this.#tryPlace(accepted, placementRequest, waitUntil);
+    const ahead = this.#context.queues.get(service).countAhead(accepted.priority);
+    const mustQueue = this.#tried.size === 0 && accepted.homes === undefined && ahead > 0;
+    const decided = mustQueue
+      ? this.#refuseIfHopeless(accepted, placementRequest, waitUntil, ahead)
+      : this.#tryPlace(accepted, placementRequest, waitUntil, ahead);
     return decided === undefined
       ? this.#wait(accepted, placementRequest, waitUntil, mustQueue)
       : Promise.resolve(decided);
   }
 
-  /** Places or refuses a request; undefined if it is to wait. */
+  /**
+   * Places or refuses a request; undefined if it is to wait.
+   *
+   * @param ahead Queued requests that are to be placed before it.
+   */
   #tryPlace(
     accepted: types.AcceptedRequest,
     placementRequest: placement.PlacementRequest,
     waitUntil: number,
+    ahead: number,
   ): Placement | undefined {
     const choice = this.#choose(accepted, placementRequest);
     switch (choice.kind) {
@@ -92,16 +110,29 @@
       case "full":
         return undefined;
       case "none":
-        return this.#decideWithoutCandidate(accepted, waitUntil);
+        return this.#decideWithoutCandidate(accepted, waitUntil, ahead);
     }
   }
 
+  /** Refuses a request whose turn in the queue would come too late; undefined if it is to wait. */
+  #refuseIfHopeless(
+    accepted: types.AcceptedRequest,
+    placementRequest: placement.PlacementRequest,
+    waitUntil: number,
+    ahead: number,
+  ): Placement | undefined {
+    return this.#choose(accepted, placementRequest).kind === "none"
+      ? this.#decideWithoutCandidate(accepted, waitUntil, ahead)
+      : undefined;
+  }
+
   #decideWithoutCandidate(
     { service, homes }: types.AcceptedRequest,
     waitUntil: number,
+    ahead: number,
   ): Placement | undefined {
     const { tracker } = this.#context;
-    const wait = tracker.findShortestWait(service, this.#tried, homes);
+    const wait = tracker.findShortestWait(service, this.#tried, homes, ahead);
     if (wait === undefined) {
       const reason = tracker.findExclusion(service, homes);
       if (reason === "evacuated") {
@@ -112,7 +143,8 @@
       return { kind: "refused", reason: reason ?? "no_target" };
     }
     const maxWait = waitUntil - kernel.getMonotonicMilliseconds();
-    if (placement.decideWithoutTarget(wait.milliseconds, maxWait) === "wait") {
+    const turn = wait.milliseconds + TURN_MARGIN_MILLISECONDS;
+    if (placement.decideWithoutTarget(turn, maxWait) === "wait") {
       return undefined;
     }
     const milliseconds = Number.isFinite(wait.milliseconds)
@@ -136,7 +168,7 @@
 
   #createPlacement(choice: Extract<placement.Choice, { kind: "chosen" }>): Placement {
     const { candidate } = choice;
-    this.#context.tracker.takeRate(candidate.id);
+    const rateToken = this.#context.tracker.takeRate(candidate.id);
     this.#trace.add("placed", {
       target: candidate.id,
       load: candidate.load,
@@ -144,9 +176,12 @@
       sickness: Number(candidate.failureProbability.toFixed(3)),
       evidenceAge: Math.round(Math.min(candidate.evidenceAgeMilliseconds, 1e6)),
       lookAfter: choice.isProbe,
+      coldLeft: candidate.warmUpMilliseconds > 0
+        ? Math.round(candidate.warmUpMilliseconds)
+        : undefined,
       confirmedAge: Math.round(kernel.getMonotonicMilliseconds() - this.#context.getConfirmedAt()),
     });
-    return { kind: "placed", target: candidate.id };
+    return { kind: "placed", target: candidate.id, rateToken };
   }
 
   #wait(
@@ -165,7 +200,8 @@
         acceptsAnyTarget: this.#tried.size === 0 && accepted.homes === undefined,
         waitUntil,
         tryPlace: () => {
-          const decided = this.#tryPlace(accepted, placementRequest, waitUntil);
+          // Its turn was found to come in time, before those behind it.
+          const decided = this.#tryPlace(accepted, placementRequest, waitUntil, 0);
           if (decided !== undefined) {
             this.#caller.removeEventListener("abort", onAbort);
             resolve(decided);
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -27,6 +27,12 @@
 /** Interval in which all loads are reported, in case a report was lost while its path changed. */
 const FULL_LOADS_INTERVAL_MILLISECONDS = 2_000;
 
+/**
+ * Interval at which the largest known size of the fleet is reported, for VMs that have started since
+ * then. It is short compared with the time that a VM takes to get the first part of a rate.
+ */
+const FLEET_SIZE_INTERVAL_MILLISECONDS = 500;
+
 /** Loads of one VM: all that are not zero, or only those that have changed. */
 type LoadPayload = readonly [isFull: boolean, loads: Record<string, number>];
 
@@ -46,6 +52,14 @@
 
 type OutcomeTable = Map<placement.Outcome, OutcomeSummary>;
 
+/** The rate that binds all VMs' requests to one target at present. */
+interface TargetLimit {
+  readonly requestsPerSecond: number;
+  /** Time until the target is warm and no limit remains; infinity if it has stated a rate. */
+  readonly endsInMilliseconds: number;
+  readonly isCold: boolean;
+}
+
 interface TargetRecord {
   health: placement.HealthEstimate;
   ownLoad: number;
@@ -71,7 +85,18 @@
   readonly #rates: placement.TargetRates;
   readonly #evacuations: declarations.Evacuations;
   readonly #homePolicy: placement.HomePolicy;
+  readonly #fleet = new placement.FleetMemory();
+  #fleetSizeAt = Number.NEGATIVE_INFINITY;
+  readonly #getPresentShare: () => number;
+  readonly #getColdRate: (service: model.ServiceId) => number | undefined;
+  readonly #coldCounter: kernel.Counter<never>;
 
+  /**
+   * @param getPresentShare Share of the VMs known within the recent past that are in contact, from 0
+   * to 1; 0 if this VM cannot know it.
+   * @param getColdRate Requests per second that a cold target of a service can handle from all VMs
+   * together; undefined for no limit.
+   */
   constructor(
     directory: declarations.TargetDirectory,
     evacuations: declarations.Evacuations,
@@ -81,7 +106,10 @@
     metrics: kernel.Metrics,
     getPresentShare: () => number,
     sourceAddress: string,
+    getColdRate: (service: model.ServiceId) => number | undefined,
   ) {
+    this.#getPresentShare = getPresentShare;
+    this.#getColdRate = getColdRate;
     this.#directory = directory;
     this.#evacuations = evacuations;
     this.#homePolicy = homePolicy;
@@ -92,20 +120,28 @@
       "Pauses requested by targets, by result.",
       ["result"],
     );
-    this.#rates = new placement.TargetRates(
-      vmMesh.self.vm,
-      () => ({ members: [vmMesh.self, ...vmMesh.listOthers()], presentShare: getPresentShare() }),
+    this.#coldCounter = metrics.createCounter(
+      "hemlockwalk_targets_cold_total",
+      "Warm-ups of targets of services that declare a rate for cold targets.",
     );
+    this.#rates = new placement.TargetRates(vmMesh.self.vm, () => this.#recordFleet());
     this.reachability = new reach.Reachability(
       (target) => directory.find(target)?.address,
       logger,
       sourceAddress,
     );
-    directory.onChange((change, previous) => this.#resetReplacedTarget(change, previous));
+    directory.onChange((change, previous) => {
+      this.#resetReplacedTarget(change, previous);
+      this.#recordWarmUp(change, previous);
+    });
     vmMesh.addSection("outcomes", {
       collect: () => this.#collectOutcomes(),
       receive: (_from, payload) => this.#receiveOutcomes(payload),
     });
+    vmMesh.addSection("fleet-size", {
+      collect: () => this.#collectFleetSize(),
+      receive: (_from, payload) => this.#receiveFleetSize(payload),
+    });
     vmMesh.addSection("loads", {
       collect: () => this.#collectLoads(),
       receive: (from, payload) => this.#receiveLoads(from.vm, payload),
@@ -127,22 +163,20 @@
   /**
    * Finds the first target of a service that will accept requests from this VM, among those that
    * accept none now; undefined if there are none but the excluded ones.
+   *
+   * @param ahead Requests that wait for these targets already.
    */
   findShortestWait(
     service: model.ServiceId,
     excluded: ReadonlySet<model.TargetId>,
     homes: placement.Homes,
+    ahead = 0,
   ): placement.TargetWait | undefined {
-    const waits = this.#listUsable(service, homes)
+    const schedules = this.#listUsable(service, homes)
       .filter(({ id }) => !excluded.has(id))
-      .map((entry) => ({
-        milliseconds: this.#getWait(entry),
-        isPause: this.#pauses.getRemaining(entry.id) > 0,
-      }))
+      .map((entry) => this.#getSchedule(entry))
       .filter(({ milliseconds }) => milliseconds > 0);
-    return waits.length === 0
-      ? undefined
-      : waits.reduce((first, wait) => wait.milliseconds < first.milliseconds ? wait : first);
+    return placement.findWait(schedules, ahead);
   }
 
   /**
@@ -172,28 +206,87 @@
     );
   }
 
-  /** Takes this VM's part of a limited target's rate for a request that is sent to it. */
-  takeRate(target: model.TargetId): void {
-    this.#rates.take(target);
+  /**
+   * Takes this VM's part of a limited target's rate for a request that is sent to it; undefined if
+   * its rate is not limited.
+   */
+  takeRate(target: model.TargetId): placement.RateToken | undefined {
+    return this.#rates.take(target);
+  }
+
+  /** Returns the part of a rate that was taken for a request that did not reach its target. */
+  returnRate(target: model.TargetId, token: placement.RateToken | undefined): void {
+    if (token !== undefined) {
+      this.#rates.returnToken(target, token);
+    }
   }
 
   /** Time until a target accepts a request from this VM; infinity if that is not foreseeable. */
   #getWait(entry: declarations.TargetEntry): number {
+    return this.#getSchedule(entry).milliseconds;
+  }
+
+  #getSchedule(entry: declarations.TargetEntry): placement.TargetSchedule {
     const pause = this.#pauses.getRemaining(entry.id);
-    const rate = this.#directory.findRate(entry.id);
-    if (rate === undefined) {
+    const isPause = pause > 0;
+    const limit = this.#findLimit(entry);
+    if (limit === undefined) {
       this.#rates.removeTarget(entry.id);
-      return pause;
+      return {
+        milliseconds: pause,
+        isPause,
+        requestsPerSecond: 0,
+        unlimitedAfterMilliseconds: pause,
+      };
+    }
+    const { requestsPerSecond, endsInMilliseconds, isCold } = limit;
+    const wait = this.#rates.getWait(entry.id, entry.dataCentre, requestsPerSecond, isCold);
+    return {
+      milliseconds: Math.max(pause, Math.min(wait, endsInMilliseconds)),
+      isPause,
+      requestsPerSecond: this.#rates.getOwnRate(entry.id),
+      unlimitedAfterMilliseconds: Math.max(pause, endsInMilliseconds),
+    };
+  }
+
+  /** The lower of the rate that a target has stated and, while it is cold, that of its service. */
+  #findLimit(entry: declarations.TargetEntry): TargetLimit | undefined {
+    const stated = this.#directory.findRate(entry.id);
+    const warmUpLeft = this.#directory.getWarmUpLeft(entry.id);
+    const cold = warmUpLeft > 0 ? this.#getColdRate(entry.service) : undefined;
+    if (stated === undefined && cold === undefined) {
+      return undefined;
     }
-    return Math.max(pause, this.#rates.getWait(entry.id, entry.dataCentre, rate));
+    return {
+      requestsPerSecond: Math.min(
+        stated ?? Number.POSITIVE_INFINITY,
+        cold ?? Number.POSITIVE_INFINITY,
+      ),
+      endsInMilliseconds: stated === undefined ? warmUpLeft : Number.POSITIVE_INFINITY,
+      isCold: cold !== undefined,
+    };
   }
 
-  /** Whether an incarnation of a target still accepts requests from this VM. */
-  accepts(target: declarations.TargetEntry): boolean {
+  #recordFleet(): placement.RateFleet {
+    const members = [this.#mesh.self, ...this.#mesh.listOthers()];
+    return this.#fleet.record(members, this.#getPresentShare());
+  }
+
+  /**
+   * Whether an incarnation of a target still accepts a request from this VM. A request that was
+   * placed before the rate of the target was limited has no part of it.
+   *
+   * @param token What was taken for the request.
+   */
+  accepts(
+    target: declarations.TargetEntry,
+    token: placement.RateToken | undefined,
+  ): boolean {
     const known = this.#directory.find(target.id);
     return known !== undefined && !known.isDraining && known.startedAt === target.startedAt &&
       !this.#evacuations.isEvacuated(known.dataCentre) &&
-      this.#pauses.getRemaining(target.id) === 0;
+      this.#pauses.getRemaining(target.id) === 0 &&
+      (this.#findLimit(known) === undefined || this.#rates.isValid(target.id, token));
   }
 
   /**
@@ -280,6 +373,7 @@
 
   /** Drops the loads of VMs that have left, and the state of targets that are gone. */
   dropDepartedVms(): void {
+    this.#recordFleet();
     const present = new Set(this.#mesh.listOthers().map((member) => member.vm));
     for (const [target, record] of this.#records) {
       for (const [vm, load] of record.loadByVm) {
@@ -304,7 +398,6 @@
     const record = this.#getRecord(entry.id);
     const isFull = record.fullUntil > now;
     const load = record.ownLoad + record.othersLoad;
-    const knownFor = now - (this.#directory.getAppliedAt(entry.id) ?? now);
     return {
       id: entry.id,
       slots: entry.slots,
@@ -316,11 +409,11 @@
       isUnreachable: record.avoidedUntil > now || !this.reachability.isReachable(entry.id),
       isRemote: entry.dataCentre !== this.#mesh.self.dataCentre,
       warmUpMilliseconds: Math.max(
-        0,
-        entry.warmUpMilliseconds - knownFor,
+        this.#directory.getWarmUpLeft(entry.id),
         // Load returns gradually to a data centre that was evacuated.
         this.#evacuations.getReturnMilliseconds(entry.dataCentre),
       ),
+      isColdRateLimited: this.#getColdRate(entry.service) !== undefined,
     };
   }
 
@@ -356,6 +449,26 @@
     }
   }
 
+  #recordWarmUp(
+    { entry }: declarations.TargetChange,
+    previous: declarations.TargetEntry | undefined,
+  ): void {
+    const rate = entry === undefined ? undefined : this.#getColdRate(entry.service);
+    if (entry === undefined || rate === undefined || entry.warmUpMilliseconds === 0) {
+      return;
+    }
+    const isRenewed = previous !== undefined && previous.warmUpMilliseconds > 0 &&
+      previous.startedAt === entry.startedAt;
+    if (!isRenewed) {
+      this.#coldCounter.inc();
+      this.#logger.write(kernel.LogMessages.targetCold, {
+        target: entry.id,
+        milliseconds: Math.round(this.#directory.getWarmUpLeft(entry.id)),
+        requestsPerSecond: rate,
+      });
+    }
+  }
+
   #collectOutcomes(): unknown {
     if (this.#unreportedOutcomes.size === 0) {
       return undefined;
@@ -385,6 +498,25 @@
     }
   }
 
+  #collectFleetSize(): placement.RememberedSize | undefined {
+    this.#recordFleet();
+    const now = kernel.getMonotonicMilliseconds();
+    if (now - this.#fleetSizeAt < FLEET_SIZE_INTERVAL_MILLISECONDS) {
+      return undefined;
+    }
+    this.#fleetSizeAt = now;
+    return this.#fleet.largest;
+  }
+
+  #receiveFleetSize(payload: unknown): void {
+    const [size, agoMilliseconds]: readonly unknown[] = Array.isArray(payload) ? payload : [];
+    const isValid = Number.isFinite(size) && Number.isFinite(agoMilliseconds) &&
+      Number(agoMilliseconds) >= 0;
+    if (isValid) {
+      this.#fleet.adopt([Number(size), Number(agoMilliseconds)]);
+    }
+  }
+
   #collectLoads(): LoadPayload | undefined {
     const now = kernel.getMonotonicMilliseconds();
     if (this.#unreportedLoads.size === 0) {
--- a/packages/proxy/test/evacuation_test.ts
+++ b/packages/proxy/test/evacuation_test.ts
@@ -145,13 +145,13 @@
   test.test("a connection that opens after the order carries no request", () => {
     const evacuations = new declarations.Evacuations();
     const { tracker, entry } = createTracker(evacuations);
-    assert.equal(tracker.accepts(entry), true);
+    assert.equal(tracker.accepts(entry, undefined), true);
     evacuations.apply({
       dataCentre: NORTH,
       position: fixtures.createPosition(9),
       isEvacuated: true,
     });
-    assert.equal(tracker.accepts(entry), false);
+    assert.equal(tracker.accepts(entry, undefined), false);
   });
 
   test.test("after it the targets carry the cost of a warm-up, so that load returns gradually", async () => {
@@ -405,6 +405,7 @@
     new kernel.Metrics(),
     () => 1,
     "127.0.0.1",
+    () => undefined,
   );
   return { tracker, entry: change.entry ?? assert.fail() };
 }
