Workspace rate: every VM admits the same share of its requests

Cause: beyond the rate, each VM saved up its own share of the refill, measured by its own demand. A VM with less than one request a second cannot measure that, a share above 1.5 tokens was lost, and the tolerated excess was spent at once and paid back by refusals.

Change: the rate's bucket gets a RatePressure. The allowance is no longer spent by rates. Unconfirmed tokens, withheld tokens, the adoption of levels and the reports stay as they were; retry budgets have no RatePressure and are unchanged. Requests that a VM which was out of contact reports at once do not count as present demand.

Ruled out: shares of the refill by own demand with random rounding (at 0.13 tokens a second and VM, most of the share is lost or late); forgiving the debt (repeated bursts would exceed the bound).

The simulation does not reproduce the four seconds of refusals that were observed on 129 VMs.

--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./isolation.ts";
 export * from "./peer_choice.ts";
 export * from "./processing_times.ts";
+export * from "./rate_pressure.ts";
 export * from "./request_queue.ts";
 export * from "./shared_bucket.ts";
 export * from "./target_pauses.ts";
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -14,6 +14,7 @@
  */
 
 import * as kernel from "@hemlockwalk/kernel";
+import type * as pressures from "./rate_pressure.ts";
 
 /** Propagation delay assumed until the first refill. */
 const INITIAL_PROPAGATION_MILLISECONDS = 300;
@@ -52,6 +53,9 @@
  */
 const WITHHELD_DISCARD_SHARE = 0.25;
 
+/** A VM that was idle rather than out of contact reports up to about this number of requests. */
+const MAX_IDLE_REQUESTS = 2;
+
 /** Least number of tokens that a VM may take before the others have confirmed them. */
 const MIN_UNCONFIRMED_TOKENS = 2;
 
@@ -120,12 +124,21 @@
   #ownDemand = 0;
   #fleetDemand = 0;
   #decayedAt = kernel.getMonotonicMilliseconds();
+  readonly #pressure: pressures.RatePressure | undefined;
 
   /**
    * @param level Tokens at the start. A VM that replaces another starts without any.
    * @param allowance How far below zero the level may be taken: the excess that is tolerated.
+   * @param pressure Decides on requests while demand exceeds the refill; if undefined, each VM then
+   *   keeps to its share of the refill.
    */
-  constructor(burst: number, level: number, allowance = 0) {
+  constructor(
+    burst: number,
+    level: number,
+    allowance = 0,
+    pressure?: pressures.RatePressure,
+  ) {
+    this.#pressure = pressure;
     this.#burst = burst;
     this.#allowance = allowance;
     this.#level = Math.min(level, burst);
@@ -141,7 +154,9 @@
     return this.#shareLevel;
   }
 
-  setLimits(burst: number, allowance: number): void {
+  /** @param excess See `PressureOptions`; without effect on a bucket without pressure. */
+  setLimits(burst: number, allowance: number, excess = 0): void {
+    this.#pressure?.setExcess(excess);
     this.#burst = burst;
     this.#allowance = allowance;
     this.#level = Math.min(this.#level, burst);
@@ -158,11 +173,13 @@
     this.#expected = Math.max(presence.expected, 1);
     const credited = tokens * presence.present / Math.max(presence.expected, 1);
     this.#level = Math.min(this.#burst, this.#level + credited);
+    this.#pressure?.refill(credited, this.#level < 0);
     this.#withheld = presence.present < presence.expected
       ? this.#withheld + tokens - credited
       : Math.max(0, this.#withheld - tokens * WITHHELD_DISCARD_SHARE);
     // Without confirmation, the demand of the others may be unknown too.
-    const share = this.#fleetDemand > 0 && !this.#isAtUnconfirmedLimit
+    const isDemandKnown = this.#fleetDemand > 0 && this.#pressure?.isDemandKnown !== false;
+    const share = isDemandKnown && !this.#isAtUnconfirmedLimit
       ? Math.min(1, this.#ownDemand / this.#fleetDemand)
       : 1 / this.#expected;
     this.#shareLevel = Math.min(MAX_SHARE_TOKENS, this.#shareLevel + credited * share);
@@ -179,7 +196,7 @@
    * @param isFinal Whether to take or refuse rather than to return `unconfirmed`.
    */
   tryTake(isFinal: boolean): TakeResult {
-    if (!isFinal && this.#isAtUnconfirmedLimit && this.#hasFreeTokens()) {
+    if (!isFinal && this.#isAtUnconfirmedLimit && this.#isWithinReach()) {
       return "unconfirmed";
     }
     return this.#take() ? "taken" : "refused";
@@ -188,6 +205,10 @@
   #take(): boolean {
     this.#requested++;
     this.#addDemand(1, 1);
+    if (this.#pressure !== undefined) {
+      this.#pressure.addDemand(1);
+      return this.#takeUnderPressure(this.#pressure);
+    }
     if (!this.#isAtUnconfirmedLimit && this.#hasFreeTokens()) {
       this.#spend();
       return true;
@@ -202,6 +223,42 @@
     return true;
   }
 
+  /**
+   * Takes a token as long as some are left besides those that others may have taken; after that, for
+   * the share of the requests that the refill covers. The allowance is not used: a debt would have
+   * to be paid back by refusals.
+   */
+  #takeUnderPressure(pressure: pressures.RatePressure): boolean {
+    const isFree = this.#hasTokensUnderPressure(pressure);
+    if (this.#isAtUnconfirmedLimit || !(isFree || pressure.isDemandKnown)) {
+      if (this.#shareLevel < 1) {
+        return false;
+      }
+      this.#shareLevel -= 1;
+    } else if (!pressure.admit(isFree ? 1 : this.#getShare(pressure))) {
+      return false;
+    }
+    this.#spend();
+    return true;
+  }
+
+  #hasTokensUnderPressure(pressure: pressures.RatePressure): boolean {
+    const unreported = pressure.demand * this.#propagationMilliseconds;
+    return this.#level >= 1 + Math.min(unreported, this.#burst);
+  }
+
+  #getShare(pressure: pressures.RatePressure): number {
+    return pressure.getShare(this.#level, this.#propagationMilliseconds);
+  }
+
+  /** Whether a request would be admitted if the tokens taken before were confirmed. */
+  #isWithinReach(): boolean {
+    const pressure = this.#pressure;
+    return pressure === undefined
+      ? this.#hasFreeTokens()
+      : this.#hasTokensUnderPressure(pressure) || pressure.wouldAdmit(this.#getShare(pressure));
+  }
+
   /** Returns a token whose request was not run. */
   returnToken(): void {
     this.#level = Math.min(this.#burst, this.#level + 1);
@@ -279,7 +336,21 @@
       this.#level - taken + covered,
       -MAX_DEBT_IN_BURSTS * this.#burst - this.#allowance,
     );
+    this.#pressure?.addTaken(taken - covered);
     this.#addDemand(0, Math.max(requested, 0));
+    const recent = isBackInContact
+      ? this.#limitRecent(requested, now - previous.lastReceivedAt)
+      : requested;
+    this.#pressure?.addDemand(Math.max(recent, 0));
+  }
+
+  /**
+   * Requests that count as present demand after a gap between reports: a VM that was out of contact
+   * reports all requests of that time at once.
+   */
+  #limitRecent(requested: number, gapMilliseconds: number): number {
+    const recent = requested * Math.min(1, this.#propagationMilliseconds / gapMilliseconds);
+    return Math.min(requested, Math.max(MAX_IDLE_REQUESTS, recent));
   }
 
   get #unconfirmedLimit(): number {
@@ -302,6 +373,7 @@
   }
 
   #spend(): void {
+    this.#pressure?.addTaken(1);
     this.#level -= 1;
     this.#taken++;
   }
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -269,7 +269,12 @@
       bucket = new placement.SharedBucket(
         declared.burst,
         this.#isFirstStart ? declared.burst : accrued,
-        this.#getRateAllowance(declared),
+        SHARE_OF_RATE_EXCESS * this.#getRateExcess(declared),
+        new placement.RatePressure({
+          excess: this.#getRateExcess(declared),
+          // When a fleet starts, nothing has been requested before.
+          observedSince: this.#isFirstStart ? Number.NEGATIVE_INFINITY : this.#startedAt,
+        }),
       );
       // The size of the fleet limits what is taken before the first refill.
       bucket.refill(0, this.#getPresence());
@@ -278,10 +283,10 @@
     return bucket;
   }
 
-  #getRateAllowance(workspace: declarations.DeclaredWorkspace): number {
+  #getRateExcess(workspace: declarations.DeclaredWorkspace): number {
     const { rateWindowSeconds, rateExcess, rateSlack } = this.#bounds;
     const perWindow = (workspace.ratePerSecond ?? 0) * rateWindowSeconds + workspace.burst;
-    return SHARE_OF_RATE_EXCESS * (perWindow * rateExcess + rateSlack);
+    return perWindow * rateExcess + rateSlack;
   }
 
   #getRetryBurst(): number {
@@ -308,10 +313,9 @@
       if (workspace.ratePerSecond === undefined) {
         this.#rates.delete(workspace.id);
       } else {
-        this.#rates.get(workspace.id)?.setLimits(
-          workspace.burst,
-          this.#getRateAllowance(workspace),
-        );
+        const excess = this.#getRateExcess(workspace);
+        const allowance = SHARE_OF_RATE_EXCESS * excess;
+        this.#rates.get(workspace.id)?.setLimits(workspace.burst, allowance, excess);
       }
     }
   }
