Workspace rate: urgent requests first, and return times from the refill

Cause: beyond its rate, a workspace's requests were refused irrespective of their route's priority, and every refusal named the same Retry-After of 1 s, so that callers returned in waves.

Change: urgency.ts divides the refill among four classes of priority, most urgent first; each keeps 0.4 of the share of all requests (a quarter is required). Requests by class are told as further elements of the counters, which VMs of the version before ignore; those without them count for the total only. return_times.ts gives out one time for each token that requests of a class at a VM can expect, and spreads the others up to a cap (1 to 2.5 s by class, half of the caller's time). The trace step over_rate says what bound the request, its priority and the time of its return; the metric hemlockwalk_rate_requests_total counts by outcome and class. Budgets.takeRate keeps its result, since its tests read it as a boolean; takeReturnSeconds gives the time.

Ruled out: an order by return times alone (requests that do not return would not be ordered).

--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -11,6 +11,8 @@
 export * from "./processing_times.ts";
 export * from "./rate_pressure.ts";
 export * from "./request_queue.ts";
+export * from "./return_times.ts";
 export * from "./shared_bucket.ts";
 export * from "./target_pauses.ts";
 export * from "./target_rates.ts";
+export * from "./urgency.ts";
--- a/packages/placement/src/rate_pressure.ts
+++ b/packages/placement/src/rate_pressure.ts
@@ -9,6 +9,7 @@
  */
 
 import * as kernel from "@hemlockwalk/kernel";
+import * as urgency from "./urgency.ts";
 
 const BIN_MILLISECONDS = 50;
 
@@ -78,8 +79,13 @@
   #refilledAt = kernel.getMonotonicMilliseconds();
   /** Tokens refilled less tokens admitted, limited to the greatest correction. */
   #balance = 0;
-  /** Part of a request that is admitted next. A random start keeps the VMs out of step. */
-  #credit: number;
+  /**
+   * Part of a request of each class that is admitted next. A random start keeps the VMs out of step.
+   */
+  readonly #credits: number[];
+  /** Requests of each class in the fleet, averaged. Only their proportions are used. */
+  readonly #classDemands = new Array<number>(urgency.PRIORITY_CLASSES).fill(0);
+  #classesDecayedAt = kernel.getMonotonicMilliseconds();
 
   readonly #observedSince: number;
   #excess: number;
@@ -87,7 +93,8 @@
   constructor(options: PressureOptions = {}) {
     this.#observedSince = options.observedSince ?? Number.NEGATIVE_INFINITY;
     this.#excess = options.excess ?? 0;
-    this.#credit = (options.random ?? Math.random)();
+    const random = options.random ?? Math.random;
+    this.#credits = Array.from({ length: urgency.PRIORITY_CLASSES }, () => random());
   }
 
   /** Sets the excess that is tolerated; see `PressureOptions`. */
@@ -118,6 +125,16 @@
     return changed === undefined ? long : this.#findLatest(changed, size);
   }
 
+  /** Records how many requests of each class there were, of this VM or reported by another one. */
+  addClassDemands(requests: readonly number[]): void {
+    const now = kernel.getMonotonicMilliseconds();
+    const decay = Math.exp((this.#classesDecayedAt - now) / LONG_WINDOW_MILLISECONDS);
+    this.#classesDecayedAt = now;
+    this.#classDemands.forEach((demand, index) => {
+      this.#classDemands[index] = demand * decay + Math.max(0, requests[index] ?? 0);
+    });
+  }
+
   /** Records requests, of this VM or reported by another one. */
   addDemand(requests: number): void {
     this.#advance();
@@ -168,19 +185,38 @@
     return Math.min(1, Math.max(0, admitted / demand));
   }
 
-  /** Whether `admit` would admit the next request. */
-  wouldAdmit(share: number): boolean {
-    return this.#credit + share >= 1;
+  /**
+   * Share of the requests of a class to admit, most urgent first.
+   *
+   * @param share Share of all requests to admit.
+   */
+  getShareOf(priorityClass: number, share: number): number {
+    const demands = this.#classDemands;
+    const total = demands.reduce((sum, demand) => sum + demand, 0);
+    const demand = demands[priorityClass] ?? 0;
+    if (share >= 1 || demand <= 0) {
+      return share;
+    }
+    const parts = urgency.divideByUrgency(share * total, demands);
+    return (parts[priorityClass] ?? 0) / demand;
+  }
+
+  /** Proportion of a class among the requests of the fleet, from 0 to 1. */
+  getProportion(priorityClass: number): number {
+    const total = this.#classDemands.reduce((sum, demand) => sum + demand, 0);
+    return total > 0 ? (this.#classDemands[priorityClass] ?? 0) / total : 0;
   }
 
-  /** Whether the next request is admitted, given the share of requests to admit. */
-  admit(share: number): boolean {
-    this.#credit += share;
-    if (this.#credit < 1) {
-      return false;
-    }
-    this.#credit -= 1;
-    return true;
+  /** Whether `admit` would admit the next request of a class. */
+  wouldAdmit(priorityClass: number, share: number): boolean {
+    return (this.#credits[priorityClass] ?? 0) + this.getShareOf(priorityClass, share) >= 1;
+  }
+
+  /** Whether the next request of a class is admitted, given the share of all to admit. */
+  admit(priorityClass: number, share: number): boolean {
+    const credit = (this.#credits[priorityClass] ?? 0) + this.getShareOf(priorityClass, share);
+    this.#credits[priorityClass] = credit < 1 ? credit : credit - 1;
+    return credit >= 1;
   }
 
   get #observedMilliseconds(): number {
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -15,6 +15,7 @@
 
 import * as kernel from "@hemlockwalk/kernel";
 import type * as pressures from "./rate_pressure.ts";
+import * as urgency from "./urgency.ts";
 
 /** Propagation delay assumed until the first refill. */
 const INITIAL_PROPAGATION_MILLISECONDS = 300;
@@ -69,8 +70,19 @@
 export interface BucketCounters {
   readonly taken: number;
   readonly requested: number;
+  /** Requested tokens by class; see `getPriorityClass`. A VM of the version before reports none. */
+  readonly requestedByClass?: readonly number[];
 }
 
+/** What bound a request that was refused. */
+export type RateBound =
+  /** Demand exceeds the refill. */
+  | "demand"
+  /** Tokens taken before are not confirmed, so that this VM keeps to its part of the refill. */
+  | "unconfirmed"
+  /** This VM has just started, and keeps to its part of the refill. */
+  | "start";
+
 /** Size of the fleet as one VM sees it. */
 export interface FleetPresence {
   /** VMs in contact at present, this one included. */
@@ -98,6 +110,7 @@
   incarnation: string;
   taken: number;
   requested: number;
+  requestedByClass?: readonly number[];
   /** Monotonic time at which its latest counters were received, in milliseconds. */
   lastReceivedAt: number;
 }
@@ -109,7 +122,9 @@
   #level: number;
   #taken = 0;
   #requested = 0;
+  readonly #requestedByClass = new Array<number>(urgency.PRIORITY_CLASSES).fill(0);
   #requestedReported = 0;
+  #bound: RateBound = "demand";
   #takenReported = 0;
   #takenConfirmed = 0;
   /** Reports that the others have not confirmed, oldest first. */
@@ -226,20 +241,44 @@
    * Takes a token if one is available to this VM.
    *
    * @param isFinal Whether to take or refuse rather than to return `unconfirmed`.
+   * @param priority 0 is the most urgent; matters only under pressure.
    */
-  tryTake(isFinal: boolean): TakeResult {
-    if (!isFinal && this.#isAtUnconfirmedLimit && this.#isWithinReach()) {
+  tryTake(isFinal: boolean, priority = 0): TakeResult {
+    const priorityClass = urgency.getPriorityClass(priority);
+    if (!isFinal && this.#isAtUnconfirmedLimit && this.#isWithinReach(priorityClass)) {
       return "unconfirmed";
     }
-    return this.#take() ? "taken" : "refused";
+    return this.#take(priorityClass) ? "taken" : "refused";
+  }
+
+  /** What bound the latest request that was refused. */
+  get bound(): RateBound {
+    return this.#bound;
+  }
+
+  /**
+   * Tokens in a millisecond that requests of a priority at this VM can expect of the refill; 0 while
+   * that is unknown.
+   */
+  getExpectedRate(priority: number): number {
+    const pressure = this.#pressure;
+    if (pressure === undefined || !pressure.isDemandKnown) {
+      return 0;
+    }
+    const priorityClass = urgency.getPriorityClass(priority);
+    const own = this.#ownDemand / DEMAND_WINDOW_MILLISECONDS;
+    return own * pressure.getProportion(priorityClass) *
+      pressure.getShareOf(priorityClass, this.#getShare(pressure));
   }
 
-  #take(): boolean {
+  #take(priorityClass: number): boolean {
     this.#requested++;
     this.#addDemand(1, 1);
     if (this.#pressure !== undefined) {
       this.#pressure.addDemand(1);
-      return this.#takeUnderPressure(this.#pressure);
+      this.#requestedByClass[priorityClass] = (this.#requestedByClass[priorityClass] ?? 0) + 1;
+      this.#pressure.addClassDemands(createClassCount(priorityClass));
+      return this.#takeUnderPressure(this.#pressure, priorityClass);
     }
     if (!this.#isAtUnconfirmedLimit && this.#hasFreeTokens()) {
       this.#spend();
@@ -260,14 +299,16 @@
    * the share of the requests that the refill covers. The allowance is not used: a debt would have
    * to be paid back by refusals.
    */
-  #takeUnderPressure(pressure: pressures.RatePressure): boolean {
+  #takeUnderPressure(pressure: pressures.RatePressure, priorityClass: number): boolean {
     const isFree = this.#hasTokensUnderPressure(pressure);
     if (this.#isAtUnconfirmedLimit || !(isFree || pressure.isDemandKnown)) {
       if (this.#shareLevel < 1) {
+        this.#bound = this.#isAtUnconfirmedLimit ? "unconfirmed" : "start";
         return false;
       }
       this.#shareLevel -= 1;
-    } else if (!pressure.admit(isFree ? 1 : this.#getShare(pressure))) {
+    } else if (!pressure.admit(priorityClass, isFree ? 1 : this.#getShare(pressure))) {
+      this.#bound = "demand";
       return false;
     }
     this.#spend();
@@ -284,11 +325,12 @@
   }
 
   /** Whether a request would be admitted if the tokens taken before were confirmed. */
-  #isWithinReach(): boolean {
+  #isWithinReach(priorityClass: number): boolean {
     const pressure = this.#pressure;
     return pressure === undefined
       ? this.#hasFreeTokens()
-      : this.#hasTokensUnderPressure(pressure) || pressure.wouldAdmit(this.#getShare(pressure));
+      : this.#hasTokensUnderPressure(pressure) ||
+        pressure.wouldAdmit(priorityClass, this.#getShare(pressure));
   }
 
   /** Returns a token whose request was not run. */
@@ -319,7 +361,11 @@
     this.#requestedReported = this.#requested;
     this.#takenReported = this.#taken;
     this.#unconfirmed.push({ sequence, taken: this.#taken });
-    return { taken: this.#taken, requested: this.#requested };
+    return {
+      taken: this.#taken,
+      requested: this.#requested,
+      ...(this.#pressure === undefined ? {} : { requestedByClass: [...this.#requestedByClass] }),
+    };
   }
 
   /**
@@ -374,6 +420,15 @@
       ? this.#limitRecent(requested, now - previous.lastReceivedAt)
       : requested;
     this.#pressure?.addDemand(Math.max(recent, 0));
+    if (counters.requestedByClass !== undefined && requested > 0) {
+      const before = isSameIncarnation ? previous.requestedByClass : undefined;
+      const share = isSameIncarnation ? 1 : trackedShare;
+      this.#pressure?.addClassDemands(
+        counters.requestedByClass.map((count, index) =>
+          (count - (before?.[index] ?? 0)) * share * recent / requested
+        ),
+      );
+    }
   }
 
   /**
@@ -418,3 +473,9 @@
     this.#fleetDemand = this.#fleetDemand * decay + fleet;
   }
 }
+
+function createClassCount(priorityClass: number): number[] {
+  const counts = new Array<number>(urgency.PRIORITY_CLASSES).fill(0);
+  counts[priorityClass] = 1;
+  return counts;
+}
--- a/packages/placement/test/rate_overload_test.ts
+++ b/packages/placement/test/rate_overload_test.ts
@@ -32,6 +32,9 @@
 /** Time from the death of a VM to its next start. */
 const DEAD_MILLISECONDS = 500;
 
+/** Time that a caller has for a request, its return included. */
+const DEADLINE_MILLISECONDS = 10_000;
+
 const QUIET_SECONDS = 3;
 const PRESSURE_SECONDS = 10;
 const QUIET_SHARE_OF_RATE = 0.3;
@@ -50,6 +53,10 @@
   readonly at?: number;
   /** Times are in milliseconds from the start of the pressure. */
   readonly faults?: Faults;
+  /** Share of the requests of each priority, most urgent first; all are of priority 0 if undefined. */
+  readonly mix?: readonly number[];
+  /** Whether callers return once after the time that they are given. */
+  readonly returns?: boolean;
 }
 
 interface Faults {
@@ -70,7 +77,18 @@
   deadUntil: number;
   reportAt: number;
   urgentAt: number;
-  waiting: { readonly endsAt: number }[];
+  waiting: { readonly endsAt: number; readonly request: SimulatedRequest }[];
+  readonly returnTimes: placement.ReturnTimes;
+}
+
+interface SimulatedRequest {
+  readonly priority: number;
+  readonly isReturn: boolean;
+}
+
+interface Outcome extends SimulatedRequest {
+  readonly at: number;
+  readonly isAdmitted: boolean;
 }
 
 interface Message {
@@ -94,6 +112,8 @@
   /** The same for one bucket that sees every request at once. */
   readonly owedPerSecond: readonly number[];
   readonly owedAt: readonly number[];
+  /** Requests under pressure after the first second, and how many were admitted. */
+  readonly outcomes: readonly Outcome[];
   readonly reports: number;
 }
 
@@ -117,6 +137,7 @@
       reportAt: random() * interval,
       urgentAt: Number.POSITIVE_INFINITY,
       waiting: [],
+      returnTimes: new placement.ReturnTimes(random),
     };
   });
   const isFirst = (index: number) => index < vms / 3;
@@ -144,6 +165,8 @@
   let centralLevel = rate;
   const deliveries = new Map<number, Message[]>();
   const confirmations = new Map<number, Message[]>();
+  const outcomes: Outcome[] = [];
+  const returning = new Map<number, SimulatedRequest[]>();
   let sequence = 0;
   let reports = 0;
   const schedule = (queue: Map<number, Message[]>, at: number, message: Omit<Message, "at">) => {
@@ -169,12 +192,37 @@
       );
     }
   };
-  const attempt = (vm: SimulatedVm, endsAt: number, now: number) => {
-    const result = vm.bucket.tryTake(now >= endsAt);
+  const drawVm = (now: number): SimulatedVm => {
+    let index = Math.floor(random() * Math.min(vms, scenario.at ?? vms));
+    while ((fleet[index]?.deadUntil ?? 0) > now) {
+      index = (index + 1) % vms;
+    }
+    return fleet[index] ?? assert.fail();
+  };
+  const drawPriority = () => {
+    let left = random();
+    const drawn = (scenario.mix ?? [1]).findIndex((share) => (left -= share) < 0);
+    return Math.max(0, drawn);
+  };
+  const attempt = (vm: SimulatedVm, endsAt: number, now: number, request: SimulatedRequest) => {
+    const { priority, isReturn } = request;
+    const result = vm.bucket.tryTake(now >= endsAt, priority);
     if (result === "taken") {
       admittedAt.push(now - QUIET_SECONDS * 1_000);
     } else if (result === "unconfirmed") {
-      vm.waiting.push({ endsAt });
+      vm.waiting.push({ endsAt, request });
+    } else if (scenario.returns === true && !isReturn) {
+      const rate = vm.bucket.getExpectedRate(priority);
+      const delay = vm.returnTimes.take(priority, rate, now, DEADLINE_MILLISECONDS);
+      const at = Math.ceil((now + delay) / STEP_MILLISECONDS);
+      returning.set(at, [...(returning.get(at) ?? []), { priority, isReturn: true }]);
+    }
+    if (result !== "unconfirmed" && now >= (QUIET_SECONDS + 1) * 1_000) {
+      outcomes.push({
+        ...request,
+        at: now - QUIET_SECONDS * 1_000,
+        isAdmitted: result === "taken",
+      });
     }
     if (vm.bucket.isUrgent) {
       vm.urgentAt = Math.min(vm.urgentAt, now + URGENT_MILLISECONDS);
@@ -233,18 +281,19 @@
         }
         const waiting = vm.waiting;
         vm.waiting = [];
-        waiting.forEach(({ endsAt }) => attempt(vm, endsAt, now));
+        waiting.forEach(({ endsAt, request }) => attempt(vm, endsAt, now, request));
       });
       centralLevel = Math.min(rate, centralLevel + rate * STEP_MILLISECONDS / 1_000);
       const isPressing = now >= QUIET_SECONDS * 1_000;
       const demand = rate * (isPressing ? factor : QUIET_SHARE_OF_RATE) / 1_000;
+      for (const request of returning.get(step) ?? []) {
+        attempt(drawVm(now), now + MAX_WAIT_MILLISECONDS, now, request);
+      }
+      returning.delete(step);
       nextArrival = Math.max(nextArrival, now);
       while (nextArrival < now + STEP_MILLISECONDS) {
-        let index = Math.floor(random() * Math.min(vms, scenario.at ?? vms));
-        while ((fleet[index]?.deadUntil ?? 0) > now) {
-          index = (index + 1) % vms;
-        }
-        attempt(fleet[index] ?? assert.fail(), now + MAX_WAIT_MILLISECONDS, now);
+        const request = { priority: drawPriority(), isReturn: false };
+        attempt(drawVm(now), now + MAX_WAIT_MILLISECONDS, now, request);
         if (centralLevel >= 1) {
           centralLevel--;
           owedAt.push(now - QUIET_SECONDS * 1_000);
@@ -265,6 +314,7 @@
     admittedAt,
     owedPerSecond: countPerSecond(owedAt),
     owedAt,
+    outcomes,
     reports,
   };
 }
@@ -387,10 +437,56 @@
     );
   }
 
+  // Guards against urgent requests that are served least, and against kinds that are starved.
+  test.test("has its urgent requests served first, and no kind is starved", async (context) => {
+    for (const vms of [30, 130]) {
+      const scenario = { vms, rate: 263, factor: 2, mix: [0.25, 0.25, 0.3, 0.2] };
+      const result = await simulate(scenario, createCreateBucket(scenario.rate));
+      const getShare = (outcomes: Result["outcomes"]) =>
+        outcomes.filter((outcome) => outcome.isAdmitted).length / outcomes.length;
+      const shares = scenario.mix.map((_, priority) =>
+        getShare(result.outcomes.filter((outcome) => outcome.priority === priority))
+      );
+      const overall = getShare(result.outcomes);
+      context.diagnostic(`${shares.map((share) => share.toFixed(2)).join(" ")} by priority`);
+      shares.forEach((share, priority) => {
+        assert.ok(share >= overall / 4, `priority ${priority}: ${share} of ${overall}`);
+        assert.ok(priority === 0 || share <= (shares[priority - 1] ?? 1) + 0.05, `${priority}`);
+      });
+      assert.ok((shares[0] ?? 0) >= 0.95, `${shares[0]} of the most urgent requests`);
+      assert.deepEqual(check(scenario, result), []);
+    }
+  });
+
+  // Guards against waves of returning requests, and against returns that fare worse than others.
+  test.test("gets its rate while refused requests return", async (context) => {
+    for (const vms of [30, 130]) {
+      const scenario = { vms, rate: 263, factor: 1.5, returns: true };
+      const result = await simulate(scenario, createCreateBucket(scenario.rate));
+      // Until the burst is spent nearly all are admitted, and few return.
+      const pressed = result.outcomes.filter((outcome) => outcome.at >= 4_000);
+      const count = (isReturn: boolean) => {
+        const outcomes = pressed.filter((outcome) => outcome.isReturn === isReturn);
+        const admitted = outcomes.filter((outcome) => outcome.isAdmitted).length;
+        return { of: outcomes.length, share: admitted / outcomes.length };
+      };
+      const returns = count(true);
+      const others = count(false);
+      context.diagnostic(
+        `${result.perSecond.join(" ")}; returns ${returns.share.toFixed(2)}, ` +
+          `others ${others.share.toFixed(2)}`,
+      );
+      const variance = others.share * (1 - others.share);
+      const noise = COUNTING_DEVIATIONS * Math.sqrt(variance * (1 / returns.of + 1 / others.of));
+      assert.ok(returns.share >= others.share - noise, "returns fare no worse");
+      assert.deepEqual(check(scenario, result), []);
+    }
+  });
+
   // Guards against VMs that each spend the whole refill once they are out of contact, and against
   // a workspace that stays below its rate after contact is back or a VM was replaced.
   test.test("keeps to the bound and gets its rate over drawn faults", async () => {
-    const runs = testing.getRandomRuns(204, 20);
+    const runs = testing.getRandomRuns(204, 10);
     const span = (from: number, longest: number) =>
       fc.tuple(fc.integer({ min: 0, max: 3_000 }), fc.integer({ min: 0, max: longest })).map(
         ([at, length]) => [from + at, from + at + length] as const,
--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -61,13 +61,16 @@
       return refuseUnknown(context, trace, { status: 401, reason: "unknown_key" });
     }
   }
-  if (workspace !== undefined && !await takeRate(budgets, workspace, trace)) {
-    trace.add("over_rate", budgets.describeRate(workspace));
-    return {
-      status: 429,
-      reason: "over_rate",
-      retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.overRate,
-    };
+  if (workspace !== undefined && !await takeRate(budgets, workspace, route, trace)) {
+    const deadline = headers.parseMilliseconds(request.headers[profile.deadline]);
+    const timeLeft = deadline ?? route.timeoutMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
+    const retryAfterSeconds = budgets.takeReturnSeconds(workspace, route.priority, timeLeft);
+    trace.add("over_rate", {
+      ...budgets.describeRate(workspace),
+      priority: route.priority,
+      retryAfter: Math.round(retryAfterSeconds * 1_000),
+    });
+    return { status: 429, reason: "over_rate", retryAfterSeconds };
   }
   const service = chooseDestination(route.destinations);
   const arrivedAt = trace.arrivedAt;
@@ -123,9 +126,10 @@
 async function takeRate(
   budgets: budgetTypes.Budgets,
   workspace: declarations.DeclaredWorkspace,
+  route: declarations.DeclaredRoute,
   trace: log.RequestTrace,
 ): Promise<boolean> {
-  const taken = budgets.takeRate(workspace);
+  const taken = budgets.takeRate(workspace, route.priority);
   if (typeof taken === "boolean") {
     return taken;
   }
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -63,7 +63,14 @@
   readonly counters: Record<string, T>;
 }
 
-type BucketReport = CounterReport<readonly [taken: number, requested: number]>;
+/** Tokens taken and requested, and requested by class of priority if known. */
+type BucketReport = CounterReport<
+  readonly [taken: number, requested: number, ...requestedByClass: number[]]
+>;
+
+type RateCounter = ReturnType<
+  typeof kernel.Metrics.prototype.createCounter<"outcome" | "priority">
+>;
 
 /** One VM's view of the fleet's budgets. */
 export class Budgets implements kernel.Service {
@@ -74,6 +81,8 @@
   readonly #logger: kernel.ComponentLogger;
   readonly #rates = new Map<string, placement.SharedBucket>();
   readonly #retries = new Map<string, placement.SharedBucket>();
+  readonly #returnTimes = new Map<string, placement.ReturnTimes>();
+  readonly #rateCounter: RateCounter | undefined;
   readonly #requests = new Map<string, number>();
   readonly #requestsReported = new Map<string, number>();
   readonly #requestsByVm = new Map<
@@ -92,7 +101,13 @@
     bounds: types.ProxyBounds,
     isFirstStart: boolean,
     logger: kernel.ComponentLogger,
+    metrics?: kernel.Metrics,
   ) {
+    this.#rateCounter = metrics?.createCounter(
+      "hemlockwalk_rate_requests_total",
+      "Requests of workspaces with a rate, by outcome and priority (3: 3 or more).",
+      ["outcome", "priority"],
+    );
     this.#logger = logger;
     this.#mesh = vmMesh;
     this.#store = store;
@@ -151,8 +166,13 @@
   /**
    * Takes a token from a workspace's rate limit; always succeeds for a workspace without a limit.
    * Waits for a short time if the other VMs must first be heard.
+   *
+   * @param priority Priority of the route, which orders the requests of one workspace.
    */
-  takeRate(workspace: declarations.DeclaredWorkspace): boolean | Promise<boolean> {
+  takeRate(
+    workspace: declarations.DeclaredWorkspace,
+    priority = 0,
+  ): boolean | Promise<boolean> {
     const bucket = workspace.ratePerSecond === undefined
       ? undefined
       : this.#getRateBucket(workspace.id);
@@ -160,21 +180,52 @@
       return true;
     }
     if (this.isCatchingUp) {
-      return this.#waitForReports().then(() => this.takeRate(workspace));
+      return this.#waitForReports().then(() => this.takeRate(workspace, priority));
     }
-    const result = this.#takeFrom(bucket, false);
-    return result === "unconfirmed" ? this.#takeOnceConfirmed(bucket) : result === "taken";
+    const result = this.#takeFrom(bucket, false, priority);
+    return result === "unconfirmed"
+      ? this.#takeOnceConfirmed(bucket, priority)
+      : this.#countRate(result, priority);
+  }
+
+  /**
+   * Returns the time after which a refused request should return, in seconds.
+   *
+   * @param timeLeft Time that the caller has left, in milliseconds.
+   */
+  takeReturnSeconds(
+    workspace: declarations.DeclaredWorkspace,
+    priority: number,
+    timeLeft: number,
+  ): number {
+    const times = this.#returnTimes.get(workspace.id) ?? new placement.ReturnTimes();
+    this.#returnTimes.set(workspace.id, times);
+    const milliseconds = times.take(
+      placement.getPriorityClass(priority),
+      this.#rates.get(workspace.id)?.getExpectedRate(priority) ?? 0,
+      kernel.getMonotonicMilliseconds(),
+      timeLeft,
+    );
+    return Math.round(milliseconds) / 1_000;
+  }
+
+  #countRate(result: placement.TakeResult, priority: number): boolean {
+    this.#rateCounter?.inc({
+      outcome: result === "taken" ? "admitted" : "refused",
+      priority: String(placement.getPriorityClass(priority)),
+    });
+    return result === "taken";
   }
 
   /** Takes a token once the others have confirmed earlier ones, or decides without that. */
-  async #takeOnceConfirmed(bucket: placement.SharedBucket): Promise<boolean> {
+  async #takeOnceConfirmed(bucket: placement.SharedBucket, priority: number): Promise<boolean> {
     const endsAt = kernel.getMonotonicMilliseconds() + MAX_CONFIRMATION_WAIT_MILLISECONDS;
     let result: placement.TakeResult;
     do {
       await kernel.sleep(CONFIRMATION_POLL_MILLISECONDS);
-      result = this.#takeFrom(bucket, kernel.getMonotonicMilliseconds() >= endsAt);
+      result = this.#takeFrom(bucket, kernel.getMonotonicMilliseconds() >= endsAt, priority);
     } while (result === "unconfirmed");
-    return result === "taken";
+    return this.#countRate(result, priority);
   }
 
   /** Describes the rate limit as it applied to a workspace's latest request, for the log. */
@@ -187,6 +238,7 @@
       level: bucket === undefined ? undefined : roundToTenth(bucket.level),
       share: bucket === undefined ? undefined : roundToTenth(bucket.shareLevel),
       vms: this.#mesh.size,
+      bound: bucket?.bound,
     };
   }
 
@@ -217,9 +269,13 @@
     return Math.max(0, this.#getRetryBucket(service).level / this.#getRetryBurst());
   }
 
-  #takeFrom(bucket: placement.SharedBucket, isFinal: boolean): placement.TakeResult {
+  #takeFrom(
+    bucket: placement.SharedBucket,
+    isFinal: boolean,
+    priority = 0,
+  ): placement.TakeResult {
     bucket.confirm(this.#mesh.confirmedSequence);
-    const result = bucket.tryTake(isFinal);
+    const result = bucket.tryTake(isFinal, priority);
     if (bucket.isUrgent) {
       this.#mesh.reportSoon();
     }
@@ -312,6 +368,7 @@
     for (const workspace of view.declarations.workspaces) {
       if (workspace.ratePerSecond === undefined) {
         this.#rates.delete(workspace.id);
+        this.#returnTimes.delete(workspace.id);
       } else {
         const excess = this.#getRateExcess(workspace);
         const allowance = SHARE_OF_RATE_EXCESS * excess;
@@ -366,8 +423,11 @@
   ): void {
     const { age, counters } = payload as BucketReport;
     const trackedShare = this.#getTrackedShare(age);
-    for (const [name, [taken, requested]] of Object.entries(counters)) {
-      find(name)?.receive(from.vm, from.incarnation, { taken, requested }, trackedShare);
+    for (const [name, [taken, requested, ...byClass]] of Object.entries(counters)) {
+      const received = byClass.length === 0
+        ? { taken, requested }
+        : { taken, requested, requestedByClass: byClass };
+      find(name)?.receive(from.vm, from.incarnation, received, trackedShare);
     }
   }
 
@@ -380,11 +440,12 @@
     buckets: ReadonlyMap<string, placement.SharedBucket>,
     sequence: number,
   ): BucketReport | undefined {
-    const counters: Record<string, readonly [number, number]> = {};
+    const counters: Record<string, readonly [number, number, ...number[]]> = {};
     for (const [name, bucket] of buckets) {
       const collected = bucket.collect(sequence);
       if (collected !== undefined) {
-        counters[name] = [collected.taken, collected.requested];
+        const byClass = collected.requestedByClass ?? [];
+        counters[name] = [collected.taken, collected.requested, ...byClass];
       }
     }
     return this.#createCounterReport(counters);
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -123,6 +123,7 @@
       options.bounds,
       options.isFirstStart,
       createLogger("budgets"),
+      metrics,
     ),
   );
   const startGate = vm.register(
--- a/packages/proxy/src/refusals.ts
+++ b/packages/proxy/src/refusals.ts
@@ -7,7 +7,6 @@
 /** Values of the Retry-After header, in seconds. */
 export const RETRY_AFTER_SECONDS = {
   noDeclarations: 0.5,
-  overRate: 1,
   noRoom: 0.3,
   // Targets shed the request with slots free, or could not be reached: another target may well
   // accept it.
