--- a/packages/placement/src/fleet_memory.ts
+++ b/packages/placement/src/fleet_memory.ts
@@ -35,6 +35,7 @@
 /** What one VM remembers of the members of its fleet. */
 export class FleetMemory {
   readonly #startedAt = kernel.getMonotonicMilliseconds();
+  #members: readonly rates.RateHolder[] = [];
   #known: ReadonlySet<model.VmId> = new Set();
   #grownAt = Number.NEGATIVE_INFINITY;
   /** Sizes within the retention period that no later one has reached, the largest first. */
@@ -47,10 +48,14 @@
    */
   record(members: readonly rates.RateHolder[], presentShare: number): rates.RateFleet {
     const now = kernel.getMonotonicMilliseconds();
-    if (members.some(({ vm }) => !this.#known.has(vm))) {
+    const hasGrown = members.some(({ vm }) => !this.#known.has(vm));
+    if (hasGrown) {
       this.#grownAt = now;
     }
-    this.#known = new Set(members.map(({ vm }) => vm));
+    if (hasGrown || members.length !== this.#members.length) {
+      this.#members = members;
+      this.#known = new Set(members.map(({ vm }) => vm));
+    }
     const size = members.length;
     this.#remember({ at: now, size });
     const largest = this.#sizes[0]?.size ?? size;
@@ -59,7 +64,8 @@
       this.#startedAt + MAX_SETTLE_MILLISECONDS,
     );
     return {
-      members,
+      // The same array while the members are the same, so that they are not ranked again.
+      members: this.#members,
       presentShare: Math.min(presentShare, size / largest),
       settlesInMilliseconds: Math.max(0, settledAt - now),
     };
--- a/packages/placement/src/target_rates.ts
+++ b/packages/placement/src/target_rates.ts
@@ -22,6 +22,9 @@
 /** Time for which the holders of a rate are kept before they are ranked again. */
 const RANKING_MILLISECONDS = 250;
 
+/** Time for which what is known of the fleet is used for all rankings. */
+const FLEET_MILLISECONDS = 50;
+
 /**
  * Lowest rate that is used, in requests per second. Without requests, no VM would learn that a limit
  * has ended.
@@ -69,17 +72,38 @@
   members: readonly RateHolder[],
   presentShare = 1,
 ): RateHolder[] {
-  const ranked = members.map((member) => ({
-    member,
-    isRemote: member.dataCentre !== dataCentre,
-    rank: mixBits(kernel.hashText(`${target} ${member.vm}`)),
-  }));
-  ranked.sort((left, right) =>
-    Number(left.isRemote) - Number(right.isRemote) || left.rank - right.rank
-  );
+  const count = countHolders(requestsPerSecond, presentShare);
+  const first: RankedHolder[] = [];
+  for (const member of members) {
+    const ranked = {
+      member,
+      isRemote: member.dataCentre !== dataCentre,
+      rank: mixBits(kernel.hashText(`${target} ${member.vm}`)),
+    };
+    const last = first[count - 1];
+    if (last === undefined || compareRanks(ranked, last) < 0) {
+      first.push(ranked);
+      first.sort(compareRanks);
+      first.length = Math.min(first.length, count);
+    }
+  }
+  return first.map(({ member }) => member);
+}
+
+interface RankedHolder {
+  readonly member: RateHolder;
+  readonly isRemote: boolean;
+  readonly rank: number;
+}
+
+function compareRanks(left: RankedHolder, right: RankedHolder): number {
+  return Number(left.isRemote) - Number(right.isRemote) || left.rank - right.rank;
+}
+
+/** Number of the VMs that divide a rate in a fleet, or in a part of one. */
+function countHolders(requestsPerSecond: number, presentShare: number): number {
   const holders = MIN_HOLDERS + Math.floor(requestsPerSecond);
-  return ranked.slice(0, Math.floor(holders * presentShare + HOLDER_TOLERANCE))
-    .map(({ member }) => member);
+  return Math.floor(holders * presentShare + HOLDER_TOLERANCE);
 }
 
 /** A request's claim on the rate of its target, by which it can be returned. */
@@ -107,6 +131,17 @@
   spendableFrom: number;
   /** Number of times that this VM has lost its part, with the tokens. */
   period: number;
+  ranking: Ranking | undefined;
+}
+
+/** The latest ranking for a target, which is valid while what it was made from stays the same. */
+interface Ranking {
+  readonly dataCentre: model.DataCentreId;
+  readonly members: readonly RateHolder[];
+  readonly count: number;
+  readonly holders: number;
+  /** This VM's place among the holders; negative if it is none. */
+  readonly index: number;
 }
 
 /** The rates of all targets, as one VM may use them. */
@@ -114,6 +149,8 @@
   readonly #self: model.VmId;
   readonly #getFleet: () => RateFleet;
   readonly #parts = new Map<model.TargetId, RatePart>();
+  #fleet: RateFleet | undefined;
+  #fleetReadAt = Number.NEGATIVE_INFINITY;
 
   constructor(self: model.VmId, getFleet: () => RateFleet) {
     this.#self = self;
@@ -200,6 +237,7 @@
         rankedAt: Number.NEGATIVE_INFINITY,
         spendableFrom: now,
         period: 0,
+        ranking: undefined,
       };
       this.#parts.set(target, part);
     }
@@ -209,25 +247,51 @@
     if (isRankingOld || part.requestsPerSecond !== requestsPerSecond) {
       part.requestsPerSecond = requestsPerSecond;
       part.rankedAt = now;
-      const { members, presentShare, settlesInMilliseconds = 0 } = this.#getFleet();
-      part.spendableFrom = now + settlesInMilliseconds;
-      const holders = presentShare === 0
-        ? []
-        : listRateHolders(target, dataCentre, requestsPerSecond, members, presentShare);
-      const index = holders.findIndex(({ vm }) => vm === this.#self);
+      const fleet = this.#readFleet(now);
+      part.spendableFrom = now + (fleet.settlesInMilliseconds ?? 0);
+      part.ranking = this.#rank(target, dataCentre, requestsPerSecond, fleet, part.ranking);
+      const { holders, index } = part.ranking;
       if (index < 0) {
         part.ownRate = 0;
         part.tokens = 0;
         part.period++;
       } else {
-        part.ownRate = requestsPerSecond / holders.length * presentShare;
+        part.ownRate = requestsPerSecond / holders * fleet.presentShare;
         if (isNew && isSpread) {
-          part.tokens = index / holders.length;
+          part.tokens = index / holders;
         }
       }
     }
     return part;
   }
+
+  /** Reads the fleet once for all targets that are ranked at about the same time. */
+  #readFleet(now: number): RateFleet {
+    if (this.#fleet === undefined || now - this.#fleetReadAt >= FLEET_MILLISECONDS) {
+      this.#fleet = this.#getFleet();
+      this.#fleetReadAt = now;
+    }
+    return this.#fleet;
+  }
+
+  /** Ranks the members for a target, unless the ranking before is still valid. */
+  #rank(
+    target: model.TargetId,
+    dataCentre: model.DataCentreId,
+    requestsPerSecond: number,
+    { members, presentShare }: RateFleet,
+    before: Ranking | undefined,
+  ): Ranking {
+    const count = countHolders(requestsPerSecond, presentShare);
+    const isValid = before?.members === members && before.count === count &&
+      before.dataCentre === dataCentre;
+    if (isValid) {
+      return before;
+    }
+    const holders = listRateHolders(target, dataCentre, requestsPerSecond, members, presentShare);
+    const index = holders.findIndex(({ vm }) => vm === this.#self);
+    return { dataCentre, members, count, holders: holders.length, index };
+  }
 }
 
 /** Spreads a hash over all bits, so that neighbouring texts get unrelated ranks. */
--- a/packages/placement/test/placement_test.ts
+++ b/packages/placement/test/placement_test.ts
@@ -392,7 +392,9 @@
 
   test.test("they get nothing until every warm target is overloaded", () => {
     const cold = createCandidate("cold", COLD);
-    const warm = (load: number) => [createCandidate("w1", { load }), createCandidate("w2", { load })];
+    const warm = (
+      load: number,
+    ) => [createCandidate("w1", { load }), createCandidate("w2", { load })];
     assert.equal(choose([cold, ...warm(1)], WRITE, calmly), "w1", "warm targets have free slots");
     assert.equal(choose([cold, ...warm(4)], WRITE, calmly), "cold");
     const unlimited = { ...cold, isColdRateLimited: false };
--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -59,7 +59,8 @@
       this.#response.useChunkedEncodingByDefault = false;
     }
     this.#response.writeHead(answer.status, head);
-    for (const chunk of answer.chunks) {
+    // A caller that reads slowly would keep them in memory until the end of a long response.
+    for (const chunk of answer.chunks.splice(0)) {
       this.#response.write(chunk);
     }
     if (rest === undefined) {
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -25,7 +25,8 @@
 export interface TargetAnswer {
   readonly status: number;
   readonly headers: readonly string[];
-  readonly chunks: readonly Buffer[];
+  /** What has been read of the body. The one that forwards the response takes it out. */
+  readonly chunks: Buffer[];
   /** The rest of a long response. */
   readonly rest: http.IncomingMessage | undefined;
   /** Whether its end is determined by a length or by chunks, not by the end of the connection. */
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -469,7 +469,8 @@
   }
 
   #receiveFleetSize(payload: unknown): void {
-    const [size, agoMilliseconds]: readonly unknown[] = Array.isArray(payload) ? payload : [];
+    const values: readonly unknown[] = Array.isArray(payload) ? payload : [];
+    const [size, agoMilliseconds] = values;
     const isValid = Number.isFinite(size) && Number.isFinite(agoMilliseconds) &&
       Number(agoMilliseconds) >= 0;
     if (isValid) {
