--- a/packages/proxy/src/publisher.ts
+++ b/packages/proxy/src/publisher.ts
@@ -21,6 +21,9 @@
  */
 const REPEAT_MILLISECONDS = 10_000;
 
+/** Shortest interval at which a VM tells others that an order which they report is withdrawn. */
+const CORRECTION_MILLISECONDS = 1_000;
+
 /** Applies updates from the store and from other VMs, and publishes the new ones to the fleet. */
 export class Publisher {
   readonly #store: declarations.DeclarationStore;
@@ -76,7 +79,9 @@
     });
     vmMesh.addSection(EVACUATIONS_STATE, {
       collect: () => this.#collectEvacuations(),
-      receive: (_from, payload) => this.#receiveEvacuations(payload),
+      receive: (_from, payload) => {
+        this.#receiveEvacuations(payload);
+      },
     });
     vmMesh.addReplicatedState(DECLARATIONS_STATE, {
       digest: {
@@ -254,6 +259,7 @@
       this.#recordEvacuation(change, before.get(change.dataCentre), "peer")
     );
     if (!this.#evacuations.isSuperseded(list)) {
+      this.#correctOutdated(list);
       return applied.length > 0;
     }
     const knownEra = this.#evacuations.mark.asOf?.era;
@@ -270,6 +276,20 @@
     return this.#applyWithdrawals(list) || applied.length > 0;
   }
 
+  /**
+   * Reports the own orders if another VM holds one that is withdrawn. Two VMs that were both cut off
+   * may have told each other of it, and digests are compared only when a link opens.
+   */
+  #correctOutdated(list: declarations.EvacuationList): void {
+    const isOutdated = list.changes.some(({ dataCentre, isEvacuated }) =>
+      isEvacuated && !this.#evacuations.isEvacuated(dataCentre)
+    );
+    const sinceReport = kernel.getMonotonicMilliseconds() - this.#evacuationsReportedAt;
+    if (isOutdated && sinceReport >= CORRECTION_MILLISECONDS) {
+      this.#hasUnreportedEvacuations = true;
+    }
+  }
+
   #applyWithdrawals(list: declarations.EvacuationList): boolean {
     const before = new Map(
       this.#evacuations.listOrders().map(({ dataCentre, since }) => [dataCentre, since]),
--- a/packages/proxy/test/evacuation_test.ts
+++ b/packages/proxy/test/evacuation_test.ts
@@ -4,6 +4,7 @@
 
 import * as assert from "node:assert/strict";
 import type * as http from "node:http";
+import * as stream from "node:stream";
 import * as test from "node:test";
 import * as declarations from "@hemlockwalk/declarations";
 import * as fixtures from "@hemlockwalk/declarations/testing";
@@ -13,6 +14,7 @@
 import * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
 import * as proxy from "@hemlockwalk/proxy";
+import * as monitors from "../src/evacuation_monitor.ts";
 import * as peers from "../src/serving_peers.ts";
 import * as trackers from "../src/target_tracker.ts";
 import * as harness from "./harness.ts";
@@ -299,6 +301,54 @@
   assert.equal(list([NORTH], [US]), "north-0", "the region in which the request already is");
 });
 
+test.it("names without a data centre or region are warned of once, and orders are exported", async () => {
+  const clock = new testing.TestClock();
+  try {
+    const codes: number[] = [];
+    const output = new stream.Writable({
+      write: (line: Buffer, _encoding, callback) => {
+        codes.push((JSON.parse(line.toString()) as { code: number }).code);
+        callback();
+      },
+    });
+    const logger = new kernel.ComponentLogger(
+      kernel.createOutputLogger("vm", "info", output),
+      "declarations",
+    );
+    const store = new declarations.DeclarationStore();
+    const evacuations = new declarations.Evacuations();
+    const metrics = new kernel.Metrics();
+    const monitor = new monitors.EvacuationMonitor(
+      store,
+      new declarations.TargetDirectory(),
+      evacuations,
+      new placement.HomePolicy(REGIONS),
+      logger,
+      metrics,
+    );
+    for (const version of [1, 2]) {
+      const homes = [EU, model.createRegionId("ue")];
+      const routes = [fixtures.createRoute({ homes })];
+      store.apply(fixtures.createDeclarations(version, { routes }));
+    }
+    for (const [index, name] of ["north", "nroth"].entries()) {
+      const dataCentre = model.createDataCentreId(name);
+      const position = fixtures.createPosition(index + 3);
+      evacuations.apply({ dataCentre, position, isEvacuated: true });
+    }
+    await clock.advance(6_000);
+    monitor.check();
+    monitor.check();
+    const { homeUnknown, evacuationUnknown } = kernel.LogMessages;
+    assert.deepEqual(codes, [homeUnknown.code, evacuationUnknown.code]);
+    const text = await metrics.registry.metrics();
+    assert.match(text, /hemlockwalk_evacuated_data_centres 2/);
+    assert.match(text, /hemlockwalk_evacuated_seconds\{data_centre="nroth"\} 6/);
+  } finally {
+    clock.restore();
+  }
+});
+
 test.describe("the messages on orders", () => {
   test.test("a VM that was cut off while the store was restored does not end an order at once", async () => {
     const clock = new testing.TestClock();
@@ -333,6 +383,22 @@
     assert.equal(vm.report(), undefined, "sent once, and then at intervals");
   });
 
+  test.test("two VMs that were cut off are told that an order is withdrawn", () => {
+    const [early, late, current] = ["early", "late", "current"].map((name) => new MessageVm(name));
+    assert.ok(early !== undefined && late !== undefined && current !== undefined);
+    const order = { dataCentre: NORTH, position: fixtures.createPosition(7), isEvacuated: true };
+    early.publisher.publishEvacuations([], undefined, fixtures.createPosition(5));
+    late.publisher.publishEvacuations([order], undefined, fixtures.createPosition(8));
+    // The order was withdrawn at 10.
+    current.publisher.publishEvacuations([], undefined, fixtures.createPosition(20));
+    early.hear(late);
+    assert.equal(early.evacuations.isEvacuated(NORTH), true, "it cannot know better");
+    current.receiveReport(early.report());
+    assert.equal(current.evacuations.isEvacuated(NORTH), false);
+    early.receiveReport(current.report());
+    assert.equal(early.evacuations.isEvacuated(NORTH), false);
+  });
+
   test.test("a malformed or unknown message changes nothing", () => {
     const vm = new MessageVm("vm");
     const order = { dataCentre: NORTH, position: fixtures.createPosition(9), isEvacuated: true };
