--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -7,6 +7,7 @@
 import * as check from "./commands/check.ts";
 import * as compact from "./commands/compact.ts";
 import * as diff from "./commands/diff.ts";
+import * as evacuations from "./commands/evacuations.ts";
 import * as explain from "./commands/explain.ts";
 import * as explainRequest from "./commands/explain_request.ts";
 import * as keyNew from "./commands/key_new.ts";
@@ -36,6 +37,7 @@
     check: check.checkCommand,
     compact: compact.compactCommand,
     diff: diff.diffCommand,
+    evacuations: evacuations.evacuationsCommand,
     explain: explain.explainCommand,
     "explain-request": explainRequest.explainRequestCommand,
     key: keyCommand,
