Hedged requests: decision, race, options and counters

Change: placement/hedging.ts decides when a second attempt is due (a quantile of the route's processing times), whether it is made (each reason to withhold it has a name) and how many a service may get. proxy/hedged_call.ts races the two attempts; request_handler.ts calls it for the first attempt of idempotent requests where hedging is on. platform/options.ts reads the operators' options from HEMLOCKWALK_OPTIONS. Off by default: no timer, no quantile.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -66,6 +66,21 @@
     text: "The settings file cannot be accessed.",
     fields: { error: "Error of the file system." },
   },
+  optionsReloaded: {
+    code: 1104,
+    level: "info",
+    text: "The operators' options were read.",
+    fields: {
+      maxExtraShare: "Extra attempts allowed for each request of a service by hedging; 0: none.",
+      services: "The same for single services, as JSON text.",
+    },
+  },
+  optionsRejected: {
+    code: 1105,
+    level: "error",
+    text: "The operators' options are invalid; those in force, or the defaults, remain in effect.",
+    fields: { error: "What is wrong and where in the file, by numbered findings." },
+  },
   standstill: {
     code: 1201,
     level: "warn",
@@ -428,6 +443,22 @@
     fingerprint: "Fingerprint of the request, the same for each repetition of it.",
   },
   retried: { retryLevel: "Share of the service's retry budget that was left." },
+  hedged: {
+    target: "The second target, while the first one still runs the request.",
+    after: "Milliseconds since the start of the first attempt.",
+    sickness: "Estimated failure probability of the first target.",
+    retryLevel: "Share of the service's retry budget that was left.",
+  },
+  hedge_withheld: {
+    reason: "Why no second target was tried although the first one takes unusually long.",
+    after: "Milliseconds since the start of the first attempt.",
+    sickness: "Estimated failure probability of the first target.",
+    retryLevel: "Share of the service's retry budget that was left.",
+  },
+  hedge_ended: {
+    returned: "Attempt whose response is returned: `first`, `second` or `none`.",
+    cancelled: "Whether the other attempt was cancelled while it ran.",
+  },
   target_notice: {
     target: "The target.",
     leaving: "Whether its response said that it leaves.",
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./chooser.ts";
 export * from "./crash_evidence.ts";
 export * from "./health_estimate.ts";
+export * from "./hedging.ts";
 export * from "./isolation.ts";
 export * from "./peer_choice.ts";
 export * from "./processing_times.ts";
--- a/packages/proxy/src/crash_monitor.ts
+++ b/packages/proxy/src/crash_monitor.ts
@@ -71,6 +71,11 @@
     return this.#evidence.findQuarantine(fingerprint);
   }
 
+  /** Whether a target has ended under a request since it last succeeded. */
+  hasEnds(fingerprint: model.RequestFingerprint): boolean {
+    return this.#evidence.hasEnds(fingerprint);
+  }
+
   /** Records that a call broke off while its target may have been running the request. */
   recordBreak(target: declarations.TargetEntry, fingerprint: model.RequestFingerprint): void {
     const brokenAt = kernel.getMonotonicMilliseconds();
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -10,6 +10,7 @@
 import * as budgets from "./budgets.ts";
 import * as crashes from "./crash_monitor.ts";
 import * as forwarded from "./forwarded_requests.ts";
+import * as hedges from "./hedges.ts";
 import * as publishers from "./publisher.ts";
 import * as rateStatements from "./rate_statements.ts";
 import * as listeners from "./listener.ts";
@@ -20,7 +21,7 @@
 import * as connections from "./target_connections.ts";
 import * as targetEndChecks from "./target_end_check.ts";
 import * as trackers from "./target_tracker.ts";
-import type * as types from "./types.ts";
+import * as types from "./types.ts";
 import * as requestQueues from "./request_queues.ts";
 
 const HOUSEKEEPING_INTERVAL_MILLISECONDS = 1_000;
@@ -41,6 +42,8 @@
   readonly bounds: types.ProxyBounds;
   /** Whether the whole fleet starts for the first time. */
   readonly isFirstStart: boolean;
+  /** Returns the options on hedging in force; absent: none. */
+  readonly getHedging?: () => types.HedgingOptions;
   readonly rootLogger: bunyan;
 }
 
@@ -125,6 +128,7 @@
       createLogger("budgets"),
     ),
   );
+  const vmHedges = new hedges.Hedges(options.getHedging ?? (() => types.NO_HEDGING), metrics);
   const startGate = vm.register(
     kernel.createServiceName<gates.StartGate>("start-gate"),
     new gates.StartGate(store, directory),
@@ -143,6 +147,7 @@
         store,
         tracker,
         budgets: sharedBudgets,
+        hedges: vmHedges,
         connections: targetConnections,
         recordLeaving: (target) => publisher.publishLeaving(target),
         recordRate: (target, notice) => statements.record(target, notice),
--- a/packages/proxy/src/request_context.ts
+++ b/packages/proxy/src/request_context.ts
@@ -6,6 +6,7 @@
 import type * as budgets from "./budgets.ts";
 import type * as crashes from "./crash_monitor.ts";
 import type * as forwarded from "./forwarded_requests.ts";
+import type * as hedges from "./hedges.ts";
 import type * as log from "./request_log.ts";
 import type * as gates from "./start_gate.ts";
 import type * as calls from "./target_call.ts";
@@ -22,6 +23,7 @@
   readonly store: declarations.DeclarationStore;
   readonly tracker: trackers.TargetTracker;
   readonly budgets: budgets.Budgets;
+  readonly hedges: hedges.Hedges;
   readonly connections: connections.TargetConnections;
   readonly log: log.RequestLog;
   readonly crashes: crashes.CrashMonitor;
--- a/packages/proxy/src/request_evidence.ts
+++ b/packages/proxy/src/request_evidence.ts
@@ -55,6 +55,12 @@
     return { status: 503, reason: "quarantined", retryAfterSeconds };
   }
 
+  /** Whether a target has ended under the request since it last succeeded. */
+  haveTargetsEnded(accepted: types.AcceptedRequest, body: bodies.RequestBody): boolean {
+    const { crashes } = this.#context;
+    return !crashes.isIdle && crashes.hasEnds(this.#getFingerprint(accepted, body));
+  }
+
   /**
    * Records that a call failed.
    *
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -11,6 +11,7 @@
 import type * as connections from "./caller_connection.ts";
 import * as answers from "./final_answer.ts";
 import * as forwarding from "./forwarding.ts";
+import * as hedgedCalls from "./hedged_call.ts";
 import * as passingOn from "./passing_on.ts";
 import * as refusals from "./refusals.ts";
 import type * as contexts from "./request_context.ts";
@@ -169,6 +170,7 @@
     }
     if (!this.#isForwarded) {
       this.#context.budgets.countRequest(accepted.service);
+      this.#context.hedges.countRequest(accepted.service);
     }
     await this.#serve(accepted, read.body);
   }
@@ -226,7 +228,7 @@
           });
           return;
         }
-        result = await this.#call(accepted, body, placed);
+        result = await this.#callPlaced(accepted, body, placed.target);
       } while (!this.#finalAnswer.isDecided && this.#mayRetry(accepted, body, result));
       if (!this.#finalAnswer.isDecided && result !== undefined && !this.#caller.signal.aborted) {
         this.#answer(accepted, result);
@@ -253,18 +255,43 @@
       : Math.ceil(wait.milliseconds / 100) / 10;
   }
 
+  /** Sends the request to its target and, where hedging is on, to a second one if that is slow. */
+  #callPlaced(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+    placed: model.TargetId,
+  ): Promise<calls.CallResult> {
+    const mayBeHedged = accepted.route.isIdempotent && !this.#hasAttempted &&
+      this.#context.hedges.getShare(accepted.service) > 0;
+    return !mayBeHedged ? this.#call(accepted, body, placed) : hedgedCalls.callHedged({
+      context: this.#context,
+      trace: this.#trace,
+      accepted,
+      tried: this.#tried,
+      getSituation: () => ({
+        isPassedOn: this.#isForwarded,
+        isBuffered: body.isBuffered,
+        attemptsLeft: accepted.route.attempts - this.#tried.size,
+        isQuarantined: this.#evidence.findRefusal(accepted, body) !== undefined,
+        haveTargetsEnded: this.#evidence.haveTargetsEnded(accepted, body),
+      }),
+      call: (target, attempt) => this.#call(accepted, body, target, attempt),
+    }, placed);
+  }
+
   async #call(
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
-    placed: Extract<placers.Placement, { kind: "placed" }>,
+    placed: model.TargetId,
+    controller = new AbortController(),
   ): Promise<calls.CallResult> {
     const { tracker, profile, connections: targetConnections } = this.#context;
     const target = kernel.getDefined(
-      tracker.findTarget(placed.target),
+      tracker.findTarget(placed),
       "A candidate is in the directory.",
     );
     this.#tried.add(target.id);
-    const { attempt, release } = this.#startAttempt(accepted, body);
+    const { attempt, release } = this.#startAttempt(accepted, body, controller);
     const silence = this.#startSilenceTimer(accepted, attempt);
     const startedAt = kernel.getMonotonicMilliseconds();
     const stopSurvivalTimer = this.#startSurvivalTimer(target.id, startedAt);
@@ -297,8 +324,11 @@
   }
 
   /** Starts an attempt, which is cancelled with the caller's request where that is safe. */
-  #startAttempt(accepted: types.AcceptedRequest, body: bodies.RequestBody) {
-    const attempt = new AbortController();
+  #startAttempt(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+    attempt = new AbortController(),
+  ) {
     const onAbort = () => {
       // A request that must not run twice is not cancelled: its caller may later ask for the
       // outcome.
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -180,6 +180,11 @@
     });
   }
 
+  /** Probability, from 0 to 1, that a target is failing now. */
+  getFailureProbability(target: model.TargetId): number {
+    return this.#getRecord(target).health.failureProbability;
+  }
+
   findTarget(target: model.TargetId): declarations.TargetEntry | undefined {
     return this.#directory.find(target);
   }
--- a/packages/proxy/src/types.ts
+++ b/packages/proxy/src/types.ts
@@ -46,6 +46,17 @@
   readonly graceMilliseconds: number;
 }
 
+/** The operators' options on second attempts at other targets while the first still run. */
+export interface HedgingOptions {
+  /** Extra attempts allowed for each request of a service, from 0 to 0.2; 0: none. */
+  readonly maxExtraShare: number;
+  /** The same for single services, in place of the above. */
+  readonly services: ReadonlyMap<string, number>;
+}
+
+/** The options if there are none: no second attempts. */
+export const NO_HEDGING: HedgingOptions = { maxExtraShare: 0, services: new Map() };
+
 /** The stop of a VM. */
 export interface StopState {
   /** Whether it has been asked to stop; it still accepts connections. */
--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -281,13 +281,16 @@
   port = 0;
   peerAddress = "";
   readonly #options: TestVmOptions;
+  readonly #hedging: proxy.HedgingOptions;
   #vm: proxy.ProxyVm | undefined;
   #nextRequest = 1;
 
   constructor(
     options: TestVmOptions = { name: "vm", store: new MemoryStore(), seeds: [] },
+    hedging: proxy.HedgingOptions = proxy.NO_HEDGING,
   ) {
     this.#options = options;
+    this.#hedging = hedging;
     this.store = options.store;
   }
 
@@ -330,6 +333,7 @@
       profile: PROFILE,
       bounds: BOUNDS,
       isFirstStart: true,
+      getHedging: () => this.#hedging,
       rootLogger,
     });
     const logger = new kernel.ComponentLogger(rootLogger, "store");
@@ -362,6 +366,16 @@
     );
   }
 
+  /** Value of a counter for some labels; 0 if it was never increased. */
+  async readCounter(name: string, labels: Record<string, string>): Promise<number> {
+    const { registry } = this.#vm?.kernel.get(kernel.METRICS) ?? assert.fail();
+    const metric = await registry.getSingleMetric(name)?.get();
+    const found = metric?.values.find((value) =>
+      Object.entries(labels).every(([label, text]) => value.labels[label] === text)
+    );
+    return found?.value ?? 0;
+  }
+
   async stop(): Promise<void> {
     await this.#vm?.kernel.stop();
     this.targets.forEach((target) => target.stop());
