--- a/packages/placement/src/hedging.ts
+++ b/packages/placement/src/hedging.ts
@@ -124,7 +124,7 @@
   /** No other healthy target has a free slot within its rate. */
   "no_free_slot",
   /** Less than half of the service's retry budget is left. */
-  "retry_budget",
+  "retries_low",
   /** The service's share of extra attempts is used up. */
   "share_used",
 ] as const;
@@ -172,7 +172,7 @@
     no_time: situation.leftMilliseconds < situation.meanProcessingMilliseconds,
     requests_wait: situation.waitingRequests > 0,
     no_free_slot: !situation.hasTarget,
-    retry_budget: situation.retryLevel < MIN_RETRY_LEVEL,
+    retries_low: situation.retryLevel < MIN_RETRY_LEVEL,
     share_used: !situation.isWithinShare,
   };
   return HEDGE_OBSTACLES.find((obstacle) => found[obstacle]);
--- a/packages/placement/test/hedging_test.ts
+++ b/packages/placement/test/hedging_test.ts
@@ -174,7 +174,7 @@
     no_time: { leftMilliseconds: 149 },
     requests_wait: { waitingRequests: 1 },
     no_free_slot: { hasTarget: false },
-    retry_budget: { retryLevel: 0.49 },
+    retries_low: { retryLevel: 0.49 },
     share_used: { isWithinShare: false },
   };
   for (const [obstacle, changes] of Object.entries(cases)) {
--- a/packages/proxy/src/hedged_call.ts
+++ b/packages/proxy/src/hedged_call.ts
@@ -200,7 +200,7 @@
       isWithinShare: hedges.isWithinShare(service),
     });
     if (obstacle === undefined && !budgets.takeRetry(service)) {
-      obstacle = "retry_budget";
+      obstacle = "retries_low";
     }
     const inputs = {
       after: Math.round(this.#getElapsed()),
--- a/packages/proxy/test/hedged_call_test.ts
+++ b/packages/proxy/test/hedged_call_test.ts
@@ -356,7 +356,7 @@
     stopping: (fixture) => fixture.isStopping = true,
     requests_wait: (fixture) => fixture.waiting = 1,
     no_free_slot: (fixture) => fixture.tried.add(SECOND),
-    retry_budget: (fixture) => fixture.retryLevel = 0.4,
+    retries_low: (fixture) => fixture.retryLevel = 0.4,
     share_used: (fixture) => fixture.isWithinShare = false,
   };
   for (const [reason, prepare] of Object.entries(withheld)) {
@@ -377,7 +377,7 @@
   test.it("is made although the other VMs have taken the last retry meanwhile", async () => {
     await withFixture(async (fixture) => {
       await fixture.advance(DELAY + 20);
-      assert.deepEqual(fixture.events, ["withheld retry_budget"]);
+      assert.deepEqual(fixture.events, ["withheld retries_low"]);
     }, (fixture) => fixture.hasRetry = false);
   });
 
--- a/packages/proxy/test/hedging_test.ts
+++ b/packages/proxy/test/hedging_test.ts
@@ -121,6 +121,65 @@
     });
   }
 
+  test.it("stay at one of the two targets after the caller has left", async () => {
+    await withHedgingVm(ON, async (vm) => {
+      const arrived: model.TargetId[] = [];
+      const closed: model.TargetId[] = [];
+      for (const target of vm.targets) {
+        target.behaviour = (request) => {
+          arrived.push(target.id);
+          request.socket.once("close", () => closed.push(target.id));
+        };
+      }
+      const caller = new AbortController();
+      const headers = { [harness.PROFILE.requestId]: "left" };
+      const request = { method: "GET", path: "/reads/1", headers, signal: caller.signal };
+      const answer = vm.call(request);
+      await harness.waitFor(() => arrived.length === 2, "both targets run the request", 1_000);
+      caller.abort();
+      await answer;
+      await harness.waitFor(() => closed.length === 2, "both calls have ended", 1_000);
+      await harness.waitFor(() => vm.log.some(({ request }) => request === "left"), "a trace");
+      const { line, steps } = vm.getTrace("left");
+      assert.equal(line.outcome, "caller_left");
+      assert.ok(steps.some(({ step }) => step === "hedged"));
+      assert.ok(!steps.some(({ step }) => step === "retried"));
+      assert.equal(arrived.length, 2);
+    });
+  });
+
+  test.it("are lost or repeated without a retry because the second target rejects them", async () => {
+    await withHedgingVm(ON, async (vm) => {
+      const served: Served = { arrivals: [], closed: [] };
+      for (const target of vm.targets) {
+        target.behaviour = (request, response) => {
+          served.arrivals.push({ target: target.id, request });
+          if (served.arrivals.length === 1) {
+            const ready = () => harness.answerSuccess(request, response);
+            // After the second attempt, and before the first one is given up.
+            const timer = setInterval(() => {
+              if (served.arrivals.length === 2) {
+                clearInterval(timer);
+                setTimeout(ready, 5);
+              }
+            }, 1);
+            request.socket.once("close", () => clearInterval(timer));
+          } else {
+            const id = request.headers[harness.PROFILE.requestId];
+            response.writeHead(503, {
+              [harness.PROFILE.requestId]: id,
+              [harness.PROFILE.notRun]: "1",
+            }).end();
+          }
+        };
+      }
+      const answer = await vm.call({ method: "GET", path: "/reads/1" });
+      assert.deepEqual([answer.status, answer.body], [200, "done"]);
+      assert.equal(served.arrivals.length, 2);
+      assert.equal(await vm.readCounter("hemlockwalk_hedges_total", { event: "won" }), 0);
+    });
+  });
+
   test.it("are sent although the operators have not switched hedging on for the service", async () => {
     const services = new Map([["desk", 0]]);
     for (const hedging of [{ ...ON, maxExtraShare: 0 }, { ...ON, services }]) {
