--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./crash_evidence.ts";
 export * from "./fleet_memory.ts";
 export * from "./health_estimate.ts";
+export * from "./hedging.ts";
 export * from "./home_policy.ts";
 export * from "./isolation.ts";
 export * from "./peer_choice.ts";
--- a/packages/placement/src/request_queue.ts
+++ b/packages/placement/src/request_queue.ts
@@ -93,6 +93,10 @@
     this.#stopWhenEmpty();
   }
 
+  includes(request: QueuedRequest): boolean {
+    return this.#requests.includes(request);
+  }
+
   /** Places the requests that can be placed and removes those whose time is over. */
   advance(): void {
     const now = kernel.getMonotonicMilliseconds();
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -12,6 +12,7 @@
 import * as crashes from "./crash_monitor.ts";
 import * as evacuationMonitors from "./evacuation_monitor.ts";
 import * as forwarded from "./forwarded_requests.ts";
+import * as hedges from "./hedges.ts";
 import * as publishers from "./publisher.ts";
 import * as rateStatements from "./rate_statements.ts";
 import * as listeners from "./listener.ts";
@@ -22,7 +23,7 @@
 import * as connections from "./target_connections.ts";
 import * as targetEndChecks from "./target_end_check.ts";
 import * as trackers from "./target_tracker.ts";
-import type * as types from "./types.ts";
+import * as types from "./types.ts";
 import * as requestQueues from "./request_queues.ts";
 
 const HOUSEKEEPING_INTERVAL_MILLISECONDS = 1_000;
@@ -45,6 +46,8 @@
   readonly regions?: placement.Regions | undefined;
   /** Whether the whole fleet starts for the first time. */
   readonly isFirstStart: boolean;
+  /** Returns the options on hedging in force; absent: none. */
+  readonly getHedging?: () => types.HedgingOptions;
   readonly rootLogger: bunyan;
 }
 
@@ -146,6 +149,7 @@
       metrics,
     ),
   );
+  const vmHedges = new hedges.Hedges(options.getHedging ?? (() => types.NO_HEDGING), metrics);
   const startGate = vm.register(
     kernel.createServiceName<gates.StartGate>("start-gate"),
     new gates.StartGate(store, directory, {
@@ -167,6 +171,7 @@
         store,
         tracker,
         budgets: sharedBudgets,
+        hedges: vmHedges,
         connections: targetConnections,
         recordLeaving: (target) => publisher.publishLeaving(target),
         recordRate: (target, notice) => statements.record(target, notice),
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -27,14 +27,16 @@
  */
 const MIN_RETRY_LEVEL = 0.2;
 
+/** A target that was chosen for an attempt. */
+export interface PlacedTarget {
+  readonly target: model.TargetId;
+  /** What was taken of the target's rate; undefined if it is not limited. */
+  readonly rateToken: placement.RateToken | undefined;
+}
+
 /** The target of a request, or why it has none. */
 export type Placement =
-  | {
-    readonly kind: "placed";
-    readonly target: model.TargetId;
-    /** What was taken of the target's rate; undefined if it is not limited. */
-    readonly rateToken: placement.RateToken | undefined;
-  }
+  | PlacedTarget & { readonly kind: "placed" }
   | { readonly kind: "refused"; readonly reason: types.RefusalReason };
 
 /** Chooses the targets of one request, one after another. */
@@ -219,8 +221,23 @@
       };
       this.#caller.addEventListener("abort", onAbort, { once: true });
       queue.add(queued);
-      if (mayBePlacedNow) {
-        queue.advance();
+      if (!mayBePlacedNow) {
+        return;
+      }
+      queue.advance();
+      // Those before it may have taken what it could have had.
+      const refused = queue.includes(queued)
+        ? this.#refuseIfHopeless(
+          accepted,
+          placementRequest,
+          waitUntil,
+          queue.countAhead(accepted.priority) - 1,
+        )
+        : undefined;
+      if (refused !== undefined) {
+        queue.remove(queued);
+        this.#caller.removeEventListener("abort", onAbort);
+        resolve(refused);
       }
     });
   }
