--- a/scripts/fuzz.mjs
+++ b/scripts/fuzz.mjs
@@ -40,6 +40,11 @@
     test: "all VMs together keep to rate and burst within the tolerated excess",
     runs: 40,
   },
+  cold: {
+    file: "packages/proxy/dist/test/cold_targets_test.js",
+    test: "a cold target gets more in a second than it can handle",
+    runs: 100,
+  },
   relays: {
     file: "packages/mesh/dist/test/failover_test.js",
     test: "updates in quick succession come late in a drawn history of frozen VMs",
