Bundle jsonc-parser by its module build

Cause: with the options file, the program bundles jsonc-parser for the first time. Its main file loads its parts by a function that the bundler does not see, so the bundled program ended at its start with MODULE_NOT_FOUND; closing_connections_test failed in its hook, since no VM became ready.

Change: an alias to the library's module build.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -53,6 +53,8 @@
   target: "node20",
   format: "esm",
   conditions: ["source"],
+  // Its main file loads its parts by a function that the bundler does not see.
+  alias: { "jsonc-parser": "jsonc-parser/lib/esm/main.js" },
   // Optional dependencies of the logging and WebSocket libraries, which are not used.
   external: ["dtrace-provider", "bufferutil", "utf-8-validate"],
   banner: {
