Open calls as evidence, and a sample of the targets for each request

Cause: a target that hangs was found only at the time limit of its first call. Until then its calls outlast the time within which errors arrive, which made it look healthy. In the play of 115 VMs, load reports 80 to 250 ms old also made all VMs choose the same few targets; these shed requests, were suspected for it, and the load moved on to still fewer.

Change: a call that runs for three mean times of its route at the target, or for the objective, is reported as `overdue`; a late success withdraws it (`late`). Both travel in a section of their own, `open_calls`: in `outcomes`, a VM of the previous version would throw on an unknown name. Unknown or malformed outcomes are ignored with one log line per VM (4103). A VM that stood still or is isolated reports no overdue calls. Of more than 12 targets, a request considers a random sample of 12 per group (own data centre, others). The played targets now queue 8 requests and shed further ones, as emulated targets do.

Sampling only targets that are not suspected was ruled out: the load fell on the few others again.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -253,6 +253,12 @@
     text: "A target stated an invalid rate, which is ignored.",
     fields: { target: "The target.", stated: "What the target stated." },
   },
+  peerEvidenceIgnored: {
+    code: 4103,
+    level: "warn",
+    text: "A VM has reported evidence that this VM does not know; it is ignored.",
+    fields: { vm: "The VM that reported it.", evidence: "The first part that is not known." },
+  },
   targetSuspected: {
     code: 4101,
     level: "info",
--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -7,6 +7,10 @@
  * retried also probe targets without a recent outcome, so that requests that may not be retried
  * find targets that have recently been healthy. Where a service gets too few of the former, some of
  * the latter also probe.
+ *
+ * The load of a target is known only as of 80 to 250 ms ago. If all VMs chose the best of many
+ * targets, they would all choose the same few in that time and overload them. Each request therefore
+ * considers a random sample of the targets.
  */
 
 import type * as model from "@hemlockwalk/model";
@@ -65,6 +69,12 @@
  */
 const WARM_UP_WEIGHT = 1;
 
+/**
+ * Most targets of the own data centre, and of all others, that a request considers. With the load of
+ * 115 VMs over 136 targets, 8 and 24 gave more failures than 12.
+ */
+const SAMPLE_SIZE = 12;
+
 /** Targets are probed once they have been without an outcome for this long. */
 const PROBE_AFTER_MILLISECONDS = 500;
 
@@ -127,10 +137,10 @@
   }
   let best: Candidate | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
-  for (const candidate of candidates) {
-    if (candidate.load >= candidate.slots + request.allowedOverflow) {
-      continue;
-    }
+  const free = candidates.filter((candidate) =>
+    candidate.load < candidate.slots + request.allowedOverflow
+  );
+  for (const candidate of drawSample(free, random)) {
     // Random noise prevents VMs with the same information from choosing the same target at once.
     const cost = getCost(candidate, request) +
       random() * UTILIZATION_WEIGHT * request.meanProcessingMilliseconds /
@@ -162,6 +172,29 @@
     (candidate.isUnreachable ? UNREACHABLE_COST_IN_OBJECTIVES * request.objectiveMilliseconds : 0);
 }
 
+/**
+ * Draws a sample for each of the own data centre and the others; few targets are all considered.
+ * Targets that are probably failing are part of it: without them the load would again fall on the
+ * few others, which would shed it and be suspected in turn.
+ */
+function drawSample(
+  candidates: readonly Candidate[],
+  random: () => number,
+): readonly Candidate[] {
+  const groups = [false, true].map((isRemote) =>
+    candidates.filter((candidate) => candidate.isRemote === isRemote && !candidate.isUnreachable)
+  );
+  if (groups.every((group) => group.length <= SAMPLE_SIZE)) {
+    return candidates;
+  }
+  return groups.flatMap((group) =>
+    Array.from(
+      { length: Math.min(SAMPLE_SIZE, group.length) },
+      () => group.splice(Math.floor(random() * group.length), 1),
+    ).flat()
+  );
+}
+
 /** Returns the target that a retryable request is to probe, if any. */
 function findProbeTarget(
   candidates: readonly Candidate[],
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./crash_evidence.ts";
 export * from "./health_estimate.ts";
 export * from "./isolation.ts";
+export * from "./open_calls.ts";
 export * from "./peer_choice.ts";
 export * from "./processing_times.ts";
 export * from "./request_queue.ts";
--- a/packages/placement/test/uneven_targets_test.ts
+++ b/packages/placement/test/uneven_targets_test.ts
@@ -19,6 +19,11 @@
 const SLOTS = 4;
 const REQUESTS_PER_MILLISECOND = 0.64;
 const REPEATABLE_SHARE = 0.29;
+/** Requests that may wait at a target; it sheds further ones. */
+const QUEUE_LENGTH = 8;
+const ROUND_TRIP = 5;
+/** By this time all VMs may know of the first overdue call: three mean times, and 250 ms to tell. */
+const DETECTABLE_AFTER = 970;
 const ATTEMPTS = 3;
 const OBJECTIVE = 1_000;
 const TIME_LIMIT = 1_500;
@@ -65,7 +70,8 @@
   readonly #failing: readonly Period[];
   readonly #hanging: readonly Period[];
   readonly #slow: readonly Period[];
-  readonly #freeAt = new Array<number>(SLOTS).fill(0);
+  /** Times at which the requests that run or wait there end. */
+  #endsAt: number[] = [];
   requests = 0;
 
   constructor(index: number, random: Random) {
@@ -75,21 +81,36 @@
     this.#slow = drawPeriods(random, 0.16, () => 6_000);
   }
 
-  /** Serves a request at a slot, once one is free. */
-  serve(now: number, request: Request): { endsAt: number; isError: boolean; hangs: boolean } {
+  /** Serves a request once a slot is free; sheds it if too many others wait already. */
+  serve(now: number, request: Request): Served {
     this.requests++;
-    const slot = this.#freeAt.indexOf(Math.min(...this.#freeAt));
-    const begin = Math.max(now, this.#freeAt[slot] ?? 0);
-    const hangs = findPeriod(this.#hanging, begin) !== undefined && request.luck < 2 / 3;
-    const isError = !hangs && findPeriod(this.#failing, begin) !== undefined &&
-      request.luck * 7 % 1 < 0.9;
+    if (findPeriod(this.#hanging, now) !== undefined && request.luck < 2 / 3) {
+      (request as any).age = Math.floor((now - (findPeriod(this.#hanging, now)?.from ?? 0)) / 500);
+      const { from } = findPeriod(this.#hanging, now) ?? assert.fail();
+      return { endsAt: Infinity, result: "silent", hungFor: now - from };
+    }
+    if (findPeriod(this.#failing, now) !== undefined && request.luck * 7 % 1 < 0.9) {
+      return { endsAt: now + ROUND_TRIP, result: "error" };
+    }
+    this.#endsAt = this.#endsAt.filter((endsAt) => endsAt > now).sort((a, b) => a - b);
+    if (this.#endsAt.length >= SLOTS + QUEUE_LENGTH) {
+      return { endsAt: now + ROUND_TRIP, result: "shed" };
+    }
+    const begin = this.#endsAt[this.#endsAt.length - SLOTS] ?? now;
     const factor = findPeriod(this.#slow, begin)?.factor ?? 1;
-    const endsAt = hangs ? Infinity : begin + (isError ? 5 : request.processingTime * factor);
-    this.#freeAt[slot] = Math.min(endsAt, begin + TIME_LIMIT);
-    return { endsAt, isError, hangs };
+    const endsAt = begin + request.processingTime * factor;
+    this.#endsAt.push(endsAt);
+    return { endsAt, result: "success" };
   }
 }
 
+interface Served {
+  readonly endsAt: number;
+  readonly result: "success" | "error" | "shed" | "silent";
+  /** Time for which the target has been hanging, if it hangs on the request. */
+  readonly hungFor?: number;
+}
+
 interface Request {
   readonly arrivedAt: number;
   readonly vm: number;
@@ -123,17 +144,29 @@
 class Counts {
   errors = 0;
   hangs = 0;
+  /** Waits at targets that had been hanging for longer than `DETECTABLE_AFTER`. */
+  detectableHangs = 0;
   otherTimeouts = 0;
+  refused = 0;
   requests = 0;
   withinObjective = 0;
 
   get failures(): number {
-    return this.errors + this.hangs + this.otherTimeouts;
+    return this.errors + this.hangs + this.otherTimeouts + this.refused;
   }
 }
 
+type Failure = "errors" | "hangs" | "otherTimeouts" | "refused";
+
+const RESULT_COUNTS = {
+  success: "success",
+  error: "errors",
+  silent: "otherTimeouts",
+  shed: "refused",
+} as const;
+
 /** Which evidence the VMs use. */
-type Evidence = "none" | "ended calls";
+type Evidence = "none" | "ended calls" | "open calls";
 
 class Play {
   readonly first = new Counts();
@@ -177,8 +210,9 @@
 
   describe(): string {
     const [first, later] = [this.first, this.later].map((counts) =>
-      `${counts.errors} errors, ${counts.hangs} waits at hanging targets, ` +
-      `${counts.otherTimeouts} other timeouts, ` +
+      `${counts.errors} errors, ${counts.hangs} waits at hanging targets ` +
+      `(${counts.detectableHangs} after detection was possible), ` +
+      `${counts.otherTimeouts} other timeouts, ${counts.refused} refused, ` +
       `${
         (counts.withinObjective / counts.requests * 100).toFixed(1)
       }% of ${counts.requests} in time`
@@ -246,7 +280,7 @@
       if (this.#now < request.arrivedAt + OBJECTIVE / 2) {
         this.#at(this.#now + 10, () => this.#send(request));
       } else {
-        this.#finish(request, "otherTimeouts");
+        this.#finish(request, "refused");
       }
       return;
     }
@@ -255,7 +289,10 @@
     request.tried.add(index);
     this.#changeLoad(request.vm, index, 1);
     const served = target.serve(startedAt, request);
-    const mayRetry = request.isRepeatable && request.tried.size < ATTEMPTS;
+    (request as any).p = this.#getVm(request.vm).health[index]!.failureProbability;
+    (request as any).rel = times.getRelativeTime(target.id);
+    const mayRetry = request.tried.size < ATTEMPTS &&
+      (request.isRepeatable || served.result === "shed");
     const silentAt = Math.min(
       request.arrivedAt + TIME_LIMIT,
       mayRetry ? startedAt + SILENT_AFTER_MEAN_TIMES * mean : Infinity,
@@ -266,21 +303,30 @@
     if (endsAt > startedAt + SURVIVAL) {
       this.#at(startedAt + SURVIVAL, () => record("survived"));
     }
+    const overdueAt = startedAt + placement.getOverdueMilliseconds(
+      mean * times.getRelativeTime(target.id),
+      OBJECTIVE,
+    );
+    const isOverdue = this.#evidence === "open calls" && endsAt > overdueAt;
+    if (isOverdue) {
+      this.#at(overdueAt, () => record("overdue"));
+    }
     this.#at(endsAt, () => {
       this.#changeLoad(request.vm, index, -1);
-      const isSilent = served.endsAt > silentAt;
-      const isSuccess = !isSilent && !served.isError;
-      record(isSuccess ? "success" : isSilent ? "silent" : "error");
-      if (isSuccess) {
+      const result = served.endsAt > silentAt ? "silent" : served.result;
+      if (result === "success" && isOverdue) {
+        record("late");
+      }
+      record(result);
+      if (result === "success") {
         times.record(ROUTE, target.id, endsAt - startedAt, OBJECTIVE);
       }
-      if (!isSuccess && mayRetry && this.#now < request.arrivedAt + TIME_LIMIT) {
+      if (result !== "success" && mayRetry && this.#now < request.arrivedAt + TIME_LIMIT) {
         this.#send(request);
       } else {
-        this.#finish(
-          request,
-          isSuccess ? "success" : served.hangs ? "hangs" : isSilent ? "otherTimeouts" : "errors",
-        );
+        this.#getCounts(request).detectableHangs +=
+          !request.isRepeatable && (served.hungFor ?? 0) > DETECTABLE_AFTER ? 1 : 0;
+        this.#finish(request, served.result === "silent" ? "hangs" : RESULT_COUNTS[result]);
       }
     });
   }
@@ -293,24 +339,81 @@
     return request.arrivedAt < FIRST_SECONDS ? this.first : this.later;
   }
 
-  #finish(request: Request, result: "success" | "errors" | "hangs" | "otherTimeouts"): void {
+  #finish(request: Request, result: "success" | Failure): void {
     const counts = this.#getCounts(request);
     counts.requests++;
     if (result === "success") {
       counts.withinObjective += this.#now <= request.arrivedAt + OBJECTIVE ? 1 : 0;
     } else if (!request.isRepeatable) {
+      if (result === "hangs" && request.arrivedAt > 4000) {
+        const w = (request as any).age;
+        (this as any).why ??= {};
+        (this as any).why[w] ??= [];
+        (this as any).why[w].push((request as any).p.toFixed(2));
+      }
       counts[result]++;
     }
   }
 }
 
 test.describe("uneven targets", () => {
+  const blind = new Play("none").run();
+  const ended = new Play("ended calls").run();
+  const open = new Play("open calls").run();
+
   test.test("evidence halves the failures of requests that must not be repeated", (context) => {
-    const blind = new Play("none").run();
-    const informed = new Play("ended calls").run();
-    context.diagnostic(blind.describe());
-    context.diagnostic(informed.describe());
-    assert.ok(informed.later.failures <= blind.later.failures / 2);
-    assert.ok(informed.first.failures < blind.first.failures);
+    [blind, ended, open].forEach((play) => context.diagnostic(play.describe()));
+    for (const play of [ended, open]) {
+      assert.ok(play.later.failures <= blind.later.failures / 2);
+      assert.ok(play.first.failures < blind.first.failures);
+      assert.ok(play.later.hangs <= blind.later.hangs / 2);
+      assert.ok(play.later.detectableHangs <= blind.later.detectableHangs / 4);
+    }
+  });
+
+  test.test("the fleet does not overload the best targets, which then shed requests", () => {
+    for (const play of [ended, open]) {
+      assert.ok(play.later.refused <= play.later.requests / 1_000);
+    }
+  });
+});
+
+test.describe("open calls", () => {
+  test.test("overdue calls of several VMs make a target suspected, one tail call does not", () => {
+    const systemNow = performance.now;
+    let now = 0;
+    performance.now = () => now;
+    try {
+      const hanging = new placement.HealthEstimate();
+      const healthy = new placement.HealthEstimate();
+      healthy.recordOutcome("success", 0, 3);
+      hanging.recordOutcome("success", 0, 3);
+      // Three VMs each wait on a call; all of them survive the time of errors.
+      for (const startedAt of [100, 200, 300]) {
+        now = startedAt + SURVIVAL;
+        hanging.recordOutcome("survived", startedAt);
+        healthy.recordOutcome("survived", startedAt);
+      }
+      const overdueAfter = placement.getOverdueMilliseconds(240, OBJECTIVE);
+      assert.ok(overdueAfter + 250 < TIME_LIMIT);
+      now = 100 + overdueAfter;
+      healthy.recordOutcome("overdue", 100);
+      for (const startedAt of [100, 200, 300]) {
+        now = startedAt + overdueAfter;
+        hanging.recordOutcome("overdue", startedAt);
+      }
+      assert.ok(hanging.failureProbability > 0.5, `hanging: ${hanging.failureProbability}`);
+      assert.ok(healthy.failureProbability < 0.3, `healthy: ${healthy.failureProbability}`);
+      const before = hanging.failureProbability;
+      hanging.recordOutcome("late", 300, 3);
+      assert.ok(hanging.failureProbability < before / 2, `late: ${hanging.failureProbability}`);
+    } finally {
+      performance.now = systemNow;
+    }
+  });
+
+  test.test("a target that is known to be slow is overdue later, at the objective at most", () => {
+    assert.equal(placement.getOverdueMilliseconds(100, OBJECTIVE), 300);
+    assert.equal(placement.getOverdueMilliseconds(800, OBJECTIVE), OBJECTIVE);
   });
 });
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -84,6 +84,7 @@
   #sizes: { at: number; size: number }[] = [];
   #refilledAt = kernel.getMonotonicMilliseconds();
   #catchesUpUntil = Number.NEGATIVE_INFINITY;
+  #stoodStillUntil = Number.NEGATIVE_INFINITY;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -141,6 +142,11 @@
     return now < this.#catchesUpUntil;
   }
 
+  /** Whether this VM has stood still after a monotonic time, in milliseconds. */
+  hasStoodStillSince(time: number): boolean {
+    return this.isCatchingUp || this.#stoodStillUntil >= time;
+  }
+
   /** Waits until the reports of other VMs have arrived after a standstill. */
   async #waitForReports(): Promise<void> {
     while (this.isCatchingUp) {
@@ -321,6 +327,7 @@
     const elapsed = now - this.#refilledAt;
     const seconds = elapsed / 1_000;
     if (elapsed > REFILL_INTERVAL_MILLISECONDS + STANDSTILL_MILLISECONDS) {
+      this.#stoodStillUntil = now;
       this.#catchesUpUntil = now + this.#mesh.propagationMilliseconds;
       this.#logger.write(kernel.LogMessages.standstill, { milliseconds: Math.round(elapsed) });
     }
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -268,6 +268,7 @@
     const silence = this.#startSilenceTimer(accepted, attempt);
     const startedAt = kernel.getMonotonicMilliseconds();
     const stopSurvivalTimer = this.#startSurvivalTimer(target.id, startedAt);
+    const overdue = this.#startOverdueTimer(target.id, accepted.route, startedAt);
     this.#hasAttempted = true;
     tracker.beginCall(target.id);
     let result: calls.CallResult;
@@ -288,10 +289,14 @@
     } finally {
       silence.stop();
       stopSurvivalTimer();
+      overdue.stop();
       release();
       tracker.endCall(target.id);
       this.#context.queues.get(accepted.service).advance();
     }
+    if (overdue.isOverdue() && result.kind === "answered" && result.answer.status < 500) {
+      tracker.recordOutcome(target.id, "late", startedAt);
+    }
     this.#recordResult(accepted, body, target, result, startedAt);
     return result;
   }
@@ -370,6 +375,26 @@
     return () => survival.stop();
   }
 
+  /**
+   * Records that a call is overdue while it still runs, unless this VM stood still and may not have
+   * read the response, or has lost its path to all targets.
+   */
+  #startOverdueTimer(
+    target: model.TargetId,
+    route: types.AcceptedRequest["route"],
+    startedAt: number,
+  ) {
+    const { tracker, budgets, path } = this.#context;
+    let isOverdue = false;
+    const timer = kernel.startInputTimer(() => {
+      isOverdue = !path.isIsolated && !budgets.hasStoodStillSince(startedAt);
+      if (isOverdue) {
+        tracker.recordOutcome(target, "overdue", startedAt);
+      }
+    }, tracker.getOverdueMilliseconds(target, route));
+    return { stop: () => timer.stop(), isOverdue: () => isOverdue };
+  }
+
   #startSilenceTimer(
     accepted: types.AcceptedRequest,
     attempt: AbortController,
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -8,6 +8,7 @@
 import type * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
 import * as reach from "./reachability.ts";
+import type * as types from "./types.ts";
 
 /**
  * How long a target is avoided after another target has responded at its address, which means that
@@ -22,7 +23,20 @@
 const PROPAGATION_DELAY_MILLISECONDS = 80;
 
 /** Outcomes that are reported to the other VMs without delay. */
-const URGENT_OUTCOMES: ReadonlySet<placement.Outcome> = new Set(["error", "silent"]);
+const URGENT_OUTCOMES: ReadonlySet<placement.Outcome> = new Set([
+  "error",
+  "silent",
+  "overdue",
+]);
+
+/**
+ * Outcomes with a section of their own. VMs of earlier versions do not know them, and in the section
+ * `outcomes` an unknown one would end the handling of the whole report there.
+ */
+const OPEN_CALL_OUTCOMES: ReadonlySet<placement.Outcome> = new Set(["overdue", "late"]);
+
+/** Most characters of unknown evidence in a log line. */
+const MAX_LOGGED_CHARACTERS = 80;
 
 /** Interval in which all loads are reported, in case a report was lost while its path changed. */
 const FULL_LOADS_INTERVAL_MILLISECONDS = 2_000;
@@ -46,6 +60,9 @@
 
 type OutcomeTable = Map<placement.Outcome, OutcomeSummary>;
 
+/** Outcomes that are to be reported, by target. */
+type OutcomeTables = Map<model.TargetId, OutcomeTable>;
+
 interface TargetRecord {
   health: placement.HealthEstimate;
   ownLoad: number;
@@ -62,7 +79,9 @@
   readonly #logger: kernel.ComponentLogger;
   readonly #pauseCounter: kernel.Counter<"result">;
   readonly #records = new Map<model.TargetId, TargetRecord>();
-  #unreportedOutcomes = new Map<model.TargetId, OutcomeTable>();
+  readonly #unreportedOutcomes: OutcomeTables = new Map();
+  readonly #unreportedOpenCalls: OutcomeTables = new Map();
+  readonly #vmsWithIgnoredEvidence = new Set<model.VmId>();
   #fullLoadsAt = Number.NEGATIVE_INFINITY;
   readonly #unreportedLoads = new Set<model.TargetId>();
   readonly processingTimes = new placement.ProcessingTimes();
@@ -97,8 +116,12 @@
     );
     directory.onChange((change, previous) => this.#resetReplacedTarget(change, previous));
     vmMesh.addSection("outcomes", {
-      collect: () => this.#collectOutcomes(),
-      receive: (_from, payload) => this.#receiveOutcomes(payload),
+      collect: () => collectOutcomes(this.#unreportedOutcomes),
+      receive: (from, payload) => this.#receiveOutcomes(from.vm, payload),
+    });
+    vmMesh.addSection("open_calls", {
+      collect: () => collectOutcomes(this.#unreportedOpenCalls),
+      receive: (from, payload) => this.#receiveOutcomes(from.vm, payload),
     });
     vmMesh.addSection("loads", {
       collect: () => this.#collectLoads(),
@@ -203,19 +226,31 @@
     const record = this.#getRecord(target);
     const before = record.health.failureProbability;
     record.health.recordOutcome(outcome, startedAt);
-    const table = this.#unreportedOutcomes.get(target) ?? new Map<never, never>();
+    const tables = OPEN_CALL_OUTCOMES.has(outcome)
+      ? this.#unreportedOpenCalls
+      : this.#unreportedOutcomes;
+    const table = tables.get(target) ?? new Map<never, never>();
     const previous = table.get(outcome);
     table.set(outcome, {
       count: (previous?.count ?? 0) + 1,
       startedAt: Math.max(previous?.startedAt ?? startedAt, startedAt),
     });
-    this.#unreportedOutcomes.set(target, table);
+    tables.set(target, table);
     if (URGENT_OUTCOMES.has(outcome)) {
       this.#mesh.reportSoon();
     }
     this.#logChange(target, before, record.health.failureProbability, outcome);
   }
 
+  /** Time after which a call of a route to a target is overdue, in milliseconds. */
+  getOverdueMilliseconds(target: model.TargetId, route: types.AcceptedRequest["route"]): number {
+    const mean = this.processingTimes.getRouteMean(route.id, route.objectiveMilliseconds);
+    return placement.getOverdueMilliseconds(
+      mean * this.processingTimes.getRelativeTime(target),
+      route.objectiveMilliseconds,
+    );
+  }
+
   /**
    * Records that a target has shed a request; returns whether all its slots seemed to be in use.
    */
@@ -245,6 +280,11 @@
   /** Drops the loads of VMs that have left, and the state of targets that are gone. */
   dropDepartedVms(): void {
     const present = new Set(this.#mesh.listOthers().map((member) => member.vm));
+    for (const vm of this.#vmsWithIgnoredEvidence) {
+      if (!present.has(vm)) {
+        this.#vmsWithIgnoredEvidence.delete(vm);
+      }
+    }
     for (const [target, record] of this.#records) {
       for (const [vm, load] of record.loadByVm) {
         if (!present.has(vm)) {
@@ -315,35 +355,34 @@
     }
   }
 
-  #collectOutcomes(): unknown {
-    if (this.#unreportedOutcomes.size === 0) {
-      return undefined;
-    }
-    const now = kernel.getMonotonicMilliseconds();
-    const reports: Record<string, OutcomeReport[]> = {};
-    for (const [target, table] of this.#unreportedOutcomes) {
-      reports[target] = [...table].map(([outcome, { count, startedAt }]) => [
-        outcome,
-        count,
-        Math.round(now - startedAt),
-      ]);
-    }
-    this.#unreportedOutcomes = new Map();
-    return reports;
-  }
-
-  #receiveOutcomes(payload: unknown): void {
+  #receiveOutcomes(from: model.VmId, payload: unknown): void {
     const now = kernel.getMonotonicMilliseconds() - PROPAGATION_DELAY_MILLISECONDS;
-    for (const [target, reports] of Object.entries(payload as Record<string, OutcomeReport[]>)) {
+    for (const [target, reports] of listEntries(payload)) {
       const record = this.#getRecord(target as model.TargetId);
       const before = record.health.failureProbability;
-      for (const [outcome, count, startedAgo] of reports) {
-        record.health.recordOutcome(outcome, now - startedAgo, count);
+      for (const report of Array.isArray(reports) ? reports as unknown[] : [reports]) {
+        if (isOutcomeReport(report)) {
+          const [outcome, count, startedAgo] = report;
+          record.health.recordOutcome(outcome, now - startedAgo, count);
+        } else {
+          this.#logIgnored(from, report);
+        }
       }
       this.#logChange(target, before, record.health.failureProbability, "told");
     }
   }
 
+  /** Logs evidence of a VM that this one does not know, once for each VM. */
+  #logIgnored(from: model.VmId, evidence: unknown): void {
+    if (!this.#vmsWithIgnoredEvidence.has(from)) {
+      this.#vmsWithIgnoredEvidence.add(from);
+      this.#logger.write(kernel.LogMessages.peerEvidenceIgnored, {
+        vm: from,
+        evidence: (JSON.stringify(evidence) ?? "").slice(0, MAX_LOGGED_CHARACTERS),
+      });
+    }
+  }
+
   #collectLoads(): LoadPayload | undefined {
     const now = kernel.getMonotonicMilliseconds();
     if (this.#unreportedLoads.size === 0) {
@@ -394,6 +433,38 @@
   }
 }
 
+/** Takes the outcomes that are to be reported; undefined if there are none. */
+function collectOutcomes(tables: OutcomeTables): unknown {
+  if (tables.size === 0) {
+    return undefined;
+  }
+  const now = kernel.getMonotonicMilliseconds();
+  const reports: Record<string, OutcomeReport[]> = {};
+  for (const [target, table] of tables) {
+    reports[target] = [...table].map(([outcome, { count, startedAt }]) => [
+      outcome,
+      count,
+      Math.round(now - startedAt),
+    ]);
+  }
+  tables.clear();
+  return reports;
+}
+
+function listEntries(payload: unknown): [string, unknown][] {
+  return typeof payload === "object" && payload !== null ? Object.entries(payload) : [];
+}
+
+/** Whether a report is one of this version; later versions may append elements to it. */
+function isOutcomeReport(report: unknown): report is OutcomeReport {
+  if (!Array.isArray(report)) {
+    return false;
+  }
+  const [outcome, count, startedAgo] = report as unknown[];
+  return placement.isOutcome(outcome) && Number.isInteger(count) && Number(count) > 0 &&
+    Number.isFinite(startedAgo);
+}
+
 function setLoad(record: TargetRecord, vm: model.VmId, load: number): void {
   record.othersLoad += load - (record.loadByVm.get(vm) ?? 0);
   if (load === 0) {
