--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -319,6 +319,12 @@
       requestsPerSecond: "The rate that its service declares for cold targets.",
     },
   },
+  peerEvidenceIgnored: {
+    code: 4103,
+    level: "warn",
+    text: "A VM has reported evidence that this VM does not know; it is ignored.",
+    fields: { vm: "The VM that reported it.", evidence: "The first part that is not known." },
+  },
   targetSuspected: {
     code: 4101,
     level: "info",
@@ -457,8 +463,7 @@
     level: "Tokens in the shared bucket, as estimated by this VM.",
     share: "Tokens that this VM may still take when the bucket is low.",
     vms: "VMs that are known to share the bucket.",
-    bound: "demand: the fleet's requests exceed the refill. unconfirmed: tokens taken before are " +
-      "not confirmed by the relay. start: the VM has just started.",
+    bound: "`demand` above the refill, tokens that are `unconfirmed`, or the `start` of the VM.",
     priority: "Priority of the route; more urgent requests of the workspace go first.",
     retryAfter: "Milliseconds after which the request should return.",
   },
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -10,6 +10,7 @@
 export * from "./hedging.ts";
 export * from "./home_policy.ts";
 export * from "./isolation.ts";
+export * from "./open_calls.ts";
 export * from "./peer_choice.ts";
 export * from "./processing_times.ts";
 export * from "./rate_pressure.ts";
