--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -391,8 +391,7 @@
     level: "Tokens in the shared bucket, as estimated by this VM.",
     share: "Tokens that this VM may still take when the bucket is low.",
     vms: "VMs that are known to share the bucket.",
-    bound: "demand: the fleet's requests exceed the refill. unconfirmed: tokens taken before are " +
-      "not confirmed by the relay. start: the VM has just started.",
+    bound: "demand (beyond the refill), unconfirmed (earlier tokens) or start (of the VM).",
     priority: "Priority of the route; more urgent requests of the workspace go first.",
     retryAfter: "Milliseconds after which the request should return.",
   },
--- a/packages/placement/src/rate_pressure.ts
+++ b/packages/placement/src/rate_pressure.ts
@@ -102,6 +102,11 @@
     this.#excess = excess;
   }
 
+  /** Tokens credited to this VM's view of the bucket, in a millisecond. */
+  get rate(): number {
+    return this.#rate;
+  }
+
   /** Whether reports were received for long enough to know the demand of the fleet. */
   get isDemandKnown(): boolean {
     return this.#observedMilliseconds >= OBSERVATION_MILLISECONDS;
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -54,6 +54,9 @@
  */
 const WITHHELD_DISCARD_SHARE = 0.25;
 
+/** Time for which VMs may be out of contact before this is noticed. */
+const UNNOTICED_LOSS_MILLISECONDS = 800;
+
 /** A VM that was idle rather than out of contact reports up to about this number of requests. */
 const MAX_IDLE_REQUESTS = 2;
 
@@ -193,7 +196,7 @@
     this.#expected = Math.max(presence.expected, 1);
     const presentShare = presence.present / Math.max(presence.expected, 1);
     if (this.#pressure !== undefined) {
-      this.#divideLevel(presentShare);
+      this.#divideLevel(presentShare, this.#pressure.rate);
     }
     const credited = tokens * presentShare;
     this.#level = Math.min(this.#burst, this.#level + credited);
@@ -213,13 +216,16 @@
    * Withholds part of the tokens left once VMs get out of contact: they may take these too. Without
    * this, each part of the fleet would spend all that it did not see the others take.
    */
-  #divideLevel(presentShare: number): void {
+  #divideLevel(presentShare: number, rate: number): void {
     const now = kernel.getMonotonicMilliseconds();
-    if (presentShare < this.#presentShare && this.#level > 0) {
-      const left = this.#level * presentShare / this.#presentShare;
-      this.#divided += this.#level - left;
-      this.#withheld += this.#level - left;
-      this.#level = left;
+    if (presentShare < this.#presentShare) {
+      const lost = 1 - presentShare / this.#presentShare;
+      // Until the loss was noticed, the whole refill was credited here.
+      const unseen = rate * UNNOTICED_LOSS_MILLISECONDS * lost;
+      const withheld = Math.max(this.#level, 0) * lost + unseen;
+      this.#divided += withheld;
+      this.#withheld += withheld;
+      this.#level -= withheld;
       this.#dividedAt = now;
     } else if (presentShare > this.#presentShare) {
       // After a short loss, what the others took is not covered by the withheld tokens.
@@ -364,7 +370,9 @@
     return {
       taken: this.#taken,
       requested: this.#requested,
-      ...(this.#pressure === undefined ? {} : { requestedByClass: [...this.#requestedByClass] }),
+      ...(this.#pressure === undefined
+        ? {}
+        : { requestedByClass: trimZeros(this.#requestedByClass) }),
     };
   }
 
@@ -479,3 +487,9 @@
   counts[priorityClass] = 1;
   return counts;
 }
+
+/** Leaves out zeros at the end, which need not be reported. */
+function trimZeros(counts: readonly number[]): number[] {
+  const last = counts.reduce((found, count, index) => count > 0 ? index : found, 0);
+  return counts.slice(0, last + 1);
+}
--- a/packages/placement/test/rate_overload_test.ts
+++ b/packages/placement/test/rate_overload_test.ts
@@ -149,16 +149,19 @@
   const isReachable = (from: number, to: number, now: number) =>
     !isAlone(from, now) && !isAlone(to, now) &&
     (isFirst(from) === isFirst(to) || !isWithin(faults?.partition, now));
-  /** VMs that this one takes to be in contact. */
+  /** VMs that this one has heard within the contact time, itself included. */
   const countPresent = (index: number, now: number) => {
-    const noticed = now - CONTACT_MILLISECONDS;
-    if (isAlone(index, now) && isAlone(index, noticed)) {
-      return 1;
+    const alive = fleet.filter((vm) => vm.deadUntil <= now).length;
+    if (faults === undefined) {
+      return alive;
     }
-    const isParted = isWithin(faults?.partition, now) && isWithin(faults?.partition, noticed);
-    return fleet.filter((vm, other) =>
-      vm.deadUntil <= now && (!isParted || isFirst(index) === isFirst(other))
-    ).length;
+    const times = [0, 0.25, 0.5, 0.75, 1].map((part) => now - part * CONTACT_MILLISECONDS);
+    /** All VMs of a part of the fleet are heard or not, as the faults concern whole data centres. */
+    const isHeard = (other: number) => times.some((at) => isReachable(other, index, at));
+    const firstSize = Math.ceil(vms / 3);
+    const missing = (isHeard(0) ? 0 : firstSize) + (isHeard(vms - 1) ? 0 : vms - firstSize);
+    const isSelfMissing = !isHeard(isFirst(index) ? 0 : vms - 1);
+    return Math.max(1, alive - missing + (isSelfMissing ? 1 : 0));
   };
   const admittedAt: number[] = [];
   const owedAt: number[] = [];
--- a/packages/proxy/test/budgets_test.ts
+++ b/packages/proxy/test/budgets_test.ts
@@ -195,4 +195,42 @@
       clock.restore();
     }
   });
+
+  // Guards against a VM of the version before that is not understood, and against a report that it
+  // cannot read.
+  test.test("reports add the requests by class behind the elements of before", async () => {
+    const clock = new kernelTesting.TestClock();
+    const others = new SimulatedMesh();
+    const budgets = createBudgets(others);
+    try {
+      await clock.advance(200);
+      others.report(5);
+      assert.equal(budgets.takeRate(WORKSPACE, 0), true);
+      assert.equal(budgets.takeRate(WORKSPACE, 2), true);
+      assert.equal(budgets.describeRate(WORKSPACE).level, BURST - 5 - 2);
+      const report = others.sections.get("rates")?.collect(1) as { counters: unknown };
+      assert.deepEqual(report.counters, { [WORKSPACE.id]: [2, 2, 1, 0, 1] });
+    } finally {
+      budgets.stop();
+      clock.restore();
+    }
+  });
+
+  // Guards against a return time at which the caller has given up.
+  test.test("a refused request returns within half of its caller's time", async () => {
+    const clock = new kernelTesting.TestClock();
+    const others = new SimulatedMesh();
+    const budgets = createBudgets(others);
+    try {
+      await clock.advance(200);
+      while (budgets.takeRate(WORKSPACE) === true);
+      for (let refused = 0; refused < 50; refused++) {
+        const seconds = budgets.takeReturnSeconds(WORKSPACE, 0, 400);
+        assert.ok(seconds > 0 && seconds <= 0.2, `${seconds} s`);
+      }
+    } finally {
+      budgets.stop();
+      clock.restore();
+    }
+  });
 });
