--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -463,7 +463,7 @@
     level: "Tokens in the shared bucket, as estimated by this VM.",
     share: "Tokens that this VM may still take when the bucket is low.",
     vms: "VMs that are known to share the bucket.",
-    bound: "`demand` above the refill, tokens that are `unconfirmed`, or the `start` of the VM.",
+    bound: "demand (beyond the refill), unconfirmed (earlier tokens) or start (of the VM).",
     priority: "Priority of the route; more urgent requests of the workspace go first.",
     retryAfter: "Milliseconds after which the request should return.",
   },
