--- a/packages/placement/src/health_estimate.ts
+++ b/packages/placement/src/health_estimate.ts
@@ -97,6 +97,9 @@
 const MIN_PROBABILITY = 0.002;
 const MAX_PROBABILITY = 0.98;
 
+/** Most calls that count at once; more change nothing and would underflow to 0. */
+const MAX_COUNT = 20;
+
 /** Estimates the health of one target. */
 export class HealthEstimate {
   readonly #rates: HealthRates;
@@ -139,10 +142,11 @@
     }
     const at = Math.max(startedAt, this.#updatedAt);
     const likelihood = LIKELIHOODS[outcome];
+    const calls = Math.min(count, MAX_COUNT);
     const prior = this.#getStatesAt(at);
-    const healthy = prior.healthy * Math.pow(likelihood.healthy, count);
-    const failing = prior.failing * Math.pow(likelihood.failing, count);
-    const hanging = prior.hanging * Math.pow(likelihood.hanging, count);
+    const healthy = prior.healthy * Math.pow(likelihood.healthy, calls);
+    const failing = prior.failing * Math.pow(likelihood.failing, calls);
+    const hanging = prior.hanging * Math.pow(likelihood.hanging, calls);
     const unhealthy = failing + hanging;
     const posterior = unhealthy / (healthy + unhealthy);
     const scale = Math.min(Math.max(posterior, MIN_PROBABILITY), MAX_PROBABILITY) / unhealthy;
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -470,7 +470,7 @@
   }
   const [outcome, count, startedAgo] = report as unknown[];
   return placement.isOutcome(outcome) && Number.isInteger(count) && Number(count) > 0 &&
-    Number.isFinite(startedAgo);
+    Number.isFinite(startedAgo) && Number(startedAgo) >= 0;
 }
 
 function setLoad(record: TargetRecord, vm: model.VmId, load: number): void {
