--- a/packages/proxy/test/told_outcomes_test.ts
+++ b/packages/proxy/test/told_outcomes_test.ts
@@ -12,6 +12,7 @@
 import * as kernel from "@hemlockwalk/kernel";
 import type * as mesh from "@hemlockwalk/mesh";
 import * as model from "@hemlockwalk/model";
+import * as placement from "@hemlockwalk/placement";
 import * as trackers from "../src/target_tracker.ts";
 
 const TARGET = model.createTargetId("target");
@@ -34,15 +35,18 @@
   } as unknown as mesh.Mesh;
   const tracker = new trackers.TargetTracker(
     directory,
+    new declarations.Evacuations(),
+    new placement.HomePolicy({ byDataCentre: new Map(), own: undefined }),
     vmMesh,
     logger,
     new kernel.Metrics(),
     () => 1,
     "127.0.0.1",
+    () => undefined,
   );
   const service = change.entry?.service ?? assert.fail();
   const getProbability = () =>
-    tracker.listCandidates(service, NO_TARGETS)[0]?.failureProbability ?? assert.fail();
+    tracker.listCandidates(service, NO_TARGETS, undefined)[0]?.failureProbability ?? assert.fail();
   return { tracker, sections, lines, getProbability };
 }
 
