--- a/packages/declarations/src/evacuations.ts
+++ b/packages/declarations/src/evacuations.ts
@@ -163,6 +163,7 @@
   mergeChanges(list: EvacuationList): types.EvacuationChange[] {
     const applied = list.changes.filter((change) => this.apply(change, list.mark.asOf));
     this.#coverage.confirmEqual(list.mark);
+    this.#confirmListeners.forEach((listener) => listener());
     return applied;
   }
 
--- a/packages/placement/src/fleet_memory.ts
+++ b/packages/placement/src/fleet_memory.ts
@@ -24,6 +24,9 @@
  */
 const MEMORY_MILLISECONDS = 600_000;
 
+/** Longest way of a report. Without it, a size would be younger after each VM that passes it on. */
+const MAX_TRANSIT_MILLISECONDS = 2_000;
+
 /** The largest size of a fleet that a VM remembers, and how long ago it was known. */
 export type RememberedSize = readonly [size: number, agoMilliseconds: number];
 
@@ -45,8 +48,13 @@
    * Records the members that are known now; to be called at least every few seconds.
    *
    * @param presentShare Share of the VMs known within the last seconds that are in contact.
+   * @param isCutOff Whether this VM knows no other one although there should be some.
    */
-  record(members: readonly rates.RateHolder[], presentShare: number): rates.RateFleet {
+  record(
+    members: readonly rates.RateHolder[],
+    presentShare: number,
+    isCutOff = false,
+  ): rates.RateFleet {
     const now = kernel.getMonotonicMilliseconds();
     const hasGrown = members.some(({ vm }) => !this.#known.has(vm));
     if (hasGrown) {
@@ -66,7 +74,8 @@
     return {
       // The same array while the members are the same, so that they are not ranked again.
       members: this.#members,
-      presentShare: Math.min(presentShare, size / largest),
+      presentShare: isCutOff ? 0 : Math.min(presentShare, size / largest),
+      recentShare: presentShare,
       settlesInMilliseconds: Math.max(0, settledAt - now),
     };
   }
@@ -81,7 +90,8 @@
 
   /** Records what another VM remembers. Its age stays, so that VMs do not remind each other for ever. */
   adopt([size, agoMilliseconds]: RememberedSize): void {
-    this.#remember({ at: kernel.getMonotonicMilliseconds() - agoMilliseconds, size });
+    const age = agoMilliseconds + MAX_TRANSIT_MILLISECONDS;
+    this.#remember({ at: kernel.getMonotonicMilliseconds() - age, size });
   }
 
   /** Keeps the sizes that no later one has reached. */
--- a/packages/placement/src/open_calls.ts
+++ b/packages/placement/src/open_calls.ts
@@ -14,6 +14,15 @@
  */
 const OVERDUE_AFTER_MEAN_TIMES = 3;
 
+/**
+ * Least threshold in mean times. On a route whose usual requests take longer than its objective, the
+ * objective alone would make every call overdue.
+ */
+const MIN_OVERDUE_MEAN_TIMES = 1.5;
+
+/** Least threshold: a new connection to another data centre and a busy VM take this long. */
+const MIN_OVERDUE_MILLISECONDS = 100;
+
 /**
  * Time after which a call that still runs is overdue, in milliseconds.
  *
@@ -24,5 +33,9 @@
   meanMilliseconds: number,
   objectiveMilliseconds: number,
 ): number {
-  return Math.min(meanMilliseconds * OVERDUE_AFTER_MEAN_TIMES, objectiveMilliseconds);
+  return Math.max(
+    MIN_OVERDUE_MILLISECONDS,
+    meanMilliseconds * MIN_OVERDUE_MEAN_TIMES,
+    Math.min(meanMilliseconds * OVERDUE_AFTER_MEAN_TIMES, objectiveMilliseconds),
+  );
 }
--- a/packages/placement/src/request_queue.ts
+++ b/packages/placement/src/request_queue.ts
@@ -32,8 +32,11 @@
   readonly acceptsAnyTarget: boolean;
   /** Monotonic time until which the request may wait, in milliseconds. */
   readonly waitUntil: number;
-  /** Places the request if a target has a free slot; returns whether it did. */
-  tryPlace(): boolean;
+  /**
+   * Places the request if a target has a free slot. Returns whether it did, or that the request is
+   * refused and need not wait any more.
+   */
+  tryPlace(): boolean | "refused";
   /** Called once if the request was not placed in time. */
   onTimeout(): void;
 }
@@ -54,16 +57,21 @@
     return this.#requests.length;
   }
 
-  /** Number of queued requests that are placed before a new one of the given priority. */
-  countAhead(priority: number): number {
-    return this.#requests.filter((request) => request.priority <= priority).length;
+  /** Number of queued requests that are placed before a new one of a priority and workspace. */
+  countAhead(priority: number, workspace?: string): number {
+    const turn = this.#getFirstTurn(workspace) +
+      this.#requests.filter((request) => request.workspace === workspace).length;
+    return this.#rank().filter((other) =>
+      other.request.priority < priority ||
+      (other.request.priority === priority && other.turn <= turn)
+    ).length;
   }
 
   /**
-   * Time until a request of the given priority would have a slot if it arrived now, in milliseconds,
-   * at the pace of the latest placements; undefined while none have been placed.
+   * Time until a request of a priority and workspace would have a slot if it arrived now, in
+   * milliseconds, at the pace of the latest placements; undefined while none have been placed.
    */
-  estimateWait(priority: number): number | undefined {
+  estimateWait(priority: number, workspace?: string): number | undefined {
     const now = kernel.getMonotonicMilliseconds();
     this.#placedAt = this.#placedAt.filter((at) => at > now - PACE_MILLISECONDS);
     if (this.#placedAt.length === 0) {
@@ -71,7 +79,7 @@
     }
     const measured = Math.min(now - this.#busySince, PACE_MILLISECONDS);
     const interval = Math.max(measured, MIN_PACE_MILLISECONDS) / this.#placedAt.length;
-    return (this.countAhead(priority) + 1) * interval;
+    return (this.countAhead(priority, workspace) + 1) * interval;
   }
 
   add(request: QueuedRequest): void {
@@ -79,7 +87,7 @@
       this.#busySince = kernel.getMonotonicMilliseconds();
       this.#placedAt = [];
     }
-    this.#startTurns(request.workspace);
+    this.#turns.set(request.workspace, this.#getFirstTurn(request.workspace));
     const index = this.#requests.findIndex((other) => other.priority > request.priority);
     this.#requests.splice(index < 0 ? this.#requests.length : index, 0, request);
     this.#timer ??= setInterval(() => this.advance(), POLL_MILLISECONDS);
@@ -102,23 +110,27 @@
     const now = kernel.getMonotonicMilliseconds();
     // If no target has room for a request that accepts any, none has room for those behind it.
     let isFull = false;
-    for (const request of this.#listInOrder()) {
+    for (const { request } of this.#rank()) {
+      const outcome = !isFull && request.tryPlace();
+      if (outcome !== false) {
+        this.remove(request);
+        if (outcome === true) {
+          this.#turns.set(request.workspace, this.#getTurns(request.workspace) + 1);
+          this.#placedAt.push(now);
+        }
+        continue;
+      }
+      isFull ||= request.acceptsAnyTarget;
       if (now >= request.waitUntil) {
         this.remove(request);
         request.onTimeout();
-      } else if (!isFull && request.tryPlace()) {
-        this.#turns.set(request.workspace, this.#getTurns(request.workspace) + 1);
-        this.#placedAt.push(now);
-        this.remove(request);
-      } else {
-        isFull ||= request.acceptsAnyTarget;
       }
     }
     this.#stopWhenEmpty();
   }
 
-  /** By priority, then in turns of the workspaces, then by arrival. */
-  #listInOrder(): QueuedRequest[] {
+  /** The requests with their turns: by priority, then in turns of the workspaces, then by arrival. */
+  #rank(): { readonly request: QueuedRequest; readonly turn: number }[] {
     const waitingByWorkspace = new Map<string | undefined, number>();
     const ranked = this.#requests.map((request) => {
       const { workspace } = request;
@@ -126,22 +138,23 @@
       waitingByWorkspace.set(workspace, waiting + 1);
       return { request, turn: this.#getTurns(workspace) + waiting };
     });
-    ranked.sort((left, right) =>
+    return ranked.sort((left, right) =>
       left.request.priority - right.request.priority || left.turn - right.turn
     );
-    return ranked.map(({ request }) => request);
   }
 
   #getTurns(workspace: string | undefined): number {
     return this.#turns.get(workspace) ?? 0;
   }
 
-  #startTurns(workspace: string | undefined): void {
+  /** The turn with which the first waiting request of a workspace begins. */
+  #getFirstTurn(workspace: string | undefined): number {
+    const turns = this.#getTurns(workspace);
     const waiting = this.#requests.map((request) => request.workspace);
-    if (waiting.length > 0 && !waiting.includes(workspace)) {
-      const fewest = Math.min(...waiting.map((other) => this.#getTurns(other)));
-      this.#turns.set(workspace, Math.max(this.#getTurns(workspace), fewest));
+    if (waiting.length === 0 || waiting.includes(workspace)) {
+      return turns;
     }
+    return Math.max(turns, Math.min(...waiting.map((other) => this.#getTurns(other))));
   }
 
   #stopWhenEmpty(): void {
--- a/packages/placement/src/return_times.ts
+++ b/packages/placement/src/return_times.ts
@@ -48,9 +48,13 @@
   ): number {
     const longest = MAX_RETURN_MILLISECONDS[priorityClass] ?? MAX_RETURN_MILLISECONDS[0] ?? 0;
     const cap = Math.max(0, Math.min(longest, timeLeft * MAX_SHARE_OF_TIME_LEFT));
+    if (!(tokensPerMillisecond > 0)) {
+      // Nothing is known of the refill yet, as on a VM that has just started.
+      return cap * (1 - SPREAD * this.#random());
+    }
     const latest = this.#latest[priorityClass] ?? Number.NEGATIVE_INFINITY;
     const earliest = now + Math.min(MIN_RETURN_MILLISECONDS, cap);
-    const interval = tokensPerMillisecond > 0 ? 1 / tokensPerMillisecond : Infinity;
+    const interval = 1 / tokensPerMillisecond;
     const next = Math.max(earliest, latest + interval);
     // A VM with few tokens draws its first time as well, or the returns to all VMs would coincide.
     const at = latest < now ? next + interval * this.#random() : next;
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -196,7 +196,7 @@
     this.#expected = Math.max(presence.expected, 1);
     const presentShare = presence.present / Math.max(presence.expected, 1);
     if (this.#pressure !== undefined) {
-      this.#divideLevel(presentShare, this.#pressure.rate);
+      this.#divideLevel(presentShare, this.#pressure);
     }
     const credited = tokens * presentShare;
     this.#level = Math.min(this.#burst, this.#level + credited);
@@ -216,12 +216,14 @@
    * Withholds part of the tokens left once VMs get out of contact: they may take these too. Without
    * this, each part of the fleet would spend all that it did not see the others take.
    */
-  #divideLevel(presentShare: number, rate: number): void {
+  #divideLevel(presentShare: number, { rate, demand }: pressures.RatePressure): void {
     const now = kernel.getMonotonicMilliseconds();
     if (presentShare < this.#presentShare) {
       const lost = 1 - presentShare / this.#presentShare;
-      // Until the loss was noticed, the whole refill was credited here.
-      const unseen = rate * UNNOTICED_LOSS_MILLISECONDS * lost;
+      // Until the loss was noticed, the whole refill was credited here; the VMs still in contact took
+      // no more of it than they were asked for.
+      const taken = Math.min(rate, demand * presentShare);
+      const unseen = taken * UNNOTICED_LOSS_MILLISECONDS * lost;
       const withheld = Math.max(this.#level, 0) * lost + unseen;
       this.#divided += withheld;
       this.#withheld += withheld;
@@ -284,7 +286,12 @@
       this.#pressure.addDemand(1);
       this.#requestedByClass[priorityClass] = (this.#requestedByClass[priorityClass] ?? 0) + 1;
       this.#pressure.addClassDemands(createClassCount(priorityClass));
-      return this.#takeUnderPressure(this.#pressure, priorityClass);
+      if (this.#pressure.isDemandKnown) {
+        return this.#takeUnderPressure(this.#pressure, priorityClass);
+      }
+      // A VM that has started does not know the demand. Without the allowance, a fleet that has
+      // started again as a whole would refuse requests within the rate.
+      this.#bound = "start";
     }
     if (!this.#isAtUnconfirmedLimit && this.#hasFreeTokens()) {
       this.#spend();
@@ -307,9 +314,9 @@
    */
   #takeUnderPressure(pressure: pressures.RatePressure, priorityClass: number): boolean {
     const isFree = this.#hasTokensUnderPressure(pressure);
-    if (this.#isAtUnconfirmedLimit || !(isFree || pressure.isDemandKnown)) {
+    if (this.#isAtUnconfirmedLimit) {
       if (this.#shareLevel < 1) {
-        this.#bound = this.#isAtUnconfirmedLimit ? "unconfirmed" : "start";
+        this.#bound = "unconfirmed";
         return false;
       }
       this.#shareLevel -= 1;
@@ -333,7 +340,7 @@
   /** Whether a request would be admitted if the tokens taken before were confirmed. */
   #isWithinReach(priorityClass: number): boolean {
     const pressure = this.#pressure;
-    return pressure === undefined
+    return pressure === undefined || !pressure.isDemandKnown
       ? this.#hasFreeTokens()
       : this.#hasTokensUnderPressure(pressure) ||
         pressure.wouldAdmit(priorityClass, this.#getShare(pressure));
--- a/packages/placement/src/target_rates.ts
+++ b/packages/placement/src/target_rates.ts
@@ -49,6 +49,11 @@
   readonly members: readonly RateHolder[];
   /** Share of the VMs known within the recent past that are in contact, from 0 to 1. */
   readonly presentShare: number;
+  /**
+   * The same without what the VM remembers of a longer past, for rates that targets have stated;
+   * `presentShare` by default.
+   */
+  readonly recentShare?: number;
   /**
    * Time until the members are taken to be all of the fleet, in milliseconds; 0 by default. Until
    * then, tokens accrue and none is spent.
@@ -161,17 +166,18 @@
    * Time until this VM may send a request to a target, in milliseconds: 0 if it may now, infinity if
    * it holds no part of the rate.
    *
-   * @param isSpread Whether the holders of a limit that is new to this VM begin spread over the
-   * interval of their requests. Otherwise each waits a whole interval first, since the requests of
-   * the last moments may have exceeded the rate already.
+   * @param isCold Whether the limit is that of a cold target. Its holders begin spread over the
+   * interval of their requests, and a part of a fleet has as many as its share allows. With a rate
+   * that a target has stated, each holder waits a whole interval first, since the requests of the
+   * last moments may have exceeded the rate already.
    */
   getWait(
     target: model.TargetId,
     dataCentre: model.DataCentreId,
     requestsPerSecond: number,
-    isSpread = false,
+    isCold = false,
   ): number {
-    const part = this.#update(target, dataCentre, requestsPerSecond, isSpread);
+    const part = this.#update(target, dataCentre, requestsPerSecond, isCold);
     if (part.ownRate === 0) {
       return Number.POSITIVE_INFINITY;
     }
@@ -222,7 +228,7 @@
     target: model.TargetId,
     dataCentre: model.DataCentreId,
     limit: number,
-    isSpread: boolean,
+    isCold: boolean,
   ): RatePart {
     const now = kernel.getMonotonicMilliseconds();
     const requestsPerSecond = Math.max(limit, MIN_RATE);
@@ -248,16 +254,24 @@
       part.requestsPerSecond = requestsPerSecond;
       part.rankedAt = now;
       const fleet = this.#readFleet(now);
-      part.spendableFrom = now + (fleet.settlesInMilliseconds ?? 0);
-      part.ranking = this.#rank(target, dataCentre, requestsPerSecond, fleet, part.ranking);
+      // Only a response ends a rate that a target has stated, so some VM always has a part of it.
+      const share = isCold ? fleet.presentShare : fleet.recentShare ?? fleet.presentShare;
+      part.spendableFrom = now + (isCold ? fleet.settlesInMilliseconds ?? 0 : 0);
+      part.ranking = this.#rank(
+        target,
+        dataCentre,
+        requestsPerSecond,
+        { members: fleet.members, presentShare: isCold ? share : 1 },
+        part.ranking,
+      );
       const { holders, index } = part.ranking;
       if (index < 0) {
         part.ownRate = 0;
         part.tokens = 0;
         part.period++;
       } else {
-        part.ownRate = requestsPerSecond / holders * fleet.presentShare;
-        if (isNew && isSpread) {
+        part.ownRate = requestsPerSecond / holders * share;
+        if (isNew && isCold) {
           part.tokens = index / holders;
         }
       }
--- a/packages/placement/test/placement_test.ts
+++ b/packages/placement/test/placement_test.ts
@@ -389,6 +389,38 @@
     assert.equal(queue.length, 0);
   });
 
+  test.test("a quiet workspace is told to wait behind all requests of a busy one", () => {
+    const queue = new placement.RequestQueue();
+    for (let index = 0; index < 10; index++) {
+      queue.add({
+        priority: 1,
+        workspace: "busy",
+        acceptsAnyTarget: true,
+        waitUntil: Number.POSITIVE_INFINITY,
+        tryPlace: () => true,
+        onTimeout: () => assert.fail("the request has no time limit"),
+      });
+    }
+    assert.equal(queue.countAhead(1, "quiet"), 1);
+    assert.equal(queue.countAhead(1, "busy"), 10);
+    assert.equal(queue.countAhead(0, "busy"), 0);
+    queue.advance();
+  });
+
+  test.test("a request whose time is over is refused although a slot is free", () => {
+    const queue = new placement.RequestQueue();
+    const events: string[] = [];
+    queue.add({
+      priority: 1,
+      acceptsAnyTarget: true,
+      waitUntil: 0,
+      tryPlace: () => events.push("placed") > 0,
+      onTimeout: () => events.push("timed out"),
+    });
+    queue.advance();
+    assert.deepEqual(events, ["placed"]);
+  });
+
   test.test("a refused request is told to return long before or after there is room for it", async () => {
     const clock = new testing.TestClock();
     try {
--- a/packages/placement/test/return_times_test.ts
+++ b/packages/placement/test/return_times_test.ts
@@ -51,6 +51,14 @@
   });
 
   // Guards against urgent requests that return behind others.
+  test.test("are no number on a VM that does not know the refill yet, or ever after", () => {
+    const times = new placement.ReturnTimes(() => 0.5);
+    for (const rate of [0, Number.NaN, 0.01]) {
+      const delay = times.take(0, rate, 1_000, 10_000);
+      assert.ok(delay > 0 && delay <= 5_000, `${delay} ms at a rate of ${rate}`);
+    }
+  });
+
   test.test("of urgent requests are earlier", () => {
     const times = new placement.ReturnTimes(randoms.createRandom(8));
     const mean = (priorityClass: number) =>
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -103,9 +103,10 @@
     vmMesh,
     createLogger("targets"),
     metrics,
-    () => isCutOff(vmMesh, options.listSeeds()) ? 0 : sharedBudgets.presentShare,
+    () => sharedBudgets.presentShare,
     sourceAddress,
     (service) => store.current?.findService(service)?.coldRequestsPerSecond,
+    () => isCutOff(vmMesh, options.listSeeds()),
   );
   const statements = new rateStatements.RateStatements(publisher, createLogger("targets"));
   const path = vm.register(
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -201,7 +201,7 @@
         const placed = await this.#placer.place(accepted);
         if (this.#caller.signal.aborted || this.#finalAnswer.isDecided) {
           if (placed.kind === "placed") {
-            this.#returnTargetRate(placed);
+            this.#dropPlacement(placed);
           }
           break;
         }
@@ -216,14 +216,14 @@
         // Targets may have ended under its repetitions while the request was queued.
         const quarantine = this.#evidence.findRefusal(accepted, body);
         if (quarantine !== undefined) {
-          this.#returnTargetRate(placed);
+          this.#dropPlacement(placed);
           this.#context.queues.get(accepted.service).advance();
           this.#answerUnplaced(accepted, result, quarantine);
           return;
         }
         calls.discardAnswer(result);
         if (!this.#mayEndBeforeStop(accepted)) {
-          this.#returnTargetRate(placed);
+          this.#dropPlacement(placed);
           this.#context.queues.get(accepted.service).advance();
           const retryAfterSeconds = refusals.RETRY_AFTER_SECONDS.stopping;
           this.#answerUnplaced(accepted, result, {
@@ -280,7 +280,12 @@
         isQuarantined: this.#evidence.findRefusal(accepted, body) !== undefined,
         haveTargetsEnded: this.#evidence.haveTargetsEnded(accepted, body),
       }),
-      call: (other, attempt) => this.#call(accepted, body, other, attempt),
+      call: (attempted, attempt) => {
+        if (attempted !== placed) {
+          this.#context.tracker.beginCall(attempted.target);
+        }
+        return this.#call(accepted, body, attempted, attempt);
+      },
     }, placed);
   }
 
@@ -300,9 +305,8 @@
     const silence = this.#startSilenceTimer(accepted, attempt);
     const startedAt = kernel.getMonotonicMilliseconds();
     const stopSurvivalTimer = this.#startSurvivalTimer(target.id, startedAt);
-    const overdue = this.#startOverdueTimer(target.id, accepted.route, startedAt);
+    const overdue = this.#startOverdueTimer(target.id, accepted.route, body, startedAt);
     this.#hasAttempted = true;
-    tracker.beginCall(target.id);
     let result: calls.CallResult;
     try {
       result = await calls.callTarget({
@@ -416,17 +420,19 @@
 
   /**
    * Records that a call is overdue while it still runs, unless this VM stood still and may not have
-   * read the response, or has lost its path to all targets.
+   * read the response, or has lost its path to all targets. The time of a body that is streamed is
+   * the caller's, so such a call is no evidence.
    */
   #startOverdueTimer(
     target: model.TargetId,
     route: types.AcceptedRequest["route"],
+    body: bodies.RequestBody,
     startedAt: number,
   ) {
     const { tracker, budgets, path } = this.#context;
     let isOverdue = false;
     const timer = kernel.startInputTimer(() => {
-      isOverdue = !path.isIsolated && !budgets.hasStoodStillSince(startedAt);
+      isOverdue = body.isBuffered && !path.isIsolated && !budgets.hasStoodStillSince(startedAt);
       if (isOverdue) {
         tracker.recordOutcome(target, "overdue", startedAt);
       }
@@ -619,7 +625,7 @@
     const queue = this.#context.queues.get(accepted.service);
     const retryAfterSeconds = this.#getRetryAfterSeconds(
       accepted,
-      refusals.getNoRoomSeconds(queue.estimateWait(accepted.priority)),
+      refusals.getNoRoomSeconds(queue.estimateWait(accepted.priority, accepted.workspace)),
     );
     // The VM that passed the request on would try another one for a reason of this VM alone.
     const hasUsedAttempts = this.#isForwarded && this.#arrivals > 0;
@@ -647,6 +653,12 @@
     this.#caller.abort("cancelled");
   }
 
+  /** Gives up a placement without an attempt. */
+  #dropPlacement(placed: placers.PlacedTarget): void {
+    this.#context.tracker.endCall(placed.target);
+    this.#returnTargetRate(placed);
+  }
+
   /** Returns what was taken of the rate of a target that does not get the request. */
   #returnTargetRate({ target, rateToken }: placers.PlacedTarget): void {
     this.#context.tracker.returnRate(target, rateToken);
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -27,7 +27,7 @@
  */
 const MIN_RETRY_LEVEL = 0.2;
 
-/** A target that was chosen for an attempt. */
+/** A target that was chosen for an attempt, which counts in its load from then on. */
 export interface PlacedTarget {
   readonly target: model.TargetId;
   /** What was taken of the target's rate; undefined if it is not limited. */
@@ -84,7 +84,10 @@
       ),
     );
     // A request does not overtake those that wait already; the queue decides which one is next.
-    const ahead = this.#context.queues.get(service).countAhead(accepted.priority);
+    const ahead = this.#context.queues.get(service).countAhead(
+      accepted.priority,
+      accepted.workspace,
+    );
     const mustQueue = this.#tried.size === 0 && accepted.homes === undefined && ahead > 0;
     const decided = mustQueue
       ? this.#refuseIfHopeless(accepted, placementRequest, waitUntil, ahead)
@@ -171,6 +174,8 @@
   #createPlacement(choice: Extract<placement.Choice, { kind: "chosen" }>): Placement {
     const { candidate } = choice;
     const rateToken = this.#context.tracker.takeRate(candidate.id);
+    // From here on, so that the next request in the queue does not get the same slot.
+    this.#context.tracker.beginCall(candidate.id);
     this.#trace.add("placed", {
       target: candidate.id,
       load: candidate.load,
@@ -194,7 +199,7 @@
   ): Promise<Placement> {
     const { service } = accepted;
     const queue = this.#context.queues.get(service);
-    this.#trace.add("waits", { ahead: queue.countAhead(accepted.priority) });
+    this.#trace.add("waits", { ahead: queue.countAhead(accepted.priority, accepted.workspace) });
     return new Promise((resolve) => {
       const queued: placement.QueuedRequest = {
         priority: accepted.priority,
@@ -208,7 +213,7 @@
             this.#caller.removeEventListener("abort", onAbort);
             resolve(decided);
           }
-          return decided !== undefined;
+          return decided?.kind === "refused" ? "refused" : decided !== undefined;
         },
         onTimeout: () => {
           this.#caller.removeEventListener("abort", onAbort);
@@ -231,7 +236,7 @@
           accepted,
           placementRequest,
           waitUntil,
-          queue.countAhead(accepted.priority) - 1,
+          queue.countAhead(accepted.priority, accepted.workspace) - 1,
         )
         : undefined;
       if (refused !== undefined) {
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -47,6 +47,9 @@
  */
 const FLEET_SIZE_INTERVAL_MILLISECONDS = 500;
 
+/** Largest size of a fleet that another VM is believed. */
+const MAX_FLEET_SIZE = 10_000;
+
 /** Loads of one VM: all that are not zero, or only those that have changed. */
 type LoadPayload = readonly [isFull: boolean, loads: Record<string, number>];
 
@@ -108,14 +111,16 @@
   readonly #fleet = new placement.FleetMemory();
   #fleetSizeAt = Number.NEGATIVE_INFINITY;
   readonly #getPresentShare: () => number;
+  readonly #isCutOff: () => boolean;
   readonly #getColdRate: (service: model.ServiceId) => number | undefined;
   readonly #coldCounter: kernel.Counter<never>;
 
   /**
    * @param getPresentShare Share of the VMs known within the recent past that are in contact, from 0
-   * to 1; 0 if this VM cannot know it.
+   * to 1.
    * @param getColdRate Requests per second that a cold target of a service can handle from all VMs
    * together; undefined for no limit.
+   * @param isCutOff Whether this VM knows no other one although there should be some.
    */
   constructor(
     directory: declarations.TargetDirectory,
@@ -127,7 +132,9 @@
     getPresentShare: () => number,
     sourceAddress: string,
     getColdRate: (service: model.ServiceId) => number | undefined,
+    isCutOff: () => boolean = () => false,
   ) {
+    this.#isCutOff = isCutOff;
     this.#getPresentShare = getPresentShare;
     this.#getColdRate = getColdRate;
     this.#directory = directory;
@@ -298,7 +305,7 @@
 
   #recordFleet(): placement.RateFleet {
     const members = [this.#mesh.self, ...this.#mesh.listOthers()];
-    return this.#fleet.record(members, this.#getPresentShare());
+    return this.#fleet.record(members, this.#getPresentShare(), this.#isCutOff());
   }
 
   /**
@@ -555,7 +562,8 @@
   #receiveFleetSize(payload: unknown): void {
     const values: readonly unknown[] = Array.isArray(payload) ? payload : [];
     const [size, agoMilliseconds] = values;
-    const isValid = Number.isFinite(size) && Number.isFinite(agoMilliseconds) &&
+    const isValid = Number.isInteger(size) && Number(size) >= 1 &&
+      Number(size) <= MAX_FLEET_SIZE && Number.isFinite(agoMilliseconds) &&
       Number(agoMilliseconds) >= 0;
     if (isValid) {
       this.#fleet.adopt([Number(size), Number(agoMilliseconds)]);
