--- a/packages/proxy/src/publisher.ts
+++ b/packages/proxy/src/publisher.ts
@@ -1,5 +1,6 @@
 /**
- * Replicates declarations, target changes and orders to evacuate data centres to all VMs, whichever VM has read them from the store.
+ * Replicates declarations, target changes and orders to evacuate data centres to all VMs, whichever VM
+ * has read them from the store.
  */
 
 import * as declarations from "@hemlockwalk/declarations";
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -547,7 +547,6 @@
   }
 
   #collectFleetSize(): placement.RememberedSize | undefined {
-    this.#recordFleet();
     const now = kernel.getMonotonicMilliseconds();
     if (now - this.#fleetSizeAt < FLEET_SIZE_INTERVAL_MILLISECONDS) {
       return undefined;
@@ -555,8 +554,11 @@
     this.#fleetSizeAt = now;
     // Without a service that limits cold targets, nobody needs it.
     const services = new Set(this.#directory.listAllServing().map(({ service }) => service));
-    const isNeeded = [...services].some((service) => this.#getColdRate(service) !== undefined);
-    return isNeeded ? this.#fleet.largest : undefined;
+    if (![...services].some((service) => this.#getColdRate(service) !== undefined)) {
+      return undefined;
+    }
+    this.#recordFleet();
+    return this.#fleet.largest;
   }
 
   #receiveFleetSize(payload: unknown): void {
