--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -74,8 +74,8 @@
 const WARM_UP_WEIGHT = 1;
 
 /**
- * Most targets of the own data centre, and of all others, that a request considers. With the load of
- * 115 VMs over 136 targets, 8 and 24 gave more failures than 12.
+ * Most targets of the own data centre, and of all others, that a request considers. Fewer may all be
+ * failing, and with more of them VMs with the same reports choose the same target.
  */
 const SAMPLE_SIZE = 12;
 
