Tests: targets that restart use claimed ports

Cause: crash_test restarts targets 400 ms after they end, at the port that the system had assigned. An outgoing connection of a VM can take such a port meanwhile.

Change: test targets listen on claimed ports, which lie below the range of assigned ones, and a failure to listen rejects the restart.

--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -114,7 +114,8 @@
   }
 
   async start(): Promise<void> {
-    await new Promise<void>((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+    // An outgoing connection may take a port that the system assigned while the target is down.
+    await this.restart(await kernelTesting.claimPort());
   }
 
   stop(): void {
@@ -130,7 +131,13 @@
 
   /** Listens again at an address that it had before. */
   async restart(port: number): Promise<void> {
-    await new Promise<void>((resolve) => this.#server.listen(port, "127.0.0.1", resolve));
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, "127.0.0.1", () => {
+        this.#server.off("error", reject);
+        resolve();
+      });
+    });
   }
 
   createChange(
