Choice of a target: draw the sample without an array for each draw

Cause: since the sample of 12 targets was introduced, each choice filled two filtered groups, removed each drawn target by `splice`, and flattened the results. Targets without an outcome were also listed for requests that do not probe.

Change: one pass forms the groups, draws are positions among the targets not drawn yet, and the list of targets to probe is made only if it is used. The random numbers are drawn in the same order.

The new test compares the sample with one drawn by `splice` from the same numbers.

--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -208,18 +208,48 @@
   candidates: readonly Candidate[],
   random: () => number,
 ): readonly Candidate[] {
-  const groups = [false, true].map((isRemote) =>
-    candidates.filter((candidate) => candidate.isRemote === isRemote && !candidate.isUnreachable)
-  );
-  if (groups.every((group) => group.length <= SAMPLE_SIZE)) {
+  const own: Candidate[] = [];
+  const others: Candidate[] = [];
+  for (const candidate of candidates) {
+    if (!candidate.isUnreachable) {
+      (candidate.isRemote ? others : own).push(candidate);
+    }
+  }
+  if (own.length <= SAMPLE_SIZE && others.length <= SAMPLE_SIZE) {
     return candidates;
   }
-  return groups.flatMap((group) =>
-    Array.from(
-      { length: Math.min(SAMPLE_SIZE, group.length) },
-      () => group.splice(Math.floor(random() * group.length), 1),
-    ).flat()
-  );
+  const sample: Candidate[] = [];
+  addRandomMembers(sample, own, random);
+  addRandomMembers(sample, others, random);
+  return sample;
+}
+
+/** Adds members of a group to a sample, each at most once, without changing the group. */
+function addRandomMembers(
+  sample: Candidate[],
+  group: readonly Candidate[],
+  random: () => number,
+): void {
+  const size = Math.min(SAMPLE_SIZE, group.length);
+  /** Positions drawn so far, in ascending order. */
+  const drawn: number[] = [];
+  while (drawn.length < size) {
+    // The draw is a position among the members that are not in the sample yet.
+    let position = Math.floor(random() * (group.length - drawn.length));
+    let rank = 0;
+    for (; rank < drawn.length && (drawn[rank] ?? 0) <= position; rank++) {
+      position++;
+    }
+    drawn.push(position);
+    for (let index = drawn.length - 1; index > rank; index--) {
+      drawn[index] = drawn[index - 1] ?? 0;
+    }
+    drawn[rank] = position;
+    const candidate = group[position];
+    if (candidate !== undefined) {
+      sample.push(candidate);
+    }
+  }
 }
 
 /** Returns the target that a retryable request is to probe, if any. */
@@ -227,15 +257,18 @@
   candidates: readonly Candidate[],
   random: () => number,
 ): Candidate | undefined {
-  const stale = candidates.filter((candidate) =>
-    candidate.failureProbability >= MIN_PROBE_FAILURE_PROBABILITY &&
-    isIdleWithoutOutcome(candidate, PROBE_AFTER_MILLISECONDS)
-  );
   const overdue = candidates.filter(isOverdue);
   if (overdue.length > 0) {
     return random() < OVERDUE_SHARE ? drawLongestWithoutOutcome(overdue, random) : undefined;
   }
-  return random() < PROBE_SHARE ? drawLongestWithoutOutcome(stale, random) : undefined;
+  if (random() >= PROBE_SHARE) {
+    return undefined;
+  }
+  const stale = candidates.filter((candidate) =>
+    candidate.failureProbability >= MIN_PROBE_FAILURE_PROBABILITY &&
+    isIdleWithoutOutcome(candidate, PROBE_AFTER_MILLISECONDS)
+  );
+  return drawLongestWithoutOutcome(stale, random);
 }
 
 /** Returns the target that a non-retryable request is to probe, if any. */
--- a/packages/placement/test/placement_test.ts
+++ b/packages/placement/test/placement_test.ts
@@ -303,6 +303,39 @@
     assert.deepEqual([...counts.values()].sort(), [3, 3, 3]);
   });
 
+  test.test("a sample that holds a target twice or favours some would narrow the choice", () => {
+    const candidates = Array.from(
+      { length: 70 },
+      (_, index) => createCandidate(`target-${index}`, { isRemote: index % 2 === 0 }),
+    );
+    for (let seed = 0; seed < 500; seed++) {
+      const random = randoms.createRandom(seed * 7_919);
+      const draws: number[] = [];
+      const choice = placement.chooseTarget(candidates, WRITE, () => {
+        const draw = random();
+        draws.push(draw);
+        return draw;
+      });
+      const take = () => draws.shift() ?? assert.fail("more draws than were made");
+      if (take() < 0.5) {
+        // Two draws for a target to probe, of which there is none.
+        draws.splice(0, 2);
+      }
+      // The same draws, each of which takes a target out of a list. Local targets cost least.
+      const sample = [false, true].flatMap((isRemote) => {
+        const left = candidates.filter((candidate) => candidate.isRemote === isRemote);
+        return Array.from({ length: 12 }, () => left.splice(Math.floor(take() * left.length), 1))
+          .flat();
+      });
+      const noises = sample.map(() => take());
+      const localNoises = noises.slice(0, 12);
+      const expected = sample[localNoises.indexOf(Math.min(...localNoises))];
+      assert.ok(choice.kind === "chosen");
+      assert.equal(choice.candidate.id, expected?.id);
+      assert.equal(draws.length, 0);
+    }
+  });
+
   test.test("a target that this VM cannot reach is chosen last", () => {
     const unreachable = createCandidate("unreachable", { isUnreachable: true });
     const failing = createCandidate("failing", { failureProbability: 0.9 });
