Workspace rate: determine the demand once for a decision, and not for each refill

Cause: every refill of every bucket, ten times a second on an idle VM too, determined the demand of the fleet, which is used only when VMs have got out of contact. A request under pressure determined it twice.

Change: a refill determines it only if the share of the VMs in contact has fallen, and a decision passes it on.

--- a/packages/placement/src/rate_pressure.ts
+++ b/packages/placement/src/rate_pressure.ts
@@ -176,9 +176,9 @@
    *
    * @param level Tokens left.
    * @param propagationMilliseconds Time within which this VM receives what others have taken.
+   * @param demand The fleet's demand, for a caller that has determined it already.
    */
-  getShare(level: number, propagationMilliseconds: number): number {
-    const demand = this.demand;
+  getShare(level: number, propagationMilliseconds: number, demand = this.demand): number {
     if (demand <= 0) {
       return 1;
     }
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -216,13 +216,16 @@
    * Withholds part of the tokens left once VMs get out of contact: they may take these too. Without
    * this, each part of the fleet would spend all that it did not see the others take.
    */
-  #divideLevel(presentShare: number, { rate, demand }: pressures.RatePressure): void {
+  #divideLevel(presentShare: number, pressure: pressures.RatePressure): void {
+    if (presentShare === this.#presentShare) {
+      return;
+    }
     const now = kernel.getMonotonicMilliseconds();
     if (presentShare < this.#presentShare) {
       const lost = 1 - presentShare / this.#presentShare;
       // Until the loss was noticed, the whole refill was credited here; the VMs still in contact took
       // no more of it than they were asked for.
-      const taken = Math.min(rate, demand * presentShare);
+      const taken = Math.min(pressure.rate, pressure.demand * presentShare);
       const unseen = taken * UNNOTICED_LOSS_MILLISECONDS * lost;
       const withheld = Math.max(this.#level, 0) * lost + unseen;
       this.#divided += withheld;
@@ -276,7 +279,7 @@
     const priorityClass = urgency.getPriorityClass(priority);
     const own = this.#ownDemand / DEMAND_WINDOW_MILLISECONDS;
     return own * pressure.getProportion(priorityClass) *
-      pressure.getShareOf(priorityClass, this.#getShare(pressure));
+      pressure.getShareOf(priorityClass, this.#getShare(pressure, pressure.demand));
   }
 
   #take(priorityClass: number): boolean {
@@ -313,14 +316,15 @@
    * to be paid back by refusals.
    */
   #takeUnderPressure(pressure: pressures.RatePressure, priorityClass: number): boolean {
-    const isFree = this.#hasTokensUnderPressure(pressure);
+    const demand = pressure.demand;
+    const isFree = this.#hasTokensUnderPressure(demand);
     if (this.#isAtUnconfirmedLimit) {
       if (this.#shareLevel < 1) {
         this.#bound = "unconfirmed";
         return false;
       }
       this.#shareLevel -= 1;
-    } else if (!pressure.admit(priorityClass, isFree ? 1 : this.#getShare(pressure))) {
+    } else if (!pressure.admit(priorityClass, isFree ? 1 : this.#getShare(pressure, demand))) {
       this.#bound = "demand";
       return false;
     }
@@ -328,22 +332,24 @@
     return true;
   }
 
-  #hasTokensUnderPressure(pressure: pressures.RatePressure): boolean {
-    const unreported = pressure.demand * this.#propagationMilliseconds;
+  #hasTokensUnderPressure(demand: number): boolean {
+    const unreported = demand * this.#propagationMilliseconds;
     return this.#level >= 1 + Math.min(unreported, this.#burst);
   }
 
-  #getShare(pressure: pressures.RatePressure): number {
-    return pressure.getShare(this.#level, this.#propagationMilliseconds);
+  #getShare(pressure: pressures.RatePressure, demand: number): number {
+    return pressure.getShare(this.#level, this.#propagationMilliseconds, demand);
   }
 
   /** Whether a request would be admitted if the tokens taken before were confirmed. */
   #isWithinReach(priorityClass: number): boolean {
     const pressure = this.#pressure;
-    return pressure === undefined || !pressure.isDemandKnown
-      ? this.#hasFreeTokens()
-      : this.#hasTokensUnderPressure(pressure) ||
-        pressure.wouldAdmit(priorityClass, this.#getShare(pressure));
+    if (pressure === undefined || !pressure.isDemandKnown) {
+      return this.#hasFreeTokens();
+    }
+    const demand = pressure.demand;
+    return this.#hasTokensUnderPressure(demand) ||
+      pressure.wouldAdmit(priorityClass, this.#getShare(pressure, demand));
   }
 
   /** Returns a token whose request was not run. */
