List of candidates: one pass, and one reading of the clock and of the cold rate

Cause: for each request and each target of its service, the list of candidates read the clock up to four times, looked the target's warm-up up twice and its service once in the declarations, computed the constants of the health estimate twice, and filled three arrays.

Change: one pass reads the clock and the service's cold rate once, and each target's warm-up once. The health estimate computes its constants when it is created.

--- a/packages/declarations/src/target_directory.ts
+++ b/packages/declarations/src/target_directory.ts
@@ -158,10 +158,12 @@
   /**
    * Time until a target is warm, in milliseconds; 0 if it is. It counts from the time at which this
    * VM learnt of the report, so that a late VM never takes a target for warm before it is.
+   *
+   * @param now Monotonic time of this VM, in milliseconds.
    */
-  getWarmUpLeft(id: model.TargetId): number {
+  getWarmUpLeft(id: model.TargetId, now = kernel.getMonotonicMilliseconds()): number {
     const warmAt = this.#appliedChanges.get(id)?.warmAt ?? 0;
-    return Math.max(0, warmAt - kernel.getMonotonicMilliseconds());
+    return Math.max(0, warmAt - now);
   }
 
   /** Targets of a service that accept new requests. */
--- a/packages/placement/src/health_estimate.ts
+++ b/packages/placement/src/health_estimate.ts
@@ -102,7 +102,10 @@
 
 /** Estimates the health of one target. */
 export class HealthEstimate {
-  readonly #rates: HealthRates;
+  /** Share of the time that a target spends failing or hanging. */
+  readonly #stationary: number;
+  /** Rate at which an estimate loses its weight, per millisecond. */
+  readonly #driftRate: number;
   #failing: number;
   #hanging: number;
   #updatedAt: number;
@@ -115,19 +118,24 @@
   evidenceAt = Number.NEGATIVE_INFINITY;
 
   constructor(rates: HealthRates = DEFAULT_HEALTH_RATES) {
-    this.#rates = rates;
-    const stationary = this.#getStationaryProbability();
-    this.#failing = stationary * (1 - HANGING_SHARE);
-    this.#hanging = stationary * HANGING_SHARE;
+    const { healthyMilliseconds, failingMilliseconds } = rates;
+    this.#stationary = failingMilliseconds / (healthyMilliseconds + failingMilliseconds);
+    this.#driftRate = 1 / healthyMilliseconds + 1 / failingMilliseconds;
+    this.#failing = this.#stationary * (1 - HANGING_SHARE);
+    this.#hanging = this.#stationary * HANGING_SHARE;
     // There is no earlier evidence, so outcomes of any age count.
     this.#updatedAt = Number.NEGATIVE_INFINITY;
   }
 
   /** Probability, from 0 to 1, that the target is failing or hanging now. */
   get failureProbability(): number {
-    const drift = this.#getDrift(kernel.getMonotonicMilliseconds());
-    const stationary = this.#getStationaryProbability();
-    return stationary + (this.#failing + this.#hanging - stationary) * drift;
+    return this.getFailureProbabilityAt(kernel.getMonotonicMilliseconds());
+  }
+
+  /** The same as of a monotonic time, in milliseconds. */
+  getFailureProbabilityAt(time: number): number {
+    const stationary = this.#stationary;
+    return stationary + (this.#failing + this.#hanging - stationary) * this.#getDrift(time);
   }
 
   /**
@@ -159,7 +167,7 @@
 
   #getStatesAt(time: number): ByState {
     const drift = this.#getDrift(time);
-    const stationary = this.#getStationaryProbability();
+    const stationary = this.#stationary;
     const failing = drift * this.#failing + (1 - drift) * stationary * (1 - HANGING_SHARE);
     const hanging = drift * this.#hanging + (1 - drift) * stationary * HANGING_SHARE;
     return { healthy: 1 - failing - hanging, failing, hanging };
@@ -168,13 +176,6 @@
   /** Share of the latest estimate that still counts at a time. */
   #getDrift(time: number): number {
     const elapsed = Math.max(0, time - this.#updatedAt);
-    return Math.exp(
-      -elapsed * (1 / this.#rates.healthyMilliseconds + 1 / this.#rates.failingMilliseconds),
-    );
-  }
-
-  #getStationaryProbability(): number {
-    const { healthyMilliseconds, failingMilliseconds } = this.#rates;
-    return failingMilliseconds / (healthyMilliseconds + failingMilliseconds);
+    return Math.exp(-elapsed * this.#driftRate);
   }
 }
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -191,9 +191,20 @@
     homes: placement.Homes,
   ): placement.Candidate[] {
     const now = kernel.getMonotonicMilliseconds();
-    return this.#listUsable(service, homes)
-      .filter((entry) => !excluded.has(entry.id) && this.#getWait(entry) === 0)
-      .map((entry) => this.#createCandidate(entry, now));
+    const coldRate = this.#getColdRate(service);
+    const candidates: placement.Candidate[] = [];
+    // One pass that reads the clock, the cold rate and each target's warm-up once: this is done for
+    // each request and each target of its service.
+    for (const entry of this.#directory.listServing(service)) {
+      if (excluded.has(entry.id) || !this.#isUsable(entry, homes)) {
+        continue;
+      }
+      const warmUpLeft = this.#directory.getWarmUpLeft(entry.id, now);
+      if (this.#getSchedule(entry, warmUpLeft, coldRate).milliseconds === 0) {
+        candidates.push(this.#createCandidate(entry, now, warmUpLeft, coldRate));
+      }
+    }
+    return candidates;
   }
 
   /**
@@ -208,9 +219,10 @@
     homes: placement.Homes,
     ahead = 0,
   ): placement.TargetWait | undefined {
+    const coldRate = this.#getColdRate(service);
     const schedules = this.#listUsable(service, homes)
       .filter(({ id }) => !excluded.has(id))
-      .map((entry) => this.#getSchedule(entry))
+      .map((entry) => this.#getSchedule(entry, this.#directory.getWarmUpLeft(entry.id), coldRate))
       .filter(({ milliseconds }) => milliseconds > 0);
     return placement.findWait(schedules, ahead);
   }
@@ -237,9 +249,12 @@
     service: model.ServiceId,
     homes: placement.Homes,
   ): readonly declarations.TargetEntry[] {
-    return this.#directory.listServing(service).filter(({ dataCentre }) =>
-      !this.#evacuations.isEvacuated(dataCentre) && this.#homePolicy.allowsTarget(homes, dataCentre)
-    );
+    return this.#directory.listServing(service).filter((entry) => this.#isUsable(entry, homes));
+  }
+
+  #isUsable({ dataCentre }: declarations.TargetEntry, homes: placement.Homes): boolean {
+    return !this.#evacuations.isEvacuated(dataCentre) &&
+      this.#homePolicy.allowsTarget(homes, dataCentre);
   }
 
   /**
@@ -257,15 +272,20 @@
     }
   }
 
-  /** Time until a target accepts a request from this VM; infinity if that is not foreseeable. */
-  #getWait(entry: declarations.TargetEntry): number {
-    return this.#getSchedule(entry).milliseconds;
-  }
-
-  #getSchedule(entry: declarations.TargetEntry): placement.TargetSchedule {
+  /**
+   * When a target accepts requests from this VM; after infinity if that is not foreseeable.
+   *
+   * @param warmUpLeft Time until the target is warm, in milliseconds.
+   * @param coldRate Rate of the service's cold targets.
+   */
+  #getSchedule(
+    entry: declarations.TargetEntry,
+    warmUpLeft: number,
+    coldRate: number | undefined,
+  ): placement.TargetSchedule {
     const pause = this.#pauses.getRemaining(entry.id);
     const isPause = pause > 0;
-    const limit = this.#findLimit(entry);
+    const limit = this.#findLimit(entry, warmUpLeft, coldRate);
     if (limit === undefined) {
       this.#rates.removeTarget(entry.id);
       return {
@@ -286,10 +306,13 @@
   }
 
   /** The lower of the rate that a target has stated and, while it is cold, that of its service. */
-  #findLimit(entry: declarations.TargetEntry): TargetLimit | undefined {
+  #findLimit(
+    entry: declarations.TargetEntry,
+    warmUpLeft: number,
+    coldRate: number | undefined,
+  ): TargetLimit | undefined {
     const stated = this.#directory.findRate(entry.id);
-    const warmUpLeft = this.#directory.getWarmUpLeft(entry.id);
-    const cold = warmUpLeft > 0 ? this.#getColdRate(entry.service) : undefined;
+    const cold = warmUpLeft > 0 ? coldRate : undefined;
     if (stated === undefined && cold === undefined) {
       return undefined;
     }
@@ -303,6 +326,11 @@
     };
   }
 
+  #isLimited(entry: declarations.TargetEntry): boolean {
+    const warmUpLeft = this.#directory.getWarmUpLeft(entry.id);
+    return this.#findLimit(entry, warmUpLeft, this.#getColdRate(entry.service)) !== undefined;
+  }
+
   #recordFleet(): placement.RateFleet {
     const members = [this.#mesh.self, ...this.#mesh.listOthers()];
     return this.#fleet.record(members, this.#getPresentShare(), this.#isCutOff());
@@ -322,7 +350,7 @@
     return known !== undefined && !known.isDraining && known.startedAt === target.startedAt &&
       !this.#evacuations.isEvacuated(known.dataCentre) &&
       this.#pauses.getRemaining(target.id) === 0 &&
-      (this.#findLimit(known) === undefined || this.#rates.isValid(target.id, token));
+      (!this.#isLimited(known) || this.#rates.isValid(target.id, token));
   }
 
   /**
@@ -454,7 +482,12 @@
     }
   }
 
-  #createCandidate(entry: declarations.TargetEntry, now: number): placement.Candidate {
+  #createCandidate(
+    entry: declarations.TargetEntry,
+    now: number,
+    warmUpLeft: number,
+    coldRate: number | undefined,
+  ): placement.Candidate {
     const record = this.#getRecord(entry.id);
     const isFull = record.fullUntil > now;
     const load = record.ownLoad + record.othersLoad;
@@ -462,18 +495,18 @@
       id: entry.id,
       slots: entry.slots,
       load: isFull ? Math.max(load, entry.slots) : load,
-      failureProbability: record.health.failureProbability,
+      failureProbability: record.health.getFailureProbabilityAt(now),
       sinceLastOutcomeMilliseconds: now - record.health.lastOutcomeAt,
       evidenceAgeMilliseconds: now - record.health.evidenceAt,
       relativeProcessingTime: this.processingTimes.getRelativeTime(entry.id),
       isUnreachable: record.avoidedUntil > now || !this.reachability.isReachable(entry.id),
       isRemote: entry.dataCentre !== this.#mesh.self.dataCentre,
       warmUpMilliseconds: Math.max(
-        this.#directory.getWarmUpLeft(entry.id),
+        warmUpLeft,
         // Load returns gradually to a data centre that was evacuated.
         this.#evacuations.getReturnMilliseconds(entry.dataCentre),
       ),
-      isColdRateLimited: this.#getColdRate(entry.service) !== undefined,
+      isColdRateLimited: coldRate !== undefined,
     };
   }
 
