Proxy: a response without a length that is reset with its last bytes does not end

Cause: the probe at the end of the target's connection fails after a reset, but its error event comes after the runtime has ended the response. The response was not counted as whole, yet its stream ended, and the caller's connection was ended in order before it could be reset: a response that was cut off looked complete.

Change: the response is destroyed in the handler of the end, before the runtime ends it.

--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -265,7 +265,7 @@
       },
     });
     if (!isFramed(incoming, this.#options.request.method)) {
-      this.#probeEnd();
+      this.#probeEnd(incoming);
     }
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
@@ -305,11 +305,17 @@
    * Tells a reset from an end in order when the connection ends. The runtime reports a reset as an
    * end if it arrives together with the last bytes; a write fails only after a reset.
    */
-  #probeEnd(): void {
+  #probeEnd(incoming: http.IncomingMessage): void {
     const socket = kernel.getDefined(this.#socket, "An answer comes over a connection.");
     socket.allowHalfOpen = true;
     // Runs before the runtime ends the own side.
-    socket.prependOnceListener("end", () => socket.write("\r\n"));
+    socket.prependOnceListener("end", () => {
+      socket.write("\r\n");
+      // The error event comes after the runtime has ended the response, which would look complete.
+      if (socket.errored !== null) {
+        incoming.destroy(socket.errored);
+      }
+    });
   }
 
   /** Keeps the connection for another request, unless this one was not written completely. */
--- a/packages/proxy/test/target_call_test.ts
+++ b/packages/proxy/test/target_call_test.ts
@@ -6,6 +6,7 @@
 import * as assert from "node:assert/strict";
 import * as test from "node:test";
 import * as benches from "./call_bench.ts";
+import * as kernel from "@hemlockwalk/kernel";
 import * as harness from "./harness.ts";
 
 const { LONG_BYTES, createHead, withBench } = benches;
@@ -126,6 +127,29 @@
     });
   }
 
+  test.test("a long answer without a length ends, although a reset arrives with its last bytes", async () => {
+    await withBench(async (bench) => {
+      bench.target.onData = ({ socket }) => {
+        socket.write(createHead(200, {}));
+        socket.write("x".repeat(LONG_BYTES));
+      };
+      const result = await bench.run("GET");
+      assert.ok(result.kind === "answered");
+      const { answer } = result;
+      // Nothing is read until both have arrived.
+      const { socket } = bench.target.arrivals[0] ?? assert.fail();
+      socket.write("the last bytes", () => socket.resetAndDestroy());
+      await kernel.sleep(50);
+      let hasEnded = false;
+      let isClosed = false;
+      answer.rest?.once("end", () => hasEnded = true);
+      answer.rest?.once("close", () => isClosed = true);
+      answer.rest?.resume();
+      await harness.waitFor(() => isClosed, "the rest is closed");
+      assert.deepEqual([answer.isWhole(), hasEnded], [false, false]);
+    });
+  });
+
   for (
     const [what, body, reason] of [
       ["garbled", "4\r\nhalf\r\nno chunk\r\n", "spoilt"],
