The mesh notices a silent data centre at every VM, not only at relays

Cause: a VM that does not relay counted all members as in contact while it heard its relay. It noticed the loss of another data centre only when the members expired, 3.5 report intervals later (4.5 s with 129 VMs). For as long, each part of the fleet admitted the whole rate of a workspace.

Change: for a VM that does not relay, a data centre is out of contact once 8 reports of its members are missing, after 0.8 s or more. The result is kept for 50 ms, as it is asked for with each request. The mesh also tells whether an incarnation has announced that it leaves.

--- a/packages/mesh/src/member_table.ts
+++ b/packages/mesh/src/member_table.ts
@@ -62,6 +62,12 @@
     this.#remove(identity.vm);
   }
 
+  /** Whether an incarnation has announced that it leaves. */
+  hasLeft({ vm, incarnation }: Pick<types.MemberIdentity, "vm" | "incarnation">): boolean {
+    const ended = this.#endedIncarnations.get(vm);
+    return ended !== undefined && ended >= incarnation;
+  }
+
   markUnreachable(vm: model.VmId): void {
     const member = this.#members.get(vm);
     if (member !== undefined) {
@@ -80,6 +86,28 @@
     }
   }
 
+  /**
+   * Lists the data centres with a report within a time. The fewer members a data centre has, the
+   * longer its reports may be apart.
+   *
+   * @param getPatience Returns that time for a number of members, in milliseconds.
+   */
+  listHeardDataCentres(getPatience: (members: number) => number): model.DataCentreId[] {
+    const now = kernel.getMonotonicMilliseconds();
+    const heard = new Map<model.DataCentreId, { members: number; lastReceivedAt: number }>();
+    for (const { identity: { dataCentre }, lastReceivedAt } of this.#members.values()) {
+      const { members, lastReceivedAt: latest } = heard.get(dataCentre) ??
+        { members: 0, lastReceivedAt };
+      heard.set(dataCentre, {
+        members: members + 1,
+        lastReceivedAt: Math.max(latest, lastReceivedAt),
+      });
+    }
+    return [...heard].flatMap(([dataCentre, { members, lastReceivedAt }]) =>
+      now - lastReceivedAt < getPatience(members) ? [dataCentre] : []
+    );
+  }
+
   list(): types.MemberIdentity[] {
     return [...this.#members.values()].map((member) => member.identity);
   }
@@ -117,9 +145,7 @@
   }
 
   #add(identity: types.MemberIdentity): boolean {
-    const ended = this.#endedIncarnations.get(identity.vm);
-    const hasEnded = ended !== undefined && ended >= identity.incarnation;
-    if (identity.vm === this.#self.vm || hasEnded) {
+    if (identity.vm === this.#self.vm || this.hasLeft(identity)) {
       return false;
     }
     this.#remove(identity.vm);
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -66,6 +66,15 @@
  */
 const CONTACT_MILLISECONDS = 800;
 
+/** Time for which the members in contact are kept, as they are counted for each request. */
+const CONTACTS_MILLISECONDS = 50;
+
+/**
+ * Reports that must be missing before a data centre counts as silent. Its members report at times
+ * that are independent of each other.
+ */
+const SILENT_REPORTS = 8;
+
 /** Time without an answer to a dial after which the next member in the ranking is dialled too. */
 const DIAL_PATIENCE_MILLISECONDS = 250;
 
@@ -126,6 +135,12 @@
   #isRelay = true;
   /** The VM through which this one hears the others, or itself. */
   #relay: types.MemberIdentity | undefined;
+  /** Members in contact, when that was found out, and the number of members then. */
+  #contacts: { at: number; size: number; members: readonly types.MemberIdentity[] } = {
+    at: Number.NEGATIVE_INFINITY,
+    size: 0,
+    members: [],
+  };
   /** Time since which this relay has had no bridge to the relay of another data centre. */
   readonly #unbridgedSince = new Map<model.DataCentreId, number>();
   #requestListener: http.RequestListener | undefined;
@@ -166,16 +181,50 @@
 
   /** Number of members, this VM included, whose reports can reach this VM at present. */
   countInContact(): number {
+    return 1 + this.listInContact().length;
+  }
+
+  /**
+   * Members without this VM whose reports can reach this VM at present. A relay has links to the
+   * other data centres. For any other VM, a data centre is out of contact once it is silent.
+   */
+  listInContact(): readonly types.MemberIdentity[] {
     const now = kernel.getMonotonicMilliseconds();
+    const { size } = this;
+    if (now - this.#contacts.at >= CONTACTS_MILLISECONDS || this.#contacts.size !== size) {
+      this.#contacts = { at: now, size, members: this.#findInContact(now) };
+    }
+    return this.#contacts.members;
+  }
+
+  #findInContact(now: number): types.MemberIdentity[] {
     const heard = this.#listUpstreamLinks().filter((link) =>
       now - link.receivedAt < CONTACT_MILLISECONDS
     );
-    if (!this.#isRelay) {
-      return heard.length > 0 ? this.size : 1;
+    if (!this.#isRelay && heard.length === 0) {
+      return [];
     }
-    const dataCentres = new Set(heard.map((link) => link.peer?.dataCentre));
+    const dataCentres = new Set(
+      this.#isRelay
+        ? heard.map((link) => link.peer?.dataCentre)
+        : this.#table.listHeardDataCentres((members) => this.#getSilencePatience(members)),
+    );
     dataCentres.add(this.self.dataCentre);
-    return 1 + this.#table.list().filter((member) => dataCentres.has(member.dataCentre)).length;
+    return this.#table.list().filter((member) => dataCentres.has(member.dataCentre));
+  }
+
+  /** Time without a report after which a data centre counts as out of contact. */
+  #getSilencePatience(members: number): number {
+    const share = Math.min(1, SILENT_REPORTS / members);
+    return Math.max(
+      CONTACT_MILLISECONDS,
+      this.#getReportInterval() * share + this.propagationMilliseconds,
+    );
+  }
+
+  /** Whether an incarnation of a VM has announced that it leaves. */
+  hasLeft(identity: Pick<types.MemberIdentity, "vm" | "incarnation">): boolean {
+    return this.#table.hasLeft(identity);
   }
 
   /** Open links on which the reports of VMs beyond the neighbours arrive. */
--- a/packages/mesh/test/mesh_test.ts
+++ b/packages/mesh/test/mesh_test.ts
@@ -234,6 +234,19 @@
     });
   });
 
+  // Guards against VMs that take a lost data centre for reachable until its members expire.
+  test.test("a VM that does not relay notices that another data centre is silent", async () => {
+    await withFleet(async (fleet) => {
+      const member = fleet[2] ?? assert.fail();
+      await waitFor(() => member.mesh.countInContact() === fleet.length, "all are in contact");
+      await kernel.sleep(2_000);
+      assert.equal(member.mesh.countInContact(), fleet.length, "no report is due yet");
+      fleet.slice(3).forEach((vm) => vm.mesh.stop());
+      await waitFor(() => member.mesh.countInContact() === 3, "the loss is noticed");
+      assert.equal(member.mesh.size, fleet.length, "before the members expire");
+    });
+  });
+
   test.test("reports reach all VMs after both relays have stopped", async () => {
     await withFleet(async (fleet) => {
       const [firstNorth, , , firstSouth] = fleet;
