Declarations say which routes let requests run ahead of their turn

Cause: a download is decoded as an idempotent route, and nothing tells the two apart.

It is a positive flag, so that nothing runs ahead under declarations that a VM of an earlier version has decoded. Nothing reads it yet.

--- a/packages/declarations/src/types.ts
+++ b/packages/declarations/src/types.ts
@@ -48,6 +48,12 @@
   readonly pathPrefix: string;
   /** Whether a request may run more than once. */
   readonly isIdempotent: boolean;
+  /**
+   * Whether its safe requests may run ahead of their turn on a connection. Undefined counts as
+   * false, since declarations that a VM of an earlier version has decoded do not tell downloads from
+   * other idempotent routes.
+   */
+  readonly mayRunAhead?: boolean | undefined;
   /** Time within which a response has its full value, in milliseconds. */
   readonly objectiveMilliseconds: number;
   /** Time limit of a request; undefined if only the caller's deadline applies. */
