Requests that may be repeated run ahead of their turn on their connection

Cause: a connection handled one request at a time. A request behind others waited for their processing, and a refusal behind them was decided and sent only then (748 of 5,000 logged requests waited, for 3 s and more).

Change: up to three safe requests on idempotent routes start behind others like them. Their responses are decided at once and held by FinalAnswer; heads are written at the turn, so that they say what holds then. While requests run ahead, no earlier response announces the end of the connection, and one without a length is sent in chunks, with the last chunk only if it became whole. Requests ahead are cancelled when a response breaks off or the caller leaves. A long response is left at its target until its turn, and its slot counts as used until it has been read. Retry-After is less by the time for which a refusal waited. Counter hemlockwalk_requests_ahead_total, step started_ahead.

The assertion "one request is handled at a time" in caller_connection_test contradicts the design. In its place: requests start in order; at most four run; several run only if all of them may; a response is sent only at its turn, which comes once; no end is announced while others run; none starts after SIGTERM or behind a response that has begun; reserved memory matches. The check that the end takes no response with it is unchanged. Half of the generated events end the connection or bar requests from running ahead, so with uniform events alone the property missed a start behind a response that had begun; half of the sequences now have them seldom.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -441,7 +441,10 @@
 /** The steps of a request trace: decisions about the request with their inputs. */
 export const TraceSteps = {
   waited_for_turn: {
-    milliseconds: "Time for which it waited for the requests before it on its connection.",
+    milliseconds: "Time for which it, or its response if it ran ahead, waited for those before it.",
+  },
+  started_ahead: {
+    before: "Requests before it on its connection that had no complete response yet.",
   },
   accepted: {
     route: "Route of the request.",
--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -28,6 +28,37 @@
  */
 const CONFIRMED_FOR_MILLISECONDS = 3_000;
 
+/** Methods of which the order and the number of their runs make no difference. */
+const SAFE_METHODS: ReadonlySet<string | undefined> = new Set(["GET", "HEAD"]);
+
+/**
+ * Whether a request of a caller may be handled at the same time as others of its connection for
+ * which this holds (RFC 9112, section 9.3.2). It has no body, so that nothing of it is left to read.
+ */
+export function mayRunAhead(
+  view: declarations.DeclarationView,
+  request: http.IncomingMessage,
+): boolean {
+  const { headers: fields } = request;
+  const hasBody = fields["transfer-encoding"] !== undefined ||
+    (fields["content-length"] ?? "0") !== "0";
+  // A caller of HTTP/1.0 cannot get a response in chunks, which keeps the connection open.
+  if (!SAFE_METHODS.has(request.method) || request.httpVersion !== "1.1" || hasBody) {
+    return false;
+  }
+  const route = fields.expect === undefined ? findRoute(view, request) : undefined;
+  return route?.isIdempotent === true && route.mayRunAhead === true;
+}
+
+function findRoute(
+  view: declarations.DeclarationView,
+  request: http.IncomingMessage,
+): declarations.DeclaredRoute | undefined {
+  const path = request.url ?? "/";
+  const query = path.indexOf("?");
+  return view.findRoute(request.headers.host ?? "", query < 0 ? path : path.slice(0, query));
+}
+
 /** Accepts a request, or returns why not. A refused request has not run anywhere. */
 export async function acceptRequest(
   context: contexts.RequestContext,
@@ -46,11 +77,7 @@
     return { status: 431, reason: "head_too_large" };
   }
   const path = request.url ?? "/";
-  const query = path.indexOf("?");
-  const route = view.findRoute(
-    request.headers.host ?? "",
-    query < 0 ? path : path.slice(0, query),
-  );
+  const route = findRoute(view, request);
   if (route === undefined) {
     return refuseUnknown(context, trace, { status: 404, reason: "unknown_route" });
   }
--- a/packages/proxy/src/caller_connection.ts
+++ b/packages/proxy/src/caller_connection.ts
@@ -1,10 +1,15 @@
 /**
  * One connection of a caller: the order of its requests, and how it ends.
  *
- * Requests are handled one at a time. The next one begins once the response to the one before has
- * been handed to the network and the connection stays open behind it. So a request that was passed
- * on to a target is always the one whose response comes next, and nothing that ends the connection
- * behind a response takes another one with it: what was read behind it has not been passed on.
+ * Responses are sent in the order of the requests. A request begins when its turn comes: once the
+ * response to the one before has been handed to the network and the connection stays open behind
+ * it. Up to three further requests run ahead of their turn if the caller cannot tell the difference,
+ * and their responses wait. Requests that were passed on to a target are therefore always the first
+ * ones of the queue, and no response announces the end of the connection while one behind it runs
+ * ahead. So nothing that ends the connection in order takes a response with it: what was read
+ * behind has not been passed on. Only a response that breaks off ends the connection before the
+ * responses to requests that run ahead, which are cancelled. To keep this rare, nothing starts ahead
+ * behind a response that has begun.
  *
  * A connection ends in two steps. This VM ends its own side, then reads and drops what the caller
  * still sends until the caller has ended its side. A connection that is closed with unread bytes is
@@ -13,7 +18,8 @@
  * States:
  *
  * - `idle`: every request that was read has its response
- * - `handling`: the first request of the queue is handled, the others wait
+ * - `handling`: the first request of the queue is handled, the next ones may run ahead, and the
+ *   others wait
  * - `discarding`: its response has been sent, and the rest of its body is read and dropped
  * - `lingering`: the own side has ended, and what the caller sends is read and dropped
  * - `closed`
@@ -22,12 +28,16 @@
  */
 
 import * as kernel from "@hemlockwalk/kernel";
+import type * as budgets from "./ahead_budget.ts";
 import type * as records from "./connection_record.ts";
 import type * as types from "./types.ts";
 
 /** Requests that wait on a connection before reading pauses; those already received follow. */
 const MAX_WAITING_REQUESTS = 16;
 
+/** Most requests of a connection that are handled at once: the first, and those that run ahead. */
+const MAX_RUNNING_REQUESTS = 4;
+
 /** Most bytes, and longest time, for which the rest of an answered request is read. */
 const MAX_DISCARDED_BYTES = 4_194_304;
 const MAX_DISCARD_MILLISECONDS = 5_000;
@@ -74,17 +84,31 @@
   readonly isRead: boolean;
   /** Whether it was sent to a target or to another VM. */
   readonly isPassedOn: boolean;
+  /**
+   * Whether it may be handled at the same time as others on its connection for which this holds. If
+   * so, its request has no body.
+   */
+  readonly mayRunAhead: boolean;
   /**
    * Begins to handle the request, at most once.
    *
    * @param hasWaited Whether requests before it on its connection were handled first.
    */
   start(hasWaited: boolean): void;
+  /**
+   * Begins to handle the request ahead of its turn, in place of `start`. Its response waits until
+   * `takeTurn` is called.
+   *
+   * @param before Number of requests before it on its connection that are not answered yet.
+   */
+  startAhead(reservation: budgets.AheadReservation, before: number): void;
+  /** Sends the response to a request that was started ahead, as soon as there is one. */
+  takeTurn(): void;
   /** Reads and drops the rest of the request. */
   dropRest(): void;
   /** Responds that the rest of the request cannot be read. */
   reject(): void;
-  /** Ends the handling, since nobody receives the response. */
+  /** Ends the handling, since nobody receives the response. Later calls have no effect. */
   cancel(): void;
 }
 
@@ -98,8 +122,15 @@
   readonly #transport: ConnectionTransport;
   readonly #record: records.ConnectionEndListener;
   readonly #stop: types.StopState;
-  /** The request that is handled, and those that wait. */
+  readonly #budget: budgets.AheadBudget;
+  /** The requests that are handled, and behind them those that wait. */
   readonly #queue: ConnectionExchange[] = [];
+  /** Number of requests at the front of the queue that are handled. */
+  #running = 0;
+  /** What the requests that run ahead have reserved. */
+  readonly #reservations = new Map<ConnectionExchange, budgets.AheadReservation>();
+  /** Whether the response to the first request has begun. */
+  #hasResponseBegun = false;
   /** The answered request whose rest is read and dropped. */
   #discarded: ConnectionExchange | undefined;
   #state: State = "idle";
@@ -120,10 +151,17 @@
     transport: ConnectionTransport,
     record: records.ConnectionEndListener,
     stop: types.StopState,
+    budget: budgets.AheadBudget,
   ) {
     this.#transport = transport;
     this.#record = record;
     this.#stop = stop;
+    this.#budget = budget;
+  }
+
+  /** Whether requests run ahead behind the first one. */
+  get hasRunningBehind(): boolean {
+    return this.#running > 1;
   }
 
   /** Whether a request is handled or waits. */
@@ -146,26 +184,35 @@
     this.#queue.push(exchange);
     if (this.#state === "idle") {
       this.#startFirst(false);
-    } else if (this.#queue.length > MAX_WAITING_REQUESTS && !this.#isReadingPaused) {
+      return;
+    }
+    if (this.#queue.length > MAX_WAITING_REQUESTS && !this.#isReadingPaused) {
       this.#isReadingPaused = true;
       this.#transport.pauseReading();
     }
+    this.#startAhead();
   }
 
   /**
    * Decides, when the response's head is written, whether it announces the end of the connection.
+   * It never does while requests run ahead behind it.
    *
-   * @param isRequired Whether the connection has to end behind this response.
+   * @param isRequired Whether the connection has to end behind this response, which must not be
+   *   while requests run ahead behind it.
    */
   decideEnd(isRequired: boolean): boolean {
+    this.#hasResponseBegun = true;
     // While new connections are accepted, requests that have been read are served as well.
     const endsWithStop = this.#stop.isClosing ||
       (this.#stop.isStopping && this.#queue.length === 1 && this.#lastBytes === undefined);
-    this.#isEndAnnounced = isRequired || this.#mustEnd || endsWithStop;
+    this.#isEndAnnounced = !this.hasRunningBehind && (isRequired || this.#mustEnd || endsWithStop);
     return this.#isEndAnnounced;
   }
 
-  /** Called when the connection has to end behind the present response, or at once without one. */
+  /**
+   * Called when the connection has to end behind the present response, or behind those of the
+   * requests that run ahead, or at once without any.
+   */
   requireEnd(): void {
     this.#mustEnd = true;
     if (this.#state === "idle") {
@@ -181,7 +228,9 @@
     this.#answered++;
     this.#answeredAt = kernel.getMonotonicMilliseconds();
     const exchange = this.#queue.shift();
-    if (this.#isEndAnnounced || this.#mustEnd) {
+    this.#running--;
+    this.#hasResponseBegun = false;
+    if (this.#running === 0 && (this.#isEndAnnounced || this.#mustEnd)) {
       exchange?.dropRest();
       this.#linger();
     } else if (exchange?.isRead === false) {
@@ -213,6 +262,7 @@
       this.#linger();
     } else {
       this.#state = "lingering";
+      this.#cancelAhead();
       this.#transport.reset();
     }
   }
@@ -234,7 +284,7 @@
       this.#linger(response);
     } else if (latest.isRead) {
       this.#lastBytes = response;
-    } else if (this.#queue.length > 1) {
+    } else if (this.#queue.length > this.#running) {
       this.#queue.pop()?.dropRest();
       this.#lastBytes = response;
     } else {
@@ -275,6 +325,7 @@
     this.#state = "closed";
     clearTimeout(this.#check);
     clearTimeout(this.#firstRequestTimer);
+    this.#cancelAhead();
     const unanswered = this.#queue.splice(0);
     this.#record.write({
       ending,
@@ -298,7 +349,48 @@
 
   #startFirst(hasWaited: boolean): void {
     this.#state = "handling";
+    this.#running = 1;
     this.#queue[0]?.start(hasWaited);
+    this.#startAhead();
+  }
+
+  /** Starts the next requests ahead of their turn, as far as that is allowed. */
+  #startAhead(): void {
+    while (this.#mayStartAhead()) {
+      const reservation = this.#budget.reserve();
+      const exchange = this.#queue[this.#running];
+      if (reservation === undefined || exchange === undefined) {
+        return;
+      }
+      this.#reservations.set(exchange, reservation);
+      exchange.startAhead(reservation, this.#running++);
+    }
+  }
+
+  #mayStartAhead(): boolean {
+    const isBarred = this.#state !== "handling" || this.#hasResponseBegun || this.#mustEnd ||
+      this.#stop.isStopping;
+    return !isBarred && this.#running < MAX_RUNNING_REQUESTS &&
+      this.#running < this.#queue.length &&
+      this.#queue.slice(0, this.#running + 1).every(({ mayRunAhead }) => mayRunAhead);
+  }
+
+  /** Cancels the requests that run ahead; they stay in the queue, as unanswered ones. */
+  #cancelAhead(): void {
+    for (const [exchange, reservation] of this.#reservations) {
+      reservation.cancel();
+      exchange.cancel();
+    }
+    this.#reservations.clear();
+  }
+
+  /** Lets the first request of the queue, which was started ahead, send its response. */
+  #takeTurn(exchange: ConnectionExchange): void {
+    this.#reservations.get(exchange)?.release();
+    this.#reservations.delete(exchange);
+    // Its response may begin at once, behind which nothing starts ahead.
+    exchange.takeTurn();
+    this.#startAhead();
   }
 
   #advance(): void {
@@ -308,7 +400,12 @@
       this.#isReadingPaused = false;
       this.#transport.resumeReading();
     }
-    if (this.#queue.length > 0) {
+    const [first] = this.#queue;
+    if (first !== undefined && this.#running > 0) {
+      this.#takeTurn(first);
+      return;
+    }
+    if (first !== undefined) {
       this.#startFirst(true);
       return;
     }
@@ -321,6 +418,7 @@
 
   #linger(lastBytes?: string): void {
     this.#state = "lingering";
+    this.#cancelAhead();
     this.#transport.end(lastBytes);
     this.#transport.resumeReading();
     this.#queue.forEach((exchange) => exchange.dropRest());
--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -5,6 +5,7 @@
 
 import type * as http from "node:http";
 import * as kernel from "@hemlockwalk/kernel";
+import type * as budgets from "./ahead_budget.ts";
 import type * as connections from "./caller_connection.ts";
 import * as headers from "./headers.ts";
 import type * as refusals from "./refusals.ts";
@@ -12,7 +13,20 @@
 import type * as log from "./request_log.ts";
 import type * as calls from "./target_call.ts";
 
-/** Sends the final response of a request, once. */
+/** A response that waits for the turn of its request. */
+interface HeldAnswer {
+  readonly heldAt: number;
+  /** @param milliseconds Time for which it has waited. */
+  send(milliseconds: number): void;
+  drop(): void;
+}
+
+/**
+ * Sends the final response of a request, once.
+ *
+ * If the request runs ahead of its turn, nothing of its response is written before its turn. So the
+ * response's head says what holds then: whether the connection ends, and when to return.
+ */
 export class FinalAnswer {
   readonly #context: contexts.RequestContext;
   readonly #response: http.ServerResponse;
@@ -20,6 +34,11 @@
   readonly #connection: connections.CallerConnection;
   readonly #isForwarded: boolean;
   #isDecided = false;
+  #hasTurn = true;
+  #isDropped = false;
+  #held: HeldAnswer | undefined;
+  /** The memory for the response of a request that was started ahead. */
+  #reservation: budgets.AheadReservation | undefined;
   #delimiting: connections.Delimiting = "framed";
 
   /** @param isForwarded Whether another VM has passed the request on, which counts it. */
@@ -37,10 +56,59 @@
     this.#isForwarded = isForwarded;
   }
 
+  /** Whether the response is decided; it may wait for its turn. */
   get isDecided(): boolean {
     return this.#isDecided;
   }
 
+  /** Whether the response is sent once it is decided. */
+  get hasTurn(): boolean {
+    return this.#hasTurn;
+  }
+
+  /** Holds the response back until `takeTurn` is called. */
+  holdBack(reservation: budgets.AheadReservation): void {
+    this.#hasTurn = false;
+    this.#reservation = reservation;
+  }
+
+  /** Sends the response if it was held back, and does not hold it back from now on. */
+  takeTurn(): void {
+    this.#hasTurn = true;
+    const held = this.#held;
+    this.#held = undefined;
+    if (held !== undefined) {
+      const milliseconds = kernel.getMonotonicMilliseconds() - held.heldAt;
+      this.#trace.add("waited_for_turn", { milliseconds: Math.round(milliseconds) });
+      held.send(milliseconds);
+    }
+  }
+
+  /** Drops the response of a request that ran ahead and whose turn will never come. */
+  drop(): void {
+    if (this.#hasTurn || this.#isDropped) {
+      return;
+    }
+    this.#isDropped = true;
+    this.#dropHeld();
+  }
+
+  #dropHeld(): void {
+    const held = this.#held;
+    this.#held = undefined;
+    if (held !== undefined) {
+      held.drop();
+      this.finish("caller_left", 0);
+    }
+  }
+
+  #hold(held: Pick<HeldAnswer, "send" | "drop">): void {
+    this.#held = { ...held, heldAt: kernel.getMonotonicMilliseconds() };
+    if (this.#isDropped) {
+      this.#dropHeld();
+    }
+  }
+
   /**
    * Forwards a target's response; the rest of a long one is streamed.
    *
@@ -48,14 +116,50 @@
    *   ended, in milliseconds.
    */
   forward(answer: calls.TargetAnswer, endsAt: number): void {
-    const { rest } = answer;
     this.#isDecided = true;
+    if (this.#hasTurn) {
+      this.#send(answer, endsAt);
+    } else if (answer.rest === undefined) {
+      this.#reservation?.shrinkTo(answer.chunks.reduce((sum, chunk) => sum + chunk.length, 0));
+      this.#hold({ send: () => this.#send(answer, endsAt), drop: () => answer.discard() });
+    } else {
+      this.#holdLong(answer, answer.rest, endsAt);
+    }
+  }
+
+  /** Leaves the rest of a long response unread until its turn, at most as long as its caller waits. */
+  #holdLong(answer: calls.TargetAnswer, rest: http.IncomingMessage, endsAt: number): void {
+    const timer = setTimeout(
+      () => rest.destroy(),
+      Math.max(0, endsAt - kernel.getMonotonicMilliseconds()),
+    );
+    const send = () => {
+      clearTimeout(timer);
+      if (!rest.destroyed) {
+        this.#send(answer, endsAt);
+        return;
+      }
+      // Nothing of it was sent, so the connection can be kept.
+      this.#isDecided = false;
+      const isLate = kernel.getMonotonicMilliseconds() >= endsAt;
+      this.refuse(
+        isLate ? { status: 504, reason: "timeout" } : { status: 502, reason: "target_failed" },
+      );
+    };
+    const drop = () => {
+      clearTimeout(timer);
+      answer.discard();
+    };
+    this.#hold({ send, drop });
+  }
+
+  #send(answer: calls.TargetAnswer, endsAt: number): void {
+    const { rest } = answer;
     this.#delimiting = this.#getDelimiting(answer);
     const endsConnection = this.#delimiting === "by_end";
     const head = [...answer.headers, ...this.#createConnectionHeader(endsConnection)];
-    if (!answer.isFramed) {
-      // The proxy cannot know whether a response without framing is complete, so it does not frame
-      // it either.
+    if (endsConnection && !answer.isFramed) {
+      // It is delimited by the end of the connection, as the target's response is.
       this.#response.useChunkedEncodingByDefault = false;
     }
     this.#response.writeHead(answer.status, head);
@@ -68,7 +172,13 @@
       this.finish("answered", answer.status);
       return;
     }
-    rest.pipe(this.#response);
+    // The end in chunks is written only after a complete response.
+    rest.pipe(this.#response, { end: false });
+    rest.once("end", () => {
+      if (answer.isWhole()) {
+        this.#response.end();
+      }
+    });
     const timer = setTimeout(
       () => rest.destroy(),
       Math.max(0, endsAt - kernel.getMonotonicMilliseconds()),
@@ -95,6 +205,20 @@
       return;
     }
     this.#isDecided = true;
+    if (this.#hasTurn) {
+      this.#sendRefusal(refusal, 0);
+    } else {
+      // A refusal is a few bytes.
+      this.#reservation?.shrinkTo(0);
+      this.#hold({
+        send: (milliseconds) => this.#sendRefusal(refusal, milliseconds),
+        drop: () => undefined,
+      });
+    }
+  }
+
+  /** @param heldMilliseconds Time for which it has waited, which the caller need not wait again. */
+  #sendRefusal(refusal: refusals.Refusal, heldMilliseconds: number): void {
     const head: string[] = ["Content-Type", "application/problem+json"];
     if (this.#trace.id !== "") {
       head.push(this.#context.profile.requestId, this.#trace.id);
@@ -103,7 +227,8 @@
       head.push(headers.REFUSAL_HEADER, refusal.reason);
     }
     if (refusal.retryAfterSeconds !== undefined) {
-      head.push("Retry-After", String(refusal.retryAfterSeconds));
+      const seconds = Math.max(0, refusal.retryAfterSeconds - heldMilliseconds / 1_000);
+      head.push("Retry-After", String(Math.round(seconds * 1_000) / 1_000));
     }
     const body = JSON.stringify({ title: refusal.reason, status: refusal.status });
     head.push("Content-Length", String(body.length), ...this.#createConnectionHeader(false));
@@ -115,6 +240,7 @@
   /** Ends a request whose handling has failed unexpectedly; it may have run. */
   fail(): void {
     if (!this.#response.headersSent) {
+      this.#held?.drop();
       this.#isDecided = false;
       this.refuse({ status: 500, reason: "internal_error" });
       return;
@@ -127,12 +253,17 @@
     return this.#connection.decideEnd(endsConnection) ? ["Connection", "close"] : [];
   }
 
-  /** A caller of HTTP/1.0 does not understand chunks. */
+  /**
+   * The proxy cannot know from the start whether a response without framing becomes complete, so it
+   * does not frame it, unless requests run ahead behind it: then it is sent in chunks, without the
+   * last one if it breaks off. A caller of HTTP/1.0 does not understand chunks.
+   */
   #getDelimiting(answer: calls.TargetAnswer): connections.Delimiting {
     const isChunked = !answer.headers.some((name, index) =>
       index % 2 === 0 && name.toLowerCase() === "content-length"
     );
-    const isByEnd = !answer.isFramed || (isChunked && this.#response.req.httpVersion === "1.0");
+    const isByEnd = (!answer.isFramed && !this.#connection.hasRunningBehind) ||
+      (isChunked && this.#response.req.httpVersion === "1.0");
     return isByEnd ? "by_end" : "framed";
   }
 
--- a/packages/proxy/src/http_connection.ts
+++ b/packages/proxy/src/http_connection.ts
@@ -8,6 +8,7 @@
 
 import type * as http from "node:http";
 import * as net from "node:net";
+import type * as budgets from "./ahead_budget.ts";
 import type * as connections from "./caller_connection.ts";
 import type * as handlers from "./request_handler.ts";
 
@@ -76,18 +77,18 @@
 export class HttpExchange implements connections.ConnectionExchange {
   readonly #request: http.IncomingMessage;
   readonly #handler: handlers.RequestHandler;
-  readonly #run: (hasWaited: boolean) => void;
+  readonly #guard: (run: () => Promise<void>) => void;
   #isStarted = false;
 
-  /** @param run Runs the handler and takes care of its errors. */
+  /** @param guard Calls a method that runs the handler and takes care of its errors. */
   constructor(
     request: http.IncomingMessage,
     handler: handlers.RequestHandler,
-    run: (hasWaited: boolean) => void,
+    guard: (run: () => Promise<void>) => void,
   ) {
     this.#request = request;
     this.#handler = handler;
-    this.#run = run;
+    this.#guard = guard;
   }
 
   get id(): string {
@@ -102,9 +103,22 @@
     return this.#handler.isPassedOn;
   }
 
+  get mayRunAhead(): boolean {
+    return this.#handler.mayRunAhead;
+  }
+
   start(hasWaited: boolean): void {
     this.#isStarted = true;
-    this.#run(hasWaited);
+    this.#guard(() => this.#handler.run(hasWaited));
+  }
+
+  startAhead(reservation: budgets.AheadReservation, before: number): void {
+    this.#isStarted = true;
+    this.#guard(() => this.#handler.runAhead(reservation, before));
+  }
+
+  takeTurn(): void {
+    this.#handler.takeTurn();
   }
 
   dropRest(): void {
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -7,6 +7,7 @@
 import type * as stream from "node:stream";
 import type * as declarations from "@hemlockwalk/declarations";
 import * as kernel from "@hemlockwalk/kernel";
+import * as budgets from "./ahead_budget.ts";
 import * as connections from "./caller_connection.ts";
 import * as records from "./connection_record.ts";
 import * as bindings from "./http_connection.ts";
@@ -57,6 +58,8 @@
   readonly #options: ListenerOptions;
   readonly #server: CallerServer;
   readonly #record: records.ConnectionRecord;
+  /** Shared by all connections. */
+  readonly #aheadBudget: budgets.AheadBudget;
   readonly #context: contexts.RequestContext;
   /** Open connections of callers, and those of other VMs that have passed requests on. */
   readonly #connections = new Map<net.Socket, connections.CallerConnection>();
@@ -69,6 +72,13 @@
   constructor(options: ListenerOptions) {
     this.#options = options;
     this.#record = new records.ConnectionRecord(options.logger, options.metrics);
+    this.#aheadBudget = new budgets.AheadBudget(
+      options.metrics.createCounter(
+        "hemlockwalk_requests_ahead_total",
+        "Requests that ran ahead of their turn on their connection, by event.",
+        ["event"],
+      ),
+    );
     this.#context = options.createContext(this.#stop);
     this.#server = new CallerServer({
       maxHeaderSize: MAX_HEAD_BYTES,
@@ -159,7 +169,7 @@
     const exchange = new bindings.HttpExchange(
       request,
       handler,
-      (hasWaited) => void this.#run(handler, hasWaited),
+      (run) => void this.#guard(handler, run),
     );
     response.once("finish", () => {
       // It is emitted as well when the connection is closed.
@@ -171,9 +181,9 @@
     connection.add(exchange);
   }
 
-  async #run(handler: handlers.RequestHandler, hasWaited: boolean): Promise<void> {
+  async #guard(handler: handlers.RequestHandler, run: () => Promise<void>): Promise<void> {
     try {
-      await handler.run(hasWaited);
+      await run();
     } catch (error) {
       this.#options.logger.write(kernel.LogMessages.unexpectedRequestError, {
         error: error instanceof Error ? error.stack : String(error),
@@ -189,6 +199,7 @@
       transport,
       this.#record,
       this.#stop,
+      this.#aheadBudget,
     );
     this.#connections.set(socket, connection);
     transport.onServerEnd(() => connection.requireEnd());
--- a/packages/proxy/src/mod.ts
+++ b/packages/proxy/src/mod.ts
@@ -2,6 +2,7 @@
  * The request path of a fleet in which every VM holds the complete declarations.
  */
 
+export * from "./ahead_budget.ts";
 export * from "./budgets.ts";
 export * from "./caller_connection.ts";
 export * from "./connection_record.ts";
--- a/packages/proxy/src/passing_on.ts
+++ b/packages/proxy/src/passing_on.ts
@@ -19,11 +19,18 @@
 export class PeerCalls {
   readonly #context: contexts.RequestContext;
   readonly #trace: log.RequestTrace;
+  readonly #getMaxBufferedBytes: () => number;
   readonly #tried = new Set<model.VmId>();
 
-  constructor(context: contexts.RequestContext, trace: log.RequestTrace) {
+  /** @param getMaxBufferedBytes Returns the most bytes of a response that are buffered. */
+  constructor(
+    context: contexts.RequestContext,
+    trace: log.RequestTrace,
+    getMaxBufferedBytes: () => number,
+  ) {
     this.#context = context;
     this.#trace = trace;
+    this.#getMaxBufferedBytes = getMaxBufferedBytes;
   }
 
   /** Whether the request may be passed on once more after another VM could not serve it. */
@@ -64,6 +71,7 @@
         isStillAccepted: () => true,
         // The other VM has recorded what the target says of itself.
         recordNotice: () => undefined,
+        getMaxBufferedBytes: this.#getMaxBufferedBytes,
         signal,
       });
       this.#record(peer.vm, result);
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -7,6 +7,7 @@
 import * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
 import * as admission from "./admission.ts";
+import * as aheadBudgets from "./ahead_budget.ts";
 import * as bodies from "./body.ts";
 import type * as connections from "./caller_connection.ts";
 import * as answers from "./final_answer.ts";
@@ -46,6 +47,7 @@
 export class RequestHandler {
   readonly #context: contexts.RequestContext;
   readonly #request: http.IncomingMessage;
+  readonly #response: http.ServerResponse;
   readonly #finalAnswer: answers.FinalAnswer;
   readonly #trace: log.RequestTrace;
   readonly #caller = new AbortController();
@@ -60,6 +62,9 @@
   #mayHaveRun = false;
   /** Whether the time for the response has run out. */
   #hasExpired = false;
+  /** The declarations for which it is known whether the request may run ahead. */
+  #aheadView: declarations.DeclarationView | undefined;
+  #mayRunAhead = false;
   /** Whether the target that shed the request last seemed to have no free slot. */
   #isOutOfSlots = true;
 
@@ -73,12 +78,17 @@
   ) {
     this.#context = context;
     this.#request = request;
+    this.#response = response;
     const id = request.headers[context.profile.requestId];
     this.#trace = new log.RequestTrace(typeof id === "string" ? id : "");
     this.#isForwarded = isForwarded;
     const { signal } = this.#caller;
     this.#placer = new placers.RequestPlacer(context, this.#trace, this.#tried, signal);
-    this.#peers = new passingOn.PeerCalls(context, this.#trace);
+    this.#peers = new passingOn.PeerCalls(
+      context,
+      this.#trace,
+      () => this.#getMaxBufferedBytes(),
+    );
     this.#evidence = new evidence.RequestEvidence(context, this.#trace, request);
     this.#finalAnswer = new answers.FinalAnswer(
       context,
@@ -99,8 +109,24 @@
     return this.#hasAttempted;
   }
 
+  /** Whether the request may run at the same time as others of its connection. */
+  get mayRunAhead(): boolean {
+    const { store, startGate } = this.#context;
+    // At the end of the connection that the caller requests, nothing behind may have begun.
+    if (this.#isForwarded || !startGate.isOpen || !this.#response.shouldKeepAlive) {
+      return false;
+    }
+    if (store.current !== this.#aheadView) {
+      this.#aheadView = store.current;
+      this.#mayRunAhead = store.current !== undefined &&
+        admission.mayRunAhead(store.current, this.#request);
+    }
+    return this.#mayRunAhead;
+  }
+
   /** Called when the caller's connection has closed. */
   onCallerClosed(): void {
+    this.#finalAnswer.drop();
     if (!this.#finalAnswer.isDecided) {
       this.#caller.abort("cancelled");
     }
@@ -117,6 +143,23 @@
     this.#finalAnswer.fail();
   }
 
+  /**
+   * Handles the request ahead of its turn on its connection. Its response is held back until
+   * `takeTurn` is called.
+   *
+   * @param before Number of requests before it that are not answered yet.
+   */
+  async runAhead(reservation: aheadBudgets.AheadReservation, before: number): Promise<void> {
+    this.#finalAnswer.holdBack(reservation);
+    this.#trace.add("started_ahead", { before });
+    await this.run(false);
+  }
+
+  /** Called when the turn of a request has come that was started ahead. */
+  takeTurn(): void {
+    this.#finalAnswer.takeTurn();
+  }
+
   /** @param hasWaited Whether requests before it on its connection were handled first. */
   async run(hasWaited: boolean): Promise<void> {
     if (hasWaited) {
@@ -307,7 +350,12 @@
     const stopSurvivalTimer = this.#startSurvivalTimer(target.id, startedAt);
     const overdue = this.#startOverdueTimer(target.id, accepted.route, body, startedAt);
     this.#hasAttempted = true;
+    const endCall = () => {
+      tracker.endCall(target.id);
+      this.#context.queues.get(accepted.service).advance();
+    };
     let result: calls.CallResult;
+    let heldBack: http.IncomingMessage | undefined;
     try {
       result = await calls.callTarget({
         request: accepted,
@@ -320,15 +368,21 @@
           tracker.reachability.recordConnected(target.id, milliseconds),
         isStillAccepted: () => tracker.accepts(target, placed.rateToken),
         recordNotice: (notice) => this.#recordNotice(target, notice),
+        getMaxBufferedBytes: () => this.#getMaxBufferedBytes(),
         signal: attempt.signal,
       });
+      heldBack = this.#findHeldBack(result);
     } finally {
       silence.stop();
       stopSurvivalTimer();
       overdue.stop();
       release();
-      tracker.endCall(target.id);
-      this.#context.queues.get(accepted.service).advance();
+      if (heldBack === undefined || heldBack.closed) {
+        endCall();
+      } else {
+        // The target uses a slot until it has sent the rest.
+        heldBack.once("close", endCall);
+      }
     }
     // Another target at the address is the only one that responds without having got the request.
     if (result.kind === "not_run" && (!result.hasArrived || result.reason === "other_target")) {
@@ -341,6 +395,17 @@
     return result;
   }
 
+  #getMaxBufferedBytes(): number {
+    return this.#finalAnswer.hasTurn
+      ? calls.MAX_BUFFERED_ANSWER_BYTES
+      : aheadBudgets.MAX_AHEAD_RESPONSE_BYTES;
+  }
+
+  /** The rest of a response that is left unread until its turn, while its target sends it. */
+  #findHeldBack(result: calls.CallResult): http.IncomingMessage | undefined {
+    return this.#finalAnswer.hasTurn || result.kind !== "answered" ? undefined : result.answer.rest;
+  }
+
   /** Starts an attempt, which is cancelled with the caller's request where that is safe. */
   #startAttempt(
     accepted: types.AcceptedRequest,
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -11,7 +11,7 @@
 import * as refusals from "./refusals.ts";
 
 /** Responses up to this size are buffered completely before they are forwarded to the caller. */
-const MAX_BUFFERED_ANSWER_BYTES = 262_144;
+export const MAX_BUFFERED_ANSWER_BYTES = 262_144;
 
 /** Statuses of final responses. */
 const MIN_STATUS = 200;
@@ -80,6 +80,11 @@
   readonly isStillAccepted: () => boolean;
   /** Called before the attempt ends with what the target says of itself. */
   readonly recordNotice: (notice: TargetNotice) => void;
+  /**
+   * Returns the most bytes of a response that are buffered before the attempt ends with the rest of
+   * it unread; by default 262,144.
+   */
+  readonly getMaxBufferedBytes?: () => number;
   /** Ends the attempt. The reason of the signal is `silent` or `cancelled`. */
   readonly signal: AbortSignal;
 }
@@ -270,7 +275,7 @@
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
       bytes += chunk.length;
-      if (bytes > MAX_BUFFERED_ANSWER_BYTES) {
+      if (bytes > (this.#options.getMaxBufferedBytes?.() ?? MAX_BUFFERED_ANSWER_BYTES)) {
         incoming.pause();
         incoming.off("data", onData);
         incoming.off("end", onEnd);
