Placement: the cost of a candidate by term, and an explained choice

Operators ask why a request goes to one target and not to another. The cost was one sum, and the noise and the sample of a choice were not visible.

getCost computes named terms and reports them to a listener, and chooseTarget reports the candidates that it compares with their noise. Requests pass no listener, so that no object is created for them. explainChoice runs the same choice with the same draws and lists every candidate with its cost.

The test draws candidates and requests (500 runs): the explained choice equals that of chooseTarget, and the terms add up to the cost.

--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -118,6 +118,20 @@
 /** Retryable requests probe targets with at least this probability of failing. */
 const MIN_PROBE_FAILURE_PROBABILITY = 0.12;
 
+/** The terms of a candidate's cost, in milliseconds. Their sum in this order is the cost. */
+export interface CostTerms {
+  readonly wait: number;
+  readonly processing: number;
+  readonly utilization: number;
+  readonly failure: number;
+  readonly warmUp: number;
+  readonly distance: number;
+  readonly unreachable: number;
+}
+
+/** Called with each candidate whose cost was considered, and the noise drawn for it. */
+export type CostListener = (candidate: Candidate, noiseMilliseconds: number) => void;
+
 /** The chosen candidate, or why there is none. */
 export type Choice =
   | { readonly kind: "chosen"; readonly candidate: Candidate; readonly isProbe: boolean }
@@ -129,6 +143,7 @@
   candidates: readonly Candidate[],
   request: PlacementRequest,
   random: () => number = Math.random,
+  onCost?: CostListener,
 ): Choice {
   if (candidates.length === 0) {
     return { kind: "none" };
@@ -142,14 +157,13 @@
   const freeShare = getWarmFreeShare(candidates);
   let best: Candidate | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
-  const free = candidates.filter((candidate) =>
-    candidate.load < candidate.slots + request.allowedOverflow
-  );
+  const free = candidates.filter((candidate) => hasRoom(candidate, request));
   for (const candidate of drawSample(free, random)) {
     // Random noise prevents VMs with the same information from choosing the same target at once.
-    const cost = getCost(candidate, request, freeShare) +
-      random() * UTILIZATION_WEIGHT * request.meanProcessingMilliseconds /
-        Math.max(candidate.slots, 1);
+    const noise = random() * UTILIZATION_WEIGHT * request.meanProcessingMilliseconds /
+      Math.max(candidate.slots, 1);
+    const cost = getCost(candidate, request, freeShare) + noise;
+    onCost?.(candidate, noise);
     if (cost < bestCost) {
       best = candidate;
       bestCost = cost;
@@ -160,34 +174,47 @@
     : { kind: "chosen", candidate: best, isProbe: false };
 }
 
+/** Whether a candidate can take a request, in a slot or within the allowed overflow. */
+export function hasRoom(candidate: Candidate, request: PlacementRequest): boolean {
+  return candidate.load < candidate.slots + request.allowedOverflow;
+}
+
 /**
  * Cost of a candidate in milliseconds.
  *
  * @param warmFreeShare Share of the slots of the warm candidates that are free, from 0 to 1.
+ * @param onTerms Called with the terms of the cost. Without it, no object is created for them.
  */
 export function getCost(
   candidate: Candidate,
   request: PlacementRequest,
   warmFreeShare = 1,
+  onTerms?: (terms: CostTerms) => void,
 ): number {
   const slots = Math.max(candidate.slots, 1);
   const processingTime = request.meanProcessingMilliseconds * candidate.relativeProcessingTime;
   const wait = Math.max(0, candidate.load + 1 - slots) / slots * processingTime;
-  const utilization = candidate.load / slots;
+  const processing = processingTime - request.meanProcessingMilliseconds;
+  const usedShare = candidate.load / slots;
+  const utilization = usedShare * usedShare * UTILIZATION_WEIGHT * processingTime;
   const failureCost = request.mayRetry
     ? request.meanProcessingMilliseconds + request.objectiveMilliseconds / 4
     : request.objectiveMilliseconds * FAILURE_COST_IN_OBJECTIVES;
+  const failure = candidate.failureProbability * failureCost;
   const warmUpWeight = WARM_UP_WEIGHT * (candidate.isColdRateLimited === true ? warmFreeShare : 1);
   const warmUp = candidate.warmUpMilliseconds > 0 ? warmUpWeight * processingTime : 0;
-  return wait + (processingTime - request.meanProcessingMilliseconds) +
-    utilization * utilization * UTILIZATION_WEIGHT * processingTime +
-    candidate.failureProbability * failureCost + warmUp +
-    (candidate.isRemote ? REMOTE_COST_IN_OBJECTIVES * request.objectiveMilliseconds : 0) +
-    (candidate.isUnreachable ? UNREACHABLE_COST_IN_OBJECTIVES * request.objectiveMilliseconds : 0);
+  const distance = candidate.isRemote
+    ? REMOTE_COST_IN_OBJECTIVES * request.objectiveMilliseconds
+    : 0;
+  const unreachable = candidate.isUnreachable
+    ? UNREACHABLE_COST_IN_OBJECTIVES * request.objectiveMilliseconds
+    : 0;
+  onTerms?.({ wait, processing, utilization, failure, warmUp, distance, unreachable });
+  return wait + processing + utilization + failure + warmUp + distance + unreachable;
 }
 
 /** Share of the slots of the candidates without a warm-up that are free, from 0 to 1. */
-function getWarmFreeShare(candidates: readonly Candidate[]): number {
+export function getWarmFreeShare(candidates: readonly Candidate[]): number {
   let slots = 0;
   let free = 0;
   for (const candidate of candidates) {
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -3,6 +3,7 @@
  * queues, shared token buckets, rates of targets and requests under which targets end.
  */
 
+export * from "./choice_explanation.ts";
 export * from "./chooser.ts";
 export * from "./crash_evidence.ts";
 export * from "./fleet_memory.ts";
