Proxy: decisions about a request apart from what they take

An explanation of a placement has to make the decisions of a real request without taking a token, a slot or a part of a rate. Several of them took these while they decided.

RequestPlacer.plan decides, and place carries the plan out. The admission is split at the token, the second attempt at the retry that it takes, and the refusals without a target are a module of their own. For a workspace's rate and the budget of retries, a decision changes demand and credits on the way, so it is previewed on a copy of the bucket. ReturnTimes.peek finds what take gives out.

Requests are decided as before; the draws keep their order.

--- a/packages/placement/src/hedging.ts
+++ b/packages/placement/src/hedging.ts
@@ -223,6 +223,11 @@
     return this.#level >= 1;
   }
 
+  /** Whether an extra attempt may be made once a further request has added its share. */
+  isAvailableAfter(share: number): boolean {
+    return Math.min(MAX_ACCRUED_HEDGES, this.#level + share) >= 1;
+  }
+
   /** Takes one extra attempt; returns whether it was available. */
   take(): boolean {
     const isTaken = this.isAvailable;
--- a/packages/placement/src/rate_pressure.ts
+++ b/packages/placement/src/rate_pressure.ts
@@ -97,6 +97,26 @@
     this.#credits = Array.from({ length: urgency.PRIORITY_CLASSES }, () => random());
   }
 
+  /** A copy on which a decision can be tried without changing this one; see `SharedBucket.copy`. */
+  copy(): RatePressure {
+    let next = 0;
+    const copy = new RatePressure({
+      observedSince: this.#observedSince,
+      excess: this.#excess,
+      random: () => this.#credits[next++] ?? 0,
+    });
+    copy.#bins.set(this.#bins);
+    copy.#squares.set(this.#squares);
+    copy.#bin = this.#bin;
+    copy.#rate = this.#rate;
+    copy.#presentShare = this.#presentShare;
+    copy.#refilledAt = this.#refilledAt;
+    copy.#balance = this.#balance;
+    this.#classDemands.forEach((demand, index) => copy.#classDemands[index] = demand);
+    copy.#classesDecayedAt = this.#classesDecayedAt;
+    return copy;
+  }
+
   /** Sets the excess that is tolerated; see `PressureOptions`. */
   setExcess(excess: number): void {
     this.#excess = excess;
--- a/packages/placement/src/return_times.ts
+++ b/packages/placement/src/return_times.ts
@@ -46,11 +46,28 @@
     now: number,
     timeLeft: number,
   ): number {
+    const { delay, at } = this.peek(priorityClass, tokensPerMillisecond, now, timeLeft);
+    if (at !== undefined) {
+      this.#latest[priorityClass] = at;
+    }
+    return delay;
+  }
+
+  /**
+   * Finds the delay that `take` would give out and, if it stands for a token of the refill, the
+   * monotonic time of the return. Has no side effect.
+   */
+  peek(
+    priorityClass: number,
+    tokensPerMillisecond: number,
+    now: number,
+    timeLeft: number,
+  ): { readonly delay: number; readonly at: number | undefined } {
     const longest = MAX_RETURN_MILLISECONDS[priorityClass] ?? MAX_RETURN_MILLISECONDS[0] ?? 0;
     const cap = Math.max(0, Math.min(longest, timeLeft * MAX_SHARE_OF_TIME_LEFT));
     if (!(tokensPerMillisecond > 0)) {
       // Nothing is known of the refill yet, as on a VM that has just started.
-      return cap * (1 - SPREAD * this.#random());
+      return { delay: cap * (1 - SPREAD * this.#random()), at: undefined };
     }
     const latest = this.#latest[priorityClass] ?? Number.NEGATIVE_INFINITY;
     const earliest = now + Math.min(MIN_RETURN_MILLISECONDS, cap);
@@ -58,10 +75,8 @@
     const next = Math.max(earliest, latest + interval);
     // A VM with few tokens draws its first time as well, or the returns to all VMs would coincide.
     const at = latest < now ? next + interval * this.#random() : next;
-    if (at > now + cap) {
-      return cap * (1 - SPREAD * this.#random());
-    }
-    this.#latest[priorityClass] = at;
-    return at - now;
+    return at > now + cap
+      ? { delay: cap * (1 - SPREAD * this.#random()), at: undefined }
+      : { delay: at - now, at };
   }
 }
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -167,6 +167,31 @@
     this.#level = Math.min(level, burst);
   }
 
+  /**
+   * A copy on which a decision can be tried without changing this bucket. It must hold every field
+   * that decides about a request.
+   */
+  copy(): SharedBucket {
+    const copy = new SharedBucket(
+      this.#burst,
+      this.#level,
+      this.#allowance,
+      this.#pressure?.copy(),
+    );
+    copy.#level = this.#level;
+    copy.#taken = this.#taken;
+    copy.#takenConfirmed = this.#takenConfirmed;
+    copy.#unconfirmed = [...this.#unconfirmed];
+    copy.#expected = this.#expected;
+    copy.#shareLevel = this.#shareLevel;
+    copy.#propagationMilliseconds = this.#propagationMilliseconds;
+    copy.#presentShare = this.#presentShare;
+    copy.#ownDemand = this.#ownDemand;
+    copy.#fleetDemand = this.#fleetDemand;
+    copy.#decayedAt = this.#decayedAt;
+    return copy;
+  }
+
   /** Tokens left, as far as this VM knows. Negative once more tokens were taken than there were. */
   get level(): number {
     return this.#level;
--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -28,13 +28,57 @@
  */
 const CONFIRMED_FOR_MILLISECONDS = 3_000;
 
+/** What admission depends on. */
+export type AdmissionContext = Pick<
+  contexts.RequestContext,
+  "profile" | "store" | "getConfirmedAt"
+>;
+
+/** What the declarations in force give for a request. */
+export interface DeclaredRequest {
+  readonly view: declarations.DeclarationView;
+  readonly route: declarations.DeclaredRoute;
+  /** Undefined if the request needs no key. */
+  readonly workspace: declarations.DeclaredWorkspace | undefined;
+}
+
 /** Accepts a request, or returns why not. A refused request has not run anywhere. */
 export async function acceptRequest(
   context: contexts.RequestContext,
-  request: http.IncomingMessage,
+  request: headers.RequestHead,
   trace: log.RequestTrace,
 ): Promise<types.AcceptedRequest | refusals.Refusal> {
-  const { profile, store, budgets } = context;
+  const { budgets, profile } = context;
+  const declared = findDeclared(context, request, trace);
+  if ("status" in declared) {
+    return declared;
+  }
+  const { route, workspace } = declared;
+  if (workspace !== undefined && !await takeRate(budgets, workspace, route, trace)) {
+    const timeLeft = getTimeLeft(request, route, profile);
+    const retryAfterSeconds = budgets.takeReturnSeconds(workspace, route.priority, timeLeft);
+    trace.add("over_rate", {
+      ...budgets.describeRate(workspace),
+      priority: route.priority,
+      retryAfter: Math.round(retryAfterSeconds * 1_000),
+    });
+    return createOverRate(retryAfterSeconds);
+  }
+  return createAccepted(context, request, trace, declared);
+}
+
+/** The refusal of a request beyond its workspace's rate. */
+export function createOverRate(retryAfterSeconds: number): refusals.Refusal {
+  return { status: 429, reason: "over_rate", retryAfterSeconds };
+}
+
+/** Finds the route and the workspace of a request, or returns why it is refused. */
+export function findDeclared(
+  context: AdmissionContext,
+  request: headers.RequestHead,
+  trace: log.RequestTrace,
+): DeclaredRequest | refusals.Refusal {
+  const { profile, store } = context;
   const view = store.current;
   if (view === undefined) {
     return refuseUnknown(context, trace, { status: 503, reason: "no_declarations" });
@@ -62,24 +106,34 @@
       return refuseUnknown(context, trace, { status: 401, reason: "unknown_key" });
     }
   }
-  if (workspace !== undefined && !await takeRate(budgets, workspace, route, trace)) {
-    const deadline = headers.parseMilliseconds(request.headers[profile.deadline]);
-    const timeLeft = deadline ?? route.timeoutMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
-    const retryAfterSeconds = budgets.takeReturnSeconds(workspace, route.priority, timeLeft);
-    trace.add("over_rate", {
-      ...budgets.describeRate(workspace),
-      priority: route.priority,
-      retryAfter: Math.round(retryAfterSeconds * 1_000),
-    });
-    return { status: 429, reason: "over_rate", retryAfterSeconds };
-  }
+  return { view, route, workspace };
+}
+
+/** Time that the caller of a request waits, in milliseconds. */
+export function getTimeLeft(
+  request: headers.RequestHead,
+  route: declarations.DeclaredRoute,
+  profile: types.HeaderProfile,
+): number {
+  return headers.parseMilliseconds(request.headers[profile.deadline]) ??
+    route.timeoutMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
+}
+
+/** Accepts a request that is within its workspace's rate, and draws its service. */
+export function createAccepted(
+  context: AdmissionContext,
+  request: headers.RequestHead,
+  trace: log.RequestTrace,
+  { view, route, workspace }: DeclaredRequest,
+): types.AcceptedRequest {
+  const { profile } = context;
   const service = chooseDestination(route.destinations);
   const arrivedAt = trace.arrivedAt;
   const callerDeadline = headers.parseMilliseconds(request.headers[profile.deadline]);
   const left = Math.min(
     callerDeadline === undefined ? Infinity : callerDeadline - ANSWER_MARGIN_MILLISECONDS,
     route.timeoutMilliseconds ?? Infinity,
-    callerDeadline ?? route.timeoutMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS,
+    getTimeLeft(request, route, profile),
   );
   trace.add("accepted", {
     route: route.id,
@@ -99,7 +153,7 @@
     arrivedAt,
     endsAt: arrivedAt + left,
     method: request.method ?? "GET",
-    path,
+    path: request.url ?? "/",
     headers: headers.createForwardedHeaders(request, profile),
   };
 }
@@ -144,7 +198,7 @@
  * version does not claim that something is unknown, but responds that it is unavailable.
  */
 function refuseUnknown(
-  context: contexts.RequestContext,
+  context: AdmissionContext,
   trace: log.RequestTrace,
   refusal: refusals.Refusal,
 ): refusals.Refusal {
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -68,6 +68,21 @@
   readonly [taken: number, requested: number, ...requestedByClass: number[]]
 >;
 
+/** What a request would get of its workspace's rate. */
+export interface RatePreview {
+  readonly isAdmitted: boolean;
+  /** Whether it would first wait for reports of the other VMs after a standstill. */
+  readonly waitsForReports: boolean;
+  /** Whether it would first wait for the confirmation of earlier tokens. */
+  readonly waitsForConfirmation: boolean;
+  /** Tokens left, as far as this VM knows. */
+  readonly level: number;
+  /** What would refuse it; undefined if it is admitted. */
+  readonly bound: placement.RateBound | undefined;
+  /** Retry-After of its refusal, in seconds. */
+  readonly retryAfterSeconds: number | undefined;
+}
+
 type RateCounter = ReturnType<
   typeof kernel.Metrics.prototype.createCounter<"outcome" | "priority">
 >;
@@ -215,6 +230,42 @@
     return Math.round(milliseconds) / 1_000;
   }
 
+  /**
+   * What a request would get of a workspace's rate now, decided on a copy of the bucket; undefined
+   * for a workspace without a limit.
+   *
+   * @param timeLeft Time that the caller has left, in milliseconds.
+   */
+  previewRate(
+    workspace: declarations.DeclaredWorkspace,
+    priority: number,
+    timeLeft: number,
+  ): RatePreview | undefined {
+    if (workspace.ratePerSecond === undefined) {
+      return undefined;
+    }
+    const bucket = (this.#rates.get(workspace.id) ?? this.#createRateBucket(workspace)).copy();
+    const { level } = bucket;
+    bucket.confirm(this.#mesh.confirmedSequence);
+    const result = bucket.tryTake(false, priority);
+    const isAdmitted = (result === "unconfirmed" ? bucket.tryTake(true, priority) : result) ===
+      "taken";
+    const now = kernel.getMonotonicMilliseconds();
+    const shared = {
+      isAdmitted,
+      waitsForReports: now < this.#catchesUpUntil,
+      waitsForConfirmation: result === "unconfirmed",
+      level,
+    };
+    if (isAdmitted) {
+      return { ...shared, bound: undefined, retryAfterSeconds: undefined };
+    }
+    const times = this.#returnTimes.get(workspace.id) ?? new placement.ReturnTimes();
+    const expectedRate = bucket.getExpectedRate(priority);
+    const { delay } = times.peek(placement.getPriorityClass(priority), expectedRate, now, timeLeft);
+    return { ...shared, bound: bucket.bound, retryAfterSeconds: Math.round(delay) / 1_000 };
+  }
+
   #countRate(result: placement.TakeResult, priority: number): boolean {
     this.#rateCounter?.inc({
       outcome: result === "taken" ? "admitted" : "refused",
@@ -275,6 +326,13 @@
     return Math.max(0, this.#getRetryBucket(service).level / this.#getRetryBurst());
   }
 
+  /** The same after one more request of the service was counted, on a copy of the bucket. */
+  previewRetryLevel(service: model.ServiceId): number {
+    const bucket = (this.#retries.get(service) ?? this.#createRetryBucket()).copy();
+    bucket.refill(this.#bounds.retryRatio, this.#getPresence());
+    return Math.max(0, bucket.level / this.#getRetryBurst());
+  }
+
   #takeFrom(
     bucket: placement.SharedBucket,
     isFinal: boolean,
@@ -325,26 +383,31 @@
     let bucket = this.#rates.get(workspace);
     const declared = this.#store.current?.getWorkspaceById(workspace as model.WorkspaceId);
     if (bucket === undefined && declared?.ratePerSecond !== undefined) {
-      // The admissions before a restart are unknown, so a VM that replaces another starts without
-      // tokens.
-      const accrued = declared.ratePerSecond * this.#getLifetime() / 1_000;
-      bucket = new placement.SharedBucket(
-        declared.burst,
-        this.#isFirstStart ? declared.burst : accrued,
-        SHARE_OF_RATE_EXCESS * this.#getRateExcess(declared),
-        new placement.RatePressure({
-          excess: this.#getRateExcess(declared),
-          // When a fleet starts, nothing has been requested before.
-          observedSince: this.#isFirstStart ? Number.NEGATIVE_INFINITY : this.#startedAt,
-        }),
-      );
-      // The size of the fleet limits what is taken before the first refill.
-      bucket.refill(0, this.#getPresence());
+      bucket = this.#createRateBucket(declared);
       this.#rates.set(workspace, bucket);
     }
     return bucket;
   }
 
+  #createRateBucket(declared: declarations.DeclaredWorkspace): placement.SharedBucket {
+    // The admissions before a restart are unknown, so a VM that replaces another starts without
+    // tokens.
+    const accrued = (declared.ratePerSecond ?? 0) * this.#getLifetime() / 1_000;
+    const bucket = new placement.SharedBucket(
+      declared.burst,
+      this.#isFirstStart ? declared.burst : accrued,
+      SHARE_OF_RATE_EXCESS * this.#getRateExcess(declared),
+      new placement.RatePressure({
+        excess: this.#getRateExcess(declared),
+        // When a fleet starts, nothing has been requested before.
+        observedSince: this.#isFirstStart ? Number.NEGATIVE_INFINITY : this.#startedAt,
+      }),
+    );
+    // The size of the fleet limits what is taken before the first refill.
+    bucket.refill(0, this.#getPresence());
+    return bucket;
+  }
+
   #getRateExcess(workspace: declarations.DeclaredWorkspace): number {
     const { rateWindowSeconds, rateExcess, rateSlack } = this.#bounds;
     const perWindow = (workspace.ratePerSecond ?? 0) * rateWindowSeconds + workspace.burst;
@@ -358,14 +421,19 @@
   #getRetryBucket(service: string): placement.SharedBucket {
     let bucket = this.#retries.get(service);
     if (bucket === undefined) {
-      const burst = this.#getRetryBurst();
-      bucket = new placement.SharedBucket(burst, this.#isFirstStart ? burst : 0);
-      bucket.refill(0, this.#getPresence());
+      bucket = this.#createRetryBucket();
       this.#retries.set(service, bucket);
     }
     return bucket;
   }
 
+  #createRetryBucket(): placement.SharedBucket {
+    const burst = this.#getRetryBurst();
+    const bucket = new placement.SharedBucket(burst, this.#isFirstStart ? burst : 0);
+    bucket.refill(0, this.#getPresence());
+    return bucket;
+  }
+
   #addRetryTokens(service: string, requests: number): void {
     this.#getRetryBucket(service).refill(requests * this.#bounds.retryRatio, this.#getPresence());
   }
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -26,9 +26,15 @@
 /** Header with the reason for which the VM that a request was passed on to has refused it. */
 export const REFUSAL_HEADER = "hemlockwalk-refusal";
 
+/** What the head of a request consists of. */
+export type RequestHead = Pick<
+  http.IncomingMessage,
+  "headers" | "rawHeaders" | "url" | "method" | "httpVersion"
+>;
+
 /** The caller's headers that are sent with every attempt, as names and values in turn. */
 export function createForwardedHeaders(
-  request: http.IncomingMessage,
+  request: RequestHead,
   profile: types.HeaderProfile,
 ): string[] {
   const dropped = new Set([
@@ -54,7 +60,7 @@
 
 /** The caller's key; undefined if there is none. */
 export function findKey(
-  request: http.IncomingMessage,
+  request: RequestHead,
   profile: types.HeaderProfile,
 ): string | undefined {
   const value = request.headers[KEY_HEADER];
@@ -75,7 +81,7 @@
 }
 
 /** Size of a request head as the caller has sent it, in bytes, without the separators. */
-export function countHeadBytes(request: http.IncomingMessage): number {
+export function countHeadBytes(request: RequestHead): number {
   let bytes = (request.url ?? "").length;
   for (const text of request.rawHeaders) {
     bytes += text.length;
--- a/packages/proxy/src/hedged_call.ts
+++ b/packages/proxy/src/hedged_call.ts
@@ -86,6 +86,81 @@
   "isPassedOn" | "isBuffered" | "attemptsLeft" | "isQuarantined" | "haveTargetsEnded"
 >;
 
+/** Whether a request that is sent to its first target may get a second attempt. */
+export function mayBeHedged(
+  hedges: Pick<contexts.RequestContext["hedges"], "getShare">,
+  accepted: types.AcceptedRequest,
+): boolean {
+  return accepted.route.isIdempotent && hedges.getShare(accepted.service) > 0;
+}
+
+/** What the time of a second attempt depends on, apart from the health of the first target. */
+export function getHedgeTiming(
+  { tracker, hedges }: Pick<contexts.RequestContext, "tracker" | "hedges">,
+  { route, service, endsAt }: types.AcceptedRequest,
+  startedAt: number,
+): Omit<placement.HedgeTiming, "failureProbability"> {
+  const { id, objectiveMilliseconds } = route;
+  const quantile = placement.getHedgeQuantile(hedges.getShare(service));
+  return {
+    quantileMilliseconds: hedges.quantiles.get(id, quantile),
+    meanProcessingMilliseconds: tracker.processingTimes.getRouteMean(id, objectiveMilliseconds),
+    objectiveMilliseconds,
+    availableMilliseconds: endsAt - startedAt,
+  };
+}
+
+/** A second attempt as it would be made now. */
+export interface SecondAttemptPlan {
+  /** Undefined if no other target may be used. */
+  readonly candidate: placement.Candidate | undefined;
+  /** Why it is withheld; undefined if it may be made. */
+  readonly obstacle: placement.HedgeObstacle | undefined;
+  readonly retryLevel: number;
+}
+
+/** What the plan of a second attempt depends on in the VM. */
+export interface SecondAttemptContext {
+  readonly budgets: Pick<contexts.RequestContext["budgets"], "getRetryLevel">;
+  readonly hedges: Pick<contexts.RequestContext["hedges"], "isWithinShare">;
+  readonly queues: contexts.RequestContext["queues"];
+  readonly stop: contexts.RequestContext["stop"];
+}
+
+/**
+ * Chooses the target of a second attempt and finds why it is withheld, if so. Takes nothing for it.
+ *
+ * @param candidates Targets without those that the request has been sent to.
+ * @param leftMilliseconds Time from the second attempt to the deadline.
+ */
+export function planSecondAttempt(
+  { budgets, hedges, queues, stop }: SecondAttemptContext,
+  { route, service }: types.AcceptedRequest,
+  candidates: readonly placement.Candidate[],
+  situation: RequestSituation,
+  meanProcessingMilliseconds: number,
+  leftMilliseconds: number,
+): SecondAttemptPlan {
+  const candidate = placement.chooseHedgeTarget(candidates, {
+    mayRetry: false,
+    objectiveMilliseconds: route.objectiveMilliseconds,
+    meanProcessingMilliseconds,
+    allowedOverflow: 0,
+  });
+  const retryLevel = budgets.getRetryLevel(service);
+  const obstacle = placement.findHedgeObstacle({
+    ...situation,
+    isStopping: stop.isStopping,
+    leftMilliseconds,
+    meanProcessingMilliseconds,
+    waitingRequests: queues.get(service).length,
+    hasTarget: candidate !== undefined,
+    retryLevel,
+    isWithinShare: hedges.isWithinShare(service),
+  });
+  return { candidate, obstacle, retryLevel };
+}
+
 /** Options of a call that may be hedged. */
 export interface HedgedCallOptions {
   readonly context: Pick<
@@ -180,29 +255,18 @@
   /** Starts the second attempt, or returns why it is withheld. */
   #startSecond(): RunningAttempt | placement.HedgeObstacle {
     const { context, trace, accepted, tried, getSituation } = this.#options;
-    const { hedges, budgets, tracker, queues, stop } = context;
-    const { route, service } = accepted;
-    const mean = this.#getMean();
-    const candidate = placement.chooseHedgeTarget(
+    const { hedges, budgets, tracker } = context;
+    const { service } = accepted;
+    const plan = planSecondAttempt(
+      context,
+      accepted,
       tracker.listCandidates(service, tried, accepted.homes),
-      {
-        mayRetry: false,
-        objectiveMilliseconds: route.objectiveMilliseconds,
-        meanProcessingMilliseconds: mean,
-        allowedOverflow: 0,
-      },
+      getSituation(),
+      this.#getMean(),
+      accepted.endsAt - kernel.getMonotonicMilliseconds(),
     );
-    const retryLevel = budgets.getRetryLevel(service);
-    let obstacle = placement.findHedgeObstacle({
-      ...getSituation(),
-      isStopping: stop.isStopping,
-      leftMilliseconds: accepted.endsAt - kernel.getMonotonicMilliseconds(),
-      meanProcessingMilliseconds: mean,
-      waitingRequests: queues.get(service).length,
-      hasTarget: candidate !== undefined,
-      retryLevel,
-      isWithinShare: hedges.isWithinShare(service),
-    });
+    const { candidate, retryLevel } = plan;
+    let { obstacle } = plan;
     if (obstacle === undefined && !budgets.takeRetry(service)) {
       obstacle = "retries_low";
     }
@@ -288,11 +352,6 @@
 
   #getTiming(): Omit<placement.HedgeTiming, "failureProbability"> {
     const { context, accepted } = this.#options;
-    return {
-      quantileMilliseconds: context.hedges.quantiles.get(accepted.route.id, this.#quantile),
-      meanProcessingMilliseconds: this.#getMean(),
-      objectiveMilliseconds: accepted.route.objectiveMilliseconds,
-      availableMilliseconds: accepted.endsAt - this.#startedAt,
-    };
+    return getHedgeTiming(context, accepted, this.#startedAt);
   }
 }
--- a/packages/proxy/src/hedges.ts
+++ b/packages/proxy/src/hedges.ts
@@ -62,6 +62,13 @@
     return this.getShare(service) > 0 && this.#allowances.get(service)?.isAvailable === true;
   }
 
+  /** The same after one more request of the service was counted. */
+  isWithinShareAfterRequest(service: model.ServiceId): boolean {
+    const share = this.getShare(service);
+    const allowance = this.#allowances.get(service) ?? new placement.HedgeAllowance();
+    return share > 0 && allowance.isAvailableAfter(share);
+  }
+
   /** Takes one extra attempt from a service's allowance; returns whether it was available. */
   take(service: model.ServiceId): boolean {
     return this.isWithinShare(service) && this.#allowances.get(service)?.take() === true;
--- a/packages/proxy/src/passing_on.ts
+++ b/packages/proxy/src/passing_on.ts
@@ -15,6 +15,24 @@
 /** VMs to which one request may be passed on. */
 const MAX_PEERS = 3;
 
+/** What decides whether a request is passed on. */
+export interface PassingOnSituation {
+  /** Whether this VM reaches no target. */
+  readonly isIsolated: boolean;
+  /** Whether another VM has passed the request on to this one. */
+  readonly isForwarded: boolean;
+  /** Targets that may still be tried. */
+  readonly attemptsLeft: number;
+  /** Whether the whole request can be sent, possibly once more. */
+  readonly canBeSent: boolean;
+}
+
+/** Whether another VM is to serve a request, since this one reaches no target. */
+export function mayPassOn(situation: PassingOnSituation): boolean {
+  return situation.isIsolated && !situation.isForwarded && situation.attemptsLeft > 0 &&
+    situation.canBeSent;
+}
+
 /** The calls of one request to other VMs. */
 export class PeerCalls {
   readonly #context: contexts.RequestContext;
--- a/packages/proxy/src/request_evidence.ts
+++ b/packages/proxy/src/request_evidence.ts
@@ -3,10 +3,10 @@
  * evidence means for it.
  */
 
-import type * as http from "node:http";
 import type * as declarations from "@hemlockwalk/declarations";
 import type * as model from "@hemlockwalk/model";
 import type * as bodies from "./body.ts";
+import type * as headers from "./headers.ts";
 import type * as refusals from "./refusals.ts";
 import type * as contexts from "./request_context.ts";
 import * as fingerprints from "./request_fingerprint.ts";
@@ -16,15 +16,15 @@
 
 /** The evidence of one request. */
 export class RequestEvidence {
-  readonly #context: contexts.RequestContext;
+  readonly #context: Pick<contexts.RequestContext, "crashes">;
   readonly #trace: log.RequestTrace;
   readonly #host: string | undefined;
   #fingerprint: model.RequestFingerprint | undefined;
 
   constructor(
-    context: contexts.RequestContext,
+    context: Pick<contexts.RequestContext, "crashes">,
     trace: log.RequestTrace,
-    request: http.IncomingMessage,
+    request: headers.RequestHead,
   ) {
     this.#context = context;
     this.#trace = trace;
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -21,6 +21,7 @@
 import * as placers from "./request_placer.ts";
 import * as calls from "./target_call.ts";
 import type * as types from "./types.ts";
+import * as unplaced from "./unplaced_refusal.ts";
 
 /**
  * An idempotent request may be retried after its target has not responded for this many mean
@@ -40,8 +41,6 @@
  */
 const MIN_STOP_TIME_IN_MEAN_TIMES = 3;
 
-const NO_TARGETS: ReadonlySet<model.TargetId> = new Set();
-
 /** Handles one request until it has ended. */
 export class RequestHandler {
   readonly #context: contexts.RequestContext;
@@ -249,25 +248,14 @@
     }
   }
 
-  /** Value of Retry-After: the time until the first target accepts requests, if none does now. */
-  #getRetryAfterSeconds({ service, homes }: types.AcceptedRequest, otherwise: number): number {
-    const { tracker, queues } = this.#context;
-    const wait = tracker.listCandidates(service, NO_TARGETS, homes).length === 0
-      ? tracker.findShortestWait(service, NO_TARGETS, homes, queues.get(service).length)
-      : undefined;
-    return wait === undefined || !Number.isFinite(wait.milliseconds)
-      ? otherwise
-      : Math.ceil(wait.milliseconds / 100) / 10;
-  }
-
   /** Sends the request to its target and, where hedging is on, to a second one if that is slow. */
   #callPlaced(
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
     placed: placers.PlacedTarget,
   ): Promise<calls.CallResult> {
-    const mayBeHedged = accepted.route.isIdempotent && !this.#hasAttempted &&
-      this.#context.hedges.getShare(accepted.service) > 0;
+    const mayBeHedged = !this.#hasAttempted &&
+      hedgedCalls.mayBeHedged(this.#context.hedges, accepted);
     return !mayBeHedged ? this.#call(accepted, body, placed) : hedgedCalls.callHedged({
       context: this.#context,
       trace: this.#trace,
@@ -362,8 +350,12 @@
 
   /** Whether another VM is to serve the request, since this one reaches no target. */
   #mayPassOn(accepted: types.AcceptedRequest, body: bodies.RequestBody): boolean {
-    return this.#context.path.isIsolated && !this.#isForwarded &&
-      this.#arrivals < accepted.route.attempts && (body.isBuffered || !this.#hasAttempted);
+    return passingOn.mayPassOn({
+      isIsolated: this.#context.path.isIsolated,
+      isForwarded: this.#isForwarded,
+      attemptsLeft: accepted.route.attempts - this.#arrivals,
+      canBeSent: body.isBuffered || !this.#hasAttempted,
+    });
   }
 
   async #passOn(
@@ -582,7 +574,8 @@
           this.#finalAnswer.refuse({
             status: 503,
             reason: "not_reached",
-            retryAfterSeconds: this.#getRetryAfterSeconds(
+            retryAfterSeconds: unplaced.getRetryAfterSeconds(
+              this.#context,
               accepted,
               this.#isOutOfSlots
                 ? refusals.RETRY_AFTER_SECONDS.noRoom
@@ -618,18 +611,9 @@
     accepted: types.AcceptedRequest,
     reason: types.RefusalReason,
   ): refusals.Refusal {
-    if (reason === "evacuated" || reason === "outside_homes") {
-      // Nothing tells when this ends, and another VM would refuse the request too.
-      return { status: 503, reason };
-    }
-    const queue = this.#context.queues.get(accepted.service);
-    const retryAfterSeconds = this.#getRetryAfterSeconds(
-      accepted,
-      refusals.getNoRoomSeconds(queue.estimateWait(accepted.priority, accepted.workspace)),
-    );
     // The VM that passed the request on would try another one for a reason of this VM alone.
     const hasUsedAttempts = this.#isForwarded && this.#arrivals > 0;
-    return { status: 503, reason: hasUsedAttempts ? "not_reached" : reason, retryAfterSeconds };
+    return unplaced.createUnplacedRefusal(this.#context, accepted, reason, hasUsedAttempts);
   }
 
   #expire(): void {
@@ -638,11 +622,7 @@
     }
     this.#hasExpired = true;
     this.#finalAnswer.refuse(
-      this.#hasAttempted ? { status: 504, reason: "timeout" } : {
-        status: 503,
-        reason: "no_room",
-        retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.noRoom,
-      },
+      this.#hasAttempted ? { status: 504, reason: "timeout" } : unplaced.createExpiredRefusal(),
     );
     this.#caller.abort("cancelled");
   }
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -39,23 +39,49 @@
   | PlacedTarget & { readonly kind: "placed" }
   | { readonly kind: "refused"; readonly reason: types.RefusalReason };
 
+/** What becomes of a request, before anything is taken for it. */
+export interface PlacementPlan {
+  readonly placementRequest: placement.PlacementRequest;
+  /** Monotonic time until which the request may wait, in milliseconds. */
+  readonly waitUntil: number;
+  /** Queued requests that are to be placed before it. */
+  readonly ahead: number;
+  /** Whether it waits behind others, though a target may have room for it. */
+  readonly mustQueue: boolean;
+  /** The chosen target or the refusal; undefined if the request is to wait. */
+  readonly decided: Decision | undefined;
+}
+
+type Decision =
+  | Extract<placement.Choice, { kind: "chosen" }>
+  | Extract<Placement, { kind: "refused" }>;
+
+/** What a placer uses. */
+export type PlacerContext =
+  & Pick<contexts.RequestContext, "tracker" | "queues" | "getConfirmedAt">
+  & { readonly budgets: Pick<contexts.RequestContext["budgets"], "getRetryLevel"> };
+
 /** Chooses the targets of one request, one after another. */
 export class RequestPlacer {
-  readonly #context: contexts.RequestContext;
+  readonly #context: PlacerContext;
   readonly #trace: log.RequestTrace;
   readonly #tried: ReadonlySet<model.TargetId>;
   readonly #caller: AbortSignal;
+  readonly #chooseTarget: typeof placement.chooseTarget;
 
   /**
    * @param tried Targets that are no candidates any more.
    * @param caller Aborted when the caller has left or the request has expired.
+   * @param chooseTarget Chooses among the candidates, and may record them.
    */
   constructor(
-    context: contexts.RequestContext,
+    context: PlacerContext,
     trace: log.RequestTrace,
     tried: ReadonlySet<model.TargetId>,
     caller: AbortSignal,
+    chooseTarget: typeof placement.chooseTarget = placement.chooseTarget,
   ) {
+    this.#chooseTarget = chooseTarget;
     this.#context = context;
     this.#trace = trace;
     this.#tried = tried;
@@ -63,6 +89,14 @@
   }
 
   place(accepted: types.AcceptedRequest): Promise<Placement> {
+    const { placementRequest, waitUntil, mustQueue, decided } = this.plan(accepted);
+    return decided === undefined
+      ? this.#wait(accepted, placementRequest, waitUntil, mustQueue)
+      : Promise.resolve(this.#carryOut(decided));
+  }
+
+  /** Decides about a request that arrives or is to be retried now. Takes nothing for it. */
+  plan(accepted: types.AcceptedRequest): PlacementPlan {
     const { route, service } = accepted;
     const mean = this.#context.tracker.processingTimes.getRouteMean(
       route.id,
@@ -91,27 +125,25 @@
     const mustQueue = this.#tried.size === 0 && accepted.homes === undefined && ahead > 0;
     const decided = mustQueue
       ? this.#refuseIfHopeless(accepted, placementRequest, waitUntil, ahead)
-      : this.#tryPlace(accepted, placementRequest, waitUntil, ahead);
-    return decided === undefined
-      ? this.#wait(accepted, placementRequest, waitUntil, mustQueue)
-      : Promise.resolve(decided);
+      : this.#decide(accepted, placementRequest, waitUntil, ahead);
+    return { placementRequest, waitUntil, ahead, mustQueue, decided };
   }
 
   /**
-   * Places or refuses a request; undefined if it is to wait.
+   * Chooses a target for a request or refuses it; undefined if it is to wait.
    *
    * @param ahead Queued requests that are to be placed before it.
    */
-  #tryPlace(
+  #decide(
     accepted: types.AcceptedRequest,
     placementRequest: placement.PlacementRequest,
     waitUntil: number,
     ahead: number,
-  ): Placement | undefined {
+  ): Decision | undefined {
     const choice = this.#choose(accepted, placementRequest);
     switch (choice.kind) {
       case "chosen":
-        return this.#createPlacement(choice);
+        return choice;
       case "full":
         return undefined;
       case "none":
@@ -125,7 +157,7 @@
     placementRequest: placement.PlacementRequest,
     waitUntil: number,
     ahead: number,
-  ): Placement | undefined {
+  ): Extract<Placement, { kind: "refused" }> | undefined {
     return this.#choose(accepted, placementRequest).kind === "none"
       ? this.#decideWithoutCandidate(accepted, waitUntil, ahead)
       : undefined;
@@ -135,7 +167,7 @@
     { service, homes }: types.AcceptedRequest,
     waitUntil: number,
     ahead: number,
-  ): Placement | undefined {
+  ): Extract<Placement, { kind: "refused" }> | undefined {
     const { tracker } = this.#context;
     const wait = tracker.findShortestWait(service, this.#tried, homes, ahead);
     if (wait === undefined) {
@@ -168,7 +200,11 @@
     placementRequest: placement.PlacementRequest,
   ): placement.Choice {
     const candidates = this.#context.tracker.listCandidates(service, this.#tried, homes);
-    return placement.chooseTarget(candidates, placementRequest);
+    return this.#chooseTarget(candidates, placementRequest);
+  }
+
+  #carryOut(decision: Decision): Placement {
+    return decision.kind === "chosen" ? this.#createPlacement(decision) : decision;
   }
 
   #createPlacement(choice: Extract<placement.Choice, { kind: "chosen" }>): Placement {
@@ -208,10 +244,10 @@
         waitUntil,
         tryPlace: () => {
           // Its turn was found to come in time, before those behind it.
-          const decided = this.#tryPlace(accepted, placementRequest, waitUntil, 0);
+          const decided = this.#decide(accepted, placementRequest, waitUntil, 0);
           if (decided !== undefined) {
             this.#caller.removeEventListener("abort", onAbort);
-            resolve(decided);
+            resolve(this.#carryOut(decided));
           }
           return decided?.kind === "refused" ? "refused" : decided !== undefined;
         },
