--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -120,7 +120,6 @@
   if (headers.countHeadBytes(request) > view.declarations.limits.headerBytes) {
     return { status: 431, reason: "head_too_large" };
   }
-  const path = request.url ?? "/";
   const route = findRoute(view, request);
   if (route === undefined) {
     return refuseUnknown(context, trace, { status: 404, reason: "unknown_route" });
