A workspace's rate holds over partitions of any length

Cause: VMs out of contact were forgotten after 20 s, so that each part of the fleet then had the whole rate. Counters that arrived after a gap of 2 s counted as covered by withheld tokens, also those of VMs in contact that had been idle, and only two of their requests counted as demand. Each part could also save up the whole burst.

A VM that starts in a part learns of the data centres out of contact. Withheld tokens cover only the first counters of a VM after a loss of contact, and the parts share the burst. Retry budgets and the rates of targets count VMs as before.

--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -5,6 +5,7 @@
 
 export * from "./chooser.ts";
 export * from "./crash_evidence.ts";
+export * from "./expected_fleet.ts";
 export * from "./fleet_memory.ts";
 export * from "./health_estimate.ts";
 export * from "./hedging.ts";
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -42,10 +42,7 @@
 /** How far below zero the level may fall, in bursts; any further debt is discarded. */
 const MAX_DEBT_IN_BURSTS = 2;
 
-/**
- * A VM whose counters arrive after a longer gap was out of contact. The new counters include the
- * tokens that it took in that time.
- */
+/** After a longer loss of contact, tokens that were withheld are not returned to the level. */
 const CONTACT_LOSS_MILLISECONDS = 2_000;
 
 /**
@@ -57,8 +54,8 @@
 /** Time for which VMs may be out of contact before this is noticed. */
 const UNNOTICED_LOSS_MILLISECONDS = 800;
 
-/** A VM that was idle rather than out of contact reports up to about this number of requests. */
-const MAX_IDLE_REQUESTS = 2;
+/** So many requests of a VM that was out of contact always count as present demand. */
+const MIN_RECENT_REQUESTS = 2;
 
 /** Least number of tokens that a VM may take before the others have confirmed them. */
 const MIN_UNCONFIRMED_TOKENS = 2;
@@ -110,12 +107,10 @@
 }
 
 interface OtherVm {
-  incarnation: string;
-  taken: number;
-  requested: number;
-  requestedByClass?: readonly number[];
+  readonly incarnation: string;
+  readonly counters: BucketCounters;
   /** Monotonic time at which its latest counters were received, in milliseconds. */
-  lastReceivedAt: number;
+  readonly lastReceivedAt: number;
 }
 
 /** One VM's view of a bucket. */
@@ -134,10 +129,11 @@
   #unconfirmed: UnconfirmedReport[] = [];
   /** The most VMs known within the recent past. */
   #expected = 1;
+  readonly #createdAt = kernel.getMonotonicMilliseconds();
   readonly #others = new Map<string, OtherVm>();
   #shareLevel = 0;
   #propagationMilliseconds = INITIAL_PROPAGATION_MILLISECONDS;
-  /** Share of the known VMs that were in contact at the last refill. */
+  /** Share of the expected VMs that were in contact at the last refill. */
   #presentShare = 1;
   /** Tokens of the level that were withheld when VMs got out of contact, and when. */
   #divided = 0;
@@ -182,12 +178,12 @@
     this.#pressure?.setExcess(excess);
     this.#burst = burst;
     this.#allowance = allowance;
-    this.#level = Math.min(this.#level, burst);
+    this.#level = Math.min(this.#level, this.#capacity);
   }
 
   /** Adopts the level of a VM that has tracked the bucket for longer. */
   adoptLevel(level: number): void {
-    this.#level = Math.min(level, this.#burst);
+    this.#level = Math.min(level, this.#capacity);
   }
 
   /** Adds the tokens that have accrued for the whole fleet since the last call. */
@@ -199,7 +195,7 @@
       this.#divideLevel(presentShare, this.#pressure);
     }
     const credited = tokens * presentShare;
-    this.#level = Math.min(this.#burst, this.#level + credited);
+    this.#level = Math.min(this.#capacity, this.#level + credited);
     this.#pressure?.refill(credited, this.#level < 0, presentShare);
     this.#withheld = presence.present < presence.expected
       ? this.#withheld + tokens - credited
@@ -240,6 +236,14 @@
     this.#presentShare = presentShare;
   }
 
+  /**
+   * Most tokens that may accrue. The parts of a fleet that are out of contact share the burst of a
+   * rate, as they could otherwise spend it once each.
+   */
+  get #capacity(): number {
+    return this.#pressure === undefined ? this.#burst : this.#burst * this.#presentShare;
+  }
+
   /** Takes a token if one is available to this VM, without waiting for a confirmation. */
   take(): boolean {
     return this.tryTake(true) === "taken";
@@ -348,7 +352,7 @@
 
   /** Returns a token whose request was not run. */
   returnToken(): void {
-    this.#level = Math.min(this.#burst, this.#level + 1);
+    this.#level = Math.min(this.#capacity, this.#level + 1);
     this.#taken--;
   }
 
@@ -406,25 +410,30 @@
    *
    * @param trackedShare Share of that VM's lifetime, from 0 to 1, during which this VM has tracked
    *   the bucket. What was taken before is already part of the level with which this VM began.
+   * @param contactSince Monotonic time since which that VM has been in contact, in milliseconds;
+   *   negative infinity, the default, if it always was. The first counters after that include the
+   *   tokens that it took out of contact, which the withheld tokens cover.
    */
-  receive(vm: string, incarnation: string, counters: BucketCounters, trackedShare: number): void {
+  receive(
+    vm: string,
+    incarnation: string,
+    counters: BucketCounters,
+    trackedShare: number,
+    contactSince = Number.NEGATIVE_INFINITY,
+  ): void {
     const previous = this.#others.get(vm);
-    const isSameIncarnation = previous?.incarnation === incarnation;
-    if (isSameIncarnation && counters.requested < previous.requested) {
+    const before = previous?.incarnation === incarnation ? previous.counters : undefined;
+    if (before !== undefined && counters.requested < before.requested) {
       return;
     }
-    const taken = isSameIncarnation
-      ? counters.taken - previous.taken
-      : counters.taken * trackedShare;
-    const requested = isSameIncarnation
-      ? counters.requested - previous.requested
-      : counters.requested * trackedShare;
+    const share = before === undefined ? trackedShare : 1;
+    const taken = (counters.taken - (before?.taken ?? 0)) * share;
+    const requested = (counters.requested - (before?.requested ?? 0)) * share;
     const now = kernel.getMonotonicMilliseconds();
-    const isBackInContact = isSameIncarnation &&
-      now - previous.lastReceivedAt > CONTACT_LOSS_MILLISECONDS;
+    const isBackInContact = contactSince > (previous?.lastReceivedAt ?? Number.NEGATIVE_INFINITY);
     const covered = isBackInContact ? Math.min(Math.max(taken, 0), this.#withheld) : 0;
     this.#withheld -= covered;
-    this.#others.set(vm, { incarnation, ...counters, lastReceivedAt: now });
+    this.#others.set(vm, { incarnation, counters, lastReceivedAt: now });
     this.#level = Math.max(
       this.#level - taken + covered,
       -MAX_DEBT_IN_BURSTS * this.#burst - this.#allowance,
@@ -432,27 +441,26 @@
     this.#pressure?.addTaken(taken - covered);
     this.#addDemand(0, Math.max(requested, 0));
     const recent = isBackInContact
-      ? this.#limitRecent(requested, now - previous.lastReceivedAt)
+      ? this.#limitRecent(requested, now - (previous?.lastReceivedAt ?? this.#createdAt))
       : requested;
     this.#pressure?.addDemand(Math.max(recent, 0));
     if (counters.requestedByClass !== undefined && requested > 0) {
-      const before = isSameIncarnation ? previous.requestedByClass : undefined;
-      const share = isSameIncarnation ? 1 : trackedShare;
+      const classesBefore = before?.requestedByClass;
       this.#pressure?.addClassDemands(
         counters.requestedByClass.map((count, index) =>
-          (count - (before?.[index] ?? 0)) * share * recent / requested
+          (count - (classesBefore?.[index] ?? 0)) * share * recent / requested
         ),
       );
     }
   }
 
   /**
-   * Requests that count as present demand after a gap between reports: a VM that was out of contact
-   * reports all requests of that time at once.
+   * Requests that count as present demand of a VM that was out of contact: it reports all requests of
+   * that time at once.
    */
   #limitRecent(requested: number, gapMilliseconds: number): number {
     const recent = requested * Math.min(1, this.#propagationMilliseconds / gapMilliseconds);
-    return Math.min(requested, Math.max(MAX_IDLE_REQUESTS, recent));
+    return Math.min(requested, Math.max(MIN_RECENT_REQUESTS, recent));
   }
 
   get #unconfirmedLimit(): number {
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -33,7 +33,7 @@
  */
 const SHARE_OF_RATE_EXCESS = 0.4;
 
-/** VMs that were known within this time still keep their share of the budgets. */
+/** VMs that were known within this time still keep their share of the retries and of target rates. */
 const EXPECTED_FOR_MILLISECONDS = 20_000;
 
 /**
@@ -42,6 +42,9 @@
  */
 const LEVEL_ADOPTION_MILLISECONDS = 3_000;
 
+/** A VM that has run for longer when its first report arrives was out of contact before. */
+const CONTACT_LOSS_MILLISECONDS = 2_000;
+
 /** Fleet size that a newly started VM assumes until it is linked. */
 const ASSUMED_FLEET_SIZE = 50;
 
@@ -54,6 +57,11 @@
   readonly age: number;
   readonly rates: Record<string, number>;
   readonly retries: Record<string, number>;
+  /**
+   * VMs of the data centres that are out of contact with the VM that sends them. Earlier versions of
+   * the program do not send it.
+   */
+  readonly unreachable?: readonly placement.MissingVm[];
 }
 
 /** Counters as sent to other VMs. */
@@ -90,6 +98,9 @@
     { incarnation: string; counts: Map<string, number> }
   >();
   readonly #startedAt = kernel.getMonotonicMilliseconds();
+  /** The VMs that keep a share of the rates, which is not forgotten while they may be running. */
+  readonly #fleet: placement.ExpectedFleet;
+  /** Largest sizes of the fleet within the recent past. */
   #sizes: { at: number; size: number }[] = [];
   #refilledAt = kernel.getMonotonicMilliseconds();
   #catchesUpUntil = Number.NEGATIVE_INFINITY;
@@ -111,6 +122,7 @@
     );
     this.#logger = logger;
     this.#mesh = vmMesh;
+    this.#fleet = new placement.ExpectedFleet(vmMesh.self);
     this.#store = store;
     this.#bounds = bounds;
     this.#isFirstStart = isFirstStart;
@@ -300,6 +312,7 @@
       age: this.isCatchingUp ? 0 : this.#getLifetime(),
       rates: list(this.#rates),
       retries: list(this.#retries),
+      unreachable: this.#fleet.listUnreachable(),
     };
   }
 
@@ -308,6 +321,9 @@
    * returns false: they are not forwarded.
    */
   #adoptLevels(levels: LevelTables): boolean {
+    if (this.#getLifetime() < LEVEL_ADOPTION_MILLISECONDS) {
+      this.#fleet.adopt(levels.unreachable ?? []);
+    }
     const isUseful = levels.age >= LEVEL_ADOPTION_MILLISECONDS &&
       this.#getLifetime() < LEVEL_ADOPTION_MILLISECONDS;
     if (isUseful) {
@@ -339,7 +355,7 @@
         }),
       );
       // The size of the fleet limits what is taken before the first refill.
-      bucket.refill(0, this.#getPresence());
+      bucket.refill(0, this.#getRatePresence());
       this.#rates.set(workspace, bucket);
     }
     return bucket;
@@ -394,7 +410,12 @@
     }
     this.#refilledAt = now;
     this.#recordSize(now);
-    const presence = this.#getPresence();
+    this.#fleet.record(
+      this.#mesh.listOthers(),
+      this.#mesh.listInContact(),
+      (identity) => this.#mesh.hasLeft(identity),
+    );
+    const presence = this.#getRatePresence();
     for (const [workspace, bucket] of this.#rates) {
       const declared = this.#store.current?.getWorkspaceById(workspace as model.WorkspaceId);
       bucket.refill((declared?.ratePerSecond ?? 0) * seconds, presence);
@@ -411,18 +432,31 @@
 
   #getPresence(): placement.FleetPresence {
     const present = this.#mesh.countInContact();
-    const isSizeUnknown = this.#mesh.size === 1 && this.#getLifetime() < ALONE_AFTER_MILLISECONDS;
     const expected = this.#sizes.reduce(
       (most, sample) => Math.max(most, sample.size),
       this.#mesh.size,
     );
     return {
       present,
-      expected: isSizeUnknown ? ASSUMED_FLEET_SIZE : expected,
+      expected: this.#isSizeUnknown ? ASSUMED_FLEET_SIZE : expected,
       propagationMilliseconds: this.#mesh.propagationMilliseconds,
     };
   }
 
+  /** Size of the fleet among which the rates are divided. */
+  #getRatePresence(): placement.FleetPresence {
+    const presence = this.#getPresence();
+    if (this.#isSizeUnknown) {
+      return presence;
+    }
+    const expected = Math.max(this.#mesh.size, this.#fleet.size);
+    return { ...presence, expected };
+  }
+
+  get #isSizeUnknown(): boolean {
+    return this.#mesh.size === 1 && this.#getLifetime() < ALONE_AFTER_MILLISECONDS;
+  }
+
   #receiveBuckets(
     from: mesh.MemberIdentity,
     payload: unknown,
@@ -430,14 +464,27 @@
   ): void {
     const { age, counters } = payload as BucketReport;
     const trackedShare = this.#getTrackedShare(age);
+    const contactSince = this.#getContactSince(from, age);
     for (const [name, [taken, requested, ...byClass]] of Object.entries(counters)) {
       const received = byClass.length === 0
         ? { taken, requested }
         : { taken, requested, requestedByClass: byClass };
-      find(name)?.receive(from.vm, from.incarnation, received, trackedShare);
+      find(name)?.receive(from.vm, from.incarnation, received, trackedShare, contactSince);
     }
   }
 
+  /**
+   * Monotonic time since which a VM whose report arrives has been in contact, in milliseconds;
+   * negative infinity if it has been since its start.
+   */
+  #getContactSince(from: mesh.MemberIdentity, age: number): number {
+    const contactSince = this.#fleet.hear(from);
+    const startedAt = kernel.getMonotonicMilliseconds() - age;
+    return contactSince - startedAt > CONTACT_LOSS_MILLISECONDS
+      ? contactSince
+      : Number.NEGATIVE_INFINITY;
+  }
+
   /** Share of another VM's lifetime during which this VM has run too. */
   #getTrackedShare(age: number): number {
     return Math.min(1, this.#getLifetime() / Math.max(age, 1));
--- a/packages/proxy/test/budgets_test.ts
+++ b/packages/proxy/test/budgets_test.ts
@@ -34,6 +34,7 @@
 
 /** A mesh in which the test plays the other VMs. */
 class SimulatedMesh {
+  readonly self = { vm: "self", address: "self:1" };
   size = 6;
   readonly propagationMilliseconds = PROPAGATION_MILLISECONDS;
   confirmedSequence = Number.POSITIVE_INFINITY;
@@ -53,6 +54,19 @@
     return this.size;
   }
 
+  /** The other VMs report nothing but tokens here, so that only their number matters. */
+  listOthers(): mesh.MemberIdentity[] {
+    return [];
+  }
+
+  listInContact(): mesh.MemberIdentity[] {
+    return [];
+  }
+
+  hasLeft(): boolean {
+    return false;
+  }
+
   urgentReports = 0;
 
   reportSoon(): void {
