Gateway: a transfer coding other than chunked does not delimit a response

Cause: any Transfer-Encoding counted as framing. With another final coding, the body lasts until the close of the connection (RFC 9112, section 6.3), so a response that broke off went to the caller as a complete one.

Change: only chunked as the final coding counts. Other such responses are refused like those without a length.

--- a/packages/gateway/src/headers.ts
+++ b/packages/gateway/src/headers.ts
@@ -22,6 +22,9 @@
 /** Headers that are not copied: attempts frame the body anew, and the gateway handles `Expect`. */
 const NOT_COPIED_HEADERS = new Set(["content-length", "expect"]);
 
+/** Values of Transfer-Encoding whose final coding delimits the body. */
+const CHUNKED_LAST = /(^|,)\s*chunked\s*$/i;
+
 /** Headers in which proxies record the client, host and protocol of a request. */
 const FORWARDED_HEADERS = new Set([
   "forwarded",
@@ -155,24 +158,34 @@
   status: number,
   rawHeaders: readonly Buffer[],
 ): boolean {
-  return method === "HEAD" || status === 204 || status === 304 ||
-    findAnswerHeader(rawHeaders, "content-length") !== undefined ||
-    findAnswerHeader(rawHeaders, "transfer-encoding") !== undefined;
+  if (method === "HEAD" || status === 204 || status === 304) {
+    return true;
+  }
+  const codings = listAnswerHeaders(rawHeaders, "transfer-encoding");
+  // With any other final coding, the body lasts until the close (RFC 9112, section 6.3).
+  return codings.length === 0
+    ? findAnswerHeader(rawHeaders, "content-length") !== undefined
+    : CHUNKED_LAST.test(codings.join(","));
 }
 
-/** Finds a header's value in a response's raw headers. */
+/** Finds a header's value in a response's raw headers; the first one if it is repeated. */
 export function findAnswerHeader(
   rawHeaders: readonly Buffer[],
   wanted: string,
 ): string | undefined {
+  return listAnswerHeaders(rawHeaders, wanted)[0];
+}
+
+function listAnswerHeaders(rawHeaders: readonly Buffer[], wanted: string): string[] {
+  const values: string[] = [];
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index];
     // Comparing lengths first avoids converting most of the names.
     if (name?.length === wanted.length && name.toString("latin1").toLowerCase() === wanted) {
-      return rawHeaders[index + 1]?.toString("latin1");
+      values.push(rawHeaders[index + 1]?.toString("latin1") ?? "");
     }
   }
-  return undefined;
+  return values;
 }
 
 /** The type of an HTTP method in undici. */
--- a/packages/gateway/test/answers_test.ts
+++ b/packages/gateway/test/answers_test.ts
@@ -282,19 +282,23 @@
     }
   });
 
-  test.it("without a defined length are refused", async (context) => {
-    const target = await harness.startRawTarget((socket) => {
-      socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\n\r\nperhaps half"));
-    });
-    const vm = await harness.startVm({ targets: [target.address] });
-    context.after(async () => {
-      await vm.services.stop();
-      await target.stop();
+  // The caller of a response that broke off would get it as a complete one.
+  for (const header of ["", "transfer-encoding: gzip\r\n"]) {
+    const what = header === "" ? "" : " by a coding other than chunked";
+    test.it(`without a defined length${what} are refused`, async (context) => {
+      const target = await harness.startRawTarget((socket) => {
+        socket.once("data", () => socket.end(`HTTP/1.1 200 OK\r\n${header}\r\nperhaps half`));
+      });
+      const vm = await harness.startVm({ targets: [target.address] });
+      context.after(async () => {
+        await vm.services.stop();
+        await target.stop();
+      });
+      const answer = await harness.call(vm.port);
+      assert.equal(harness.getReason(answer), "answer_unframed");
+      assert.equal(answer.headers["hemlockwalk-run"], "unknown");
     });
-    const answer = await harness.call(vm.port);
-    assert.equal(harness.getReason(answer), "answer_unframed");
-    assert.equal(answer.headers["hemlockwalk-run"], "unknown");
-  });
+  }
 
   test.it("to HEAD, with 204 or 304, early hints or trailers are preserved", async (context) => {
     const target = await harness.startTarget((request, response) => {
