Mesh: a VM that stood still dials members of its data centre

Cause: while a VM stands still, the others mark it unreachable for 2 s at a time or remove it after 3.5 s without a report. When it goes on, it still knows them, so it dials no seed, and as the highest-ranked VM it waits to be dialled. It was then without updates for more than 3 s, although updates must be in force everywhere after 2 s.

Change: a VM whose tick is 0.8 s late keeps links to four drawn members of its data centre for 2 s, and a member whose hello arrives is ranked again at once.

--- a/packages/mesh/src/member_table.ts
+++ b/packages/mesh/src/member_table.ts
@@ -69,6 +69,14 @@
     }
   }
 
+  /** Ranks a member again that has just answered. */
+  markReachable(vm: model.VmId): void {
+    const member = this.#members.get(vm);
+    if (member !== undefined) {
+      member.unreachableUntil = 0;
+    }
+  }
+
   /** Removes members without a recent report. */
   expire(reportIntervalMilliseconds: number): void {
     const oldest = kernel.getMonotonicMilliseconds() -
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -90,6 +90,15 @@
 /** Time for which a relay waits for the other one to open the bridge. */
 const BRIDGE_WAIT_MILLISECONDS = 200;
 
+/**
+ * Time for which a VM that stood still keeps links to some members of its data centre that it has
+ * dialled itself: about as long as they leave it out of the ranking and do not dial it.
+ */
+const RETURN_MILLISECONDS = 2_000;
+
+/** Number of these members. They may have stood still as well, so one is not enough. */
+const RETURN_DIALS = 4;
+
 /** Interval at which seeds are dialled that are not tracked as members. */
 const SEED_INTERVAL_MILLISECONDS = 1_000;
 
@@ -124,6 +133,9 @@
   #isLeaving = false;
   #isStopped = false;
   #isRelay = true;
+  #tickedAt = kernel.getMonotonicMilliseconds();
+  /** Members that this VM dials after it stood still, until a time. */
+  #returnDials: { readonly addresses: readonly string[]; readonly until: number } | undefined;
   /** The VM through which this one hears the others, or itself. */
   #relay: types.MemberIdentity | undefined;
   /** Time since which this relay has had no bridge to the relay of another data centre. */
@@ -336,6 +348,7 @@
     switch (message.kind) {
       case "hello":
         link.peer = message.identity;
+        this.#table.markReachable(message.identity.vm);
         this.#receiveState({
           kind: "feed",
           feed: MEMBERS_STATE,
@@ -406,11 +419,37 @@
     this.#maintenanceImmediate = setImmediate(() => {
       this.#closeInactiveLinks();
       this.#requests.advance();
+      // Before members expire, which all do during a long pause.
+      this.#watchOwnPauses();
       this.#table.expire(this.#getReportInterval());
       this.#maintainLinks();
     });
   }
 
+  /**
+   * Dials members of the data centre after this VM stood still. They have closed their links to it
+   * and left it out of the ranking, so none of them would dial it at once, and VMs that stood still
+   * together would only link each other.
+   */
+  #watchOwnPauses(): void {
+    const now = kernel.getMonotonicMilliseconds();
+    if (now - this.#tickedAt >= CONTACT_MILLISECONDS) {
+      const { vm, dataCentre } = this.self;
+      const local = this.#table.list().filter((other) =>
+        other.dataCentre === dataCentre && other.vm !== vm
+      );
+      const drawn: string[] = [];
+      while (drawn.length < RETURN_DIALS && local.length > 0) {
+        const [member] = local.splice(Math.floor(Math.random() * local.length), 1);
+        drawn.push(...(member === undefined ? [] : [member.address]));
+      }
+      this.#returnDials = { addresses: drawn, until: now + RETURN_MILLISECONDS };
+    } else if (this.#returnDials !== undefined && this.#returnDials.until <= now) {
+      this.#returnDials = undefined;
+    }
+    this.#tickedAt = now;
+  }
+
   #getUpdateInterval(): number {
     const byFleet = this.#table.size * UPDATE_INTERVAL_PER_MEMBER_MILLISECONDS;
     return Math.max(TICK_MILLISECONDS, byFleet);
@@ -676,7 +715,11 @@
   }
 
   #chooseRoles(): Map<string, types.LinkRole> {
-    const roles = this.#chooseOwnRoles();
+    const dialled = this.#returnDials?.addresses ?? [];
+    const roles = new Map<string, types.LinkRole>([
+      ...dialled.map((address) => [address, "standby"] as const),
+      ...this.#chooseOwnRoles(),
+    ]);
     if (this.#isRelay) {
       for (const dataCentre of this.#table.listDataCentres()) {
         if (dataCentre !== this.self.dataCentre) {
--- a/packages/mesh/test/failover_test.ts
+++ b/packages/mesh/test/failover_test.ts
@@ -20,6 +20,9 @@
 const PUBLISH_INTERVAL_MILLISECONDS = 50;
 const FREEZE_MILLISECONDS = 7_000;
 
+/** Longer than the time after which the others remove a VM that reports nothing. */
+const REMOVAL_MILLISECONDS = 5_000;
+
 /** Interval between the bursts of a drawn history, and of the versions in one burst. */
 const BURST_INTERVAL_MILLISECONDS = 400;
 const BURST_STEP_MILLISECONDS = 50;
@@ -74,18 +77,19 @@
 /** VMs of all data centres, of each the highest-ranked first. */
 async function withThreads(
   run: (dataCentres: readonly (readonly ThreadVm[])[]) => Promise<void>,
+  names: readonly string[] = DATA_CENTRES,
 ): Promise<void> {
   const vms: ThreadVm[] = [];
   try {
     const ports = await Promise.all(
-      DATA_CENTRES.flatMap(() =>
+      names.flatMap(() =>
         Array.from({ length: VMS_PER_DATA_CENTRE }, () => kernelTesting.claimPort())
       ),
     );
     const seeds = ports.slice(-3).map((port) => `127.0.0.1:${port}`);
     for (const [index, port] of ports.entries()) {
       const rank = index % VMS_PER_DATA_CENTRE;
-      const dataCentre = DATA_CENTRES[Math.floor(index / VMS_PER_DATA_CENTRE)] ?? assert.fail();
+      const dataCentre = names[Math.floor(index / VMS_PER_DATA_CENTRE)] ?? assert.fail();
       const capacity = VMS_PER_DATA_CENTRE - rank;
       vms.push(new ThreadVm({ name: `${dataCentre}-${rank}`, dataCentre, port, seeds, capacity }));
     }
@@ -94,7 +98,7 @@
       "every VM tracks all others",
     );
     await run(
-      DATA_CENTRES.map((_, index) =>
+      names.map((_, index) =>
         vms.slice(index * VMS_PER_DATA_CENTRE, (index + 1) * VMS_PER_DATA_CENTRE)
       ),
     );
@@ -226,6 +230,20 @@
     });
   }
 
+  // The others have removed it by then, while it still knows them and dials no seed.
+  test.test("updates come late at the relay of the only data centre after a freeze", async () => {
+    await withThreads(async ([vms = []]) => {
+      await kernel.sleep(1_000);
+      const relay = vms[0] ?? assert.fail();
+      relay.send({ kind: "freeze", milliseconds: REMOVAL_MILLISECONDS });
+      await kernel.sleep(REMOVAL_MILLISECONDS);
+      const published = await publish(vms.at(-1) ?? assert.fail(), 1_000);
+      await kernel.sleep(BOUND_MILLISECONDS);
+      const longest = Math.max(...relay.listDelays(published));
+      assert.ok(longest <= BOUND_MILLISECONDS, `${Math.round(longest)} ms`);
+    }, ["east"]);
+  });
+
   test.test("updates in quick succession come late in a drawn history of frozen VMs", async () => {
     const { seed, numRuns } = kernelTesting.getRandomRuns(302, 2);
     await fc.assert(
