Tests: callers tell a reset from an end in order

Cause: libuv reports a reset as an end in order if it arrives together with the last bytes.

Change: hasEndedInOrder of the testing part of the kernel probes the end with an empty write, as the soak's proxies do. The callers use it and end their side themselves.

--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -230,7 +230,7 @@
   halfClose = false,
 ): Promise<RawAnswer> {
   return new Promise((resolve) => {
-    const socket = net.connect(port, "127.0.0.1");
+    const socket = net.connect({ port, host: "127.0.0.1", allowHalfOpen: true });
     let text = "";
     let reset = false;
     socket.setNoDelay(true);
@@ -243,6 +243,12 @@
     socket.on("error", () => {
       reset = true;
     });
+    socket.on("end", () => {
+      if (socket.writable) {
+        // A reset that was reported as an end fails here.
+        void kernelTesting.hasEndedInOrder(socket).then(() => socket.end());
+      }
+    });
     socket.on("close", () => resolve({ text, reset }));
     const writeNext = (index: number) => {
       const chunk = chunks[index];
--- a/packages/kernel/src/testing/loopback.ts
+++ b/packages/kernel/src/testing/loopback.ts
@@ -62,6 +62,20 @@
   }
 }
 
+/**
+ * Whether a connection ended in order, asked when its end is reported.
+ *
+ * Libuv reports a reset as an end in order if it arrives together with the last bytes. A write tells
+ * them apart, also an empty one: it fails only after a reset.
+ *
+ * @param socket Must allow half-open connections, since it could not be written to otherwise.
+ */
+export function hasEndedInOrder(socket: net.Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    socket.write("", (error) => resolve(error === undefined || error === null));
+  });
+}
+
 function listen(host: string, port: number): Promise<net.Server | undefined> {
   const server = net.createServer();
   return new Promise((resolve) => {
--- a/packages/kernel/src/testing/mod.ts
+++ b/packages/kernel/src/testing/mod.ts
@@ -6,7 +6,7 @@
 
 import * as testing from "node:test";
 
-export { claimPort, claimUnusedAddress, waitFor } from "./loopback.ts";
+export { claimPort, claimUnusedAddress, hasEndedInOrder, waitFor } from "./loopback.ts";
 export { getRandomRuns, type RandomRuns } from "./random_runs.ts";
 
 const FLUSH_ROUNDS = 4;
--- a/packages/kernel/test/loopback_test.ts
+++ b/packages/kernel/test/loopback_test.ts
@@ -1,5 +1,5 @@
 /**
- * Tests of the ports that test processes claim.
+ * Tests of the ports that test processes claim, and of what ends their connections.
  */
 
 import * as assert from "node:assert/strict";
@@ -64,3 +64,29 @@
   }
   await searches;
 });
+
+for (const [what, isInOrder] of [["a reset", false], ["an end in order", true]] as const) {
+  test.test(`${what} that arrives with the last bytes is taken for the other`, async () => {
+    const server = net.createServer({ allowHalfOpen: true }, (socket) => {
+      socket.once("data", () => {
+        // Few enough to be read at once together with the end.
+        socket.write(
+          Buffer.alloc(5_000),
+          () => isInOrder ? socket.end() : socket.resetAndDestroy(),
+        );
+      });
+    });
+    const port = await kernelTesting.claimPort();
+    await kernel.listen(server, `127.0.0.1:${port}`);
+    const client = net.connect({ host: "127.0.0.1", port, allowHalfOpen: true });
+    const hasEndedInOrder = new Promise<boolean>((resolve) => {
+      client.once("error", () => resolve(false));
+      client.once("end", () => resolve(kernelTesting.hasEndedInOrder(client)));
+    });
+    client.resume();
+    client.write("request");
+    assert.equal(await hasEndedInOrder, isInOrder);
+    client.destroy();
+    server.close();
+  });
+}
--- a/packages/proxy/test/raw_caller.ts
+++ b/packages/proxy/test/raw_caller.ts
@@ -3,6 +3,7 @@
  */
 
 import * as net from "node:net";
+import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as harness from "./harness.ts";
 
 /** A response on a raw connection. */
@@ -55,10 +56,15 @@
   #error: Error | undefined;
 
   constructor(vm: harness.TestVm) {
-    this.#socket = net.connect({ host: vm.host, port: vm.port, noDelay: true });
+    this.#socket = net.connect({
+      host: vm.host,
+      port: vm.port,
+      noDelay: true,
+      allowHalfOpen: true,
+    });
     this.#socket.setEncoding("latin1");
     this.#socket.on("data", (text: string) => this.#received += text);
-    this.#socket.on("end", () => this.#hasEnded = true);
+    this.#socket.on("end", () => void this.#onEnd());
     this.#socket.on("close", () => this.#hasEnded = true);
     this.#socket.on("error", (error) => this.#error = error);
   }
@@ -123,6 +129,14 @@
     return answers;
   }
 
+  /** After a reset, the handler of `close` follows. */
+  async #onEnd(): Promise<void> {
+    if (await kernelTesting.hasEndedInOrder(this.#socket)) {
+      this.#hasEnded = true;
+      this.#socket.end();
+    }
+  }
+
   /** The length is that of the encoded body, undefined if its end is missing. */
   #readBody(head: string, text: string): { body: string; length: number | undefined } {
     const status = Number(head.slice(9, 12));
