--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -10,7 +10,8 @@
  *
  * The load of a target is known only as of 80 to 250 ms ago. If all VMs chose the best of many
  * targets, they would all choose the same few in that time and overload them. Each request therefore
- * considers a random sample of the targets.
+ * considers a random sample of the targets. Targets to which this VM has an idle connection are more
+ * likely to be in it, since a new connection costs a round trip.
  */
 
 import type * as model from "@hemlockwalk/model";
@@ -36,6 +37,13 @@
   readonly warmUpMilliseconds: number;
   /** Whether the requests during its warm-up are limited to a rate that it can handle. */
   readonly isColdRateLimited?: boolean;
+  /**
+   * Whether this VM has an idle connection to it that may be used for the request; undefined if it
+   * has none to any candidate.
+   */
+  readonly hasIdleConnection?: boolean | undefined;
+  /** Time that a new connection to it takes, in milliseconds; 0 by default. */
+  readonly connectMilliseconds?: number | undefined;
 }
 
 /** What the choice of a target depends on in a request. */
@@ -79,6 +87,16 @@
  */
 const SAMPLE_SIZE = 12;
 
+/**
+ * Most targets of a sample that are in it because of an idle connection. The others are drawn from
+ * the rest, so that a target which has become better is found. A sample that grew by them, rather than
+ * held them among its number, cost more failures.
+ */
+const MAX_CONNECTED_IN_SAMPLE = 6;
+
+/** Least cost of a new connection, in milliseconds: the work at the target. */
+const MIN_CONNECT_MILLISECONDS = 1;
+
 /** Targets are probed once they have been without an outcome for this long. */
 const PROBE_AFTER_MILLISECONDS = 500;
 
@@ -147,7 +165,7 @@
   );
   for (const candidate of drawSample(free, random)) {
     // Random noise prevents VMs with the same information from choosing the same target at once.
-    const cost = getCost(candidate, request, freeShare) +
+    const cost = getCost(candidate, request, freeShare) + getConnectCost(candidate, request) +
       random() * UTILIZATION_WEIGHT * request.meanProcessingMilliseconds /
         Math.max(candidate.slots, 1);
     if (cost < bestCost) {
@@ -186,6 +204,21 @@
     (candidate.isUnreachable ? UNREACHABLE_COST_IN_OBJECTIVES * request.objectiveMilliseconds : 0);
 }
 
+/**
+ * Cost of a new connection in milliseconds, where the candidate has no idle one. It never exceeds the
+ * cost of the first busy slot.
+ */
+export function getConnectCost(
+  { hasIdleConnection, connectMilliseconds, slots }: Candidate,
+  { meanProcessingMilliseconds }: PlacementRequest,
+): number {
+  if (hasIdleConnection !== false) {
+    return 0;
+  }
+  const slotCost = UTILIZATION_WEIGHT * meanProcessingMilliseconds / Math.max(slots, 1) ** 2;
+  return Math.min(Math.max(connectMilliseconds ?? 0, MIN_CONNECT_MILLISECONDS), slotCost);
+}
+
 /** Share of the slots of the candidates without a warm-up that are free, from 0 to 1. */
 function getWarmFreeShare(candidates: readonly Candidate[]): number {
   let slots = 0;
@@ -219,18 +252,39 @@
     return candidates;
   }
   const sample: Candidate[] = [];
-  addRandomMembers(sample, own, random);
-  addRandomMembers(sample, others, random);
+  addGroup(sample, own, random);
+  addGroup(sample, others, random);
   return sample;
 }
 
-/** Adds members of a group to a sample, each at most once, without changing the group. */
+/** Adds members of a group to a sample, and some of those with an idle connection first. */
+function addGroup(
+  sample: Candidate[],
+  group: readonly Candidate[],
+  random: () => number,
+): void {
+  const connected = group.filter(({ hasIdleConnection }) => hasIdleConnection === true);
+  if (connected.length === 0 || group.length <= SAMPLE_SIZE) {
+    addRandomMembers(sample, group, SAMPLE_SIZE, random);
+    return;
+  }
+  const unconnected = group.filter(({ hasIdleConnection }) => hasIdleConnection !== true);
+  const count = Math.max(
+    Math.min(MAX_CONNECTED_IN_SAMPLE, connected.length),
+    SAMPLE_SIZE - unconnected.length,
+  );
+  addRandomMembers(sample, connected, count, random);
+  addRandomMembers(sample, unconnected, SAMPLE_SIZE - count, random);
+}
+
+/** Adds random members of a group to a sample, each at most once, without changing the group. */
 function addRandomMembers(
   sample: Candidate[],
   group: readonly Candidate[],
+  most: number,
   random: () => number,
 ): void {
-  const size = Math.min(SAMPLE_SIZE, group.length);
+  const size = Math.min(most, group.length);
   /** Positions drawn so far, in ascending order. */
   const drawn: number[] = [];
   while (drawn.length < size) {
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -164,10 +164,16 @@
   }
 
   #choose(
-    { service, homes }: types.AcceptedRequest,
+    { service, homes, route }: types.AcceptedRequest,
     placementRequest: placement.PlacementRequest,
   ): placement.Choice {
-    const candidates = this.#context.tracker.listCandidates(service, this.#tried, homes);
+    const connected = this.#context.connections.listIdle(route.isIdempotent);
+    const candidates = this.#context.tracker.listCandidates(
+      service,
+      this.#tried,
+      homes,
+      connected.size === 0 ? undefined : connected,
+    );
     return placement.chooseTarget(candidates, placementRequest);
   }
 
