Explain on a VM where a request would be sent, without sending it

Operators could see from the log where a request went, but not why another target was not chosen, and not what a request would get now.

PlacementExplainer makes the decisions of a request in their order, with the same draws, and states the age of the inputs, the cost of each candidate by term, the excluded targets with the reason and the second attempt. The listener for metrics serves it as POST /explain-placement where the options file sets explainPlacement (off by default; 404), at most 10 times in a second (429). Keys come in a header and are in no answer and no log line.

The property test draws states (300 runs), explains a request, gives it to the request handler with the same random numbers and compares. A second one builds each state twice and compares reports, metrics, loads and levels of the VM that explained with those of the other.

--- a/packages/declarations/src/target_directory.ts
+++ b/packages/declarations/src/target_directory.ts
@@ -170,6 +170,14 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** Targets of a service that have not ended and accept no new requests. */
+  listLeaving(service: model.ServiceId): types.TargetEntry[] {
+    return [...this.#appliedChanges.values()]
+      .map(({ change }) => this.#createEffectiveEntry(change))
+      .filter((entry) => entry !== undefined)
+      .filter((entry) => entry.service === service && entry.isDraining);
+  }
+
   /** Targets of all services that accept new requests. */
   listAllServing(): readonly types.TargetEntry[] {
     this.#byService ??= this.#groupByService();
--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -73,6 +73,7 @@
     fields: {
       maxExtraShare: "Extra attempts allowed for each request of a service by hedging; 0: none.",
       services: "The same for single services, as JSON text.",
+      explainPlacement: "Whether `hemlockctl explain-placement` gets answers.",
     },
   },
   optionsRejected: {
--- a/packages/model/src/mod.ts
+++ b/packages/model/src/mod.ts
@@ -4,6 +4,7 @@
 
 export * from "./diagnostics.ts";
 export * from "./document.ts";
+export * from "./explanation_diagnostics.ts";
 export * from "./ids.ts";
 export * from "./release_note.ts";
 export * from "./schemas.ts";
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -104,6 +104,11 @@
     });
   }
 
+  /** What the handlers of all requests share. */
+  get context(): contexts.RequestContext {
+    return this.#context;
+  }
+
   get isStopping(): boolean {
     return this.#stop.isStopping;
   }
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -18,6 +18,7 @@
 import * as listeners from "./listener.ts";
 import * as log from "./request_log.ts";
 import * as paths from "./path_monitor.ts";
+import * as explanations from "./placement_explanation.ts";
 import * as peers from "./serving_peers.ts";
 import * as gates from "./start_gate.ts";
 import * as connections from "./target_connections.ts";
@@ -58,6 +59,8 @@
   readonly publisher: publishers.Publisher;
   /** Whether the VM is ready for callers. */
   readonly isReady: () => boolean;
+  /** Explains where requests would be sent. */
+  readonly explainer: explanations.PlacementExplainer;
 }
 
 /** Creates and wires all services. The caller registers the source of the declarations. */
@@ -212,6 +215,11 @@
     kernel: vm,
     mesh: vmMesh,
     publisher,
+    explainer: new explanations.PlacementExplainer({
+      identity: options.identity,
+      context: listener.context,
+      directory,
+    }),
     isReady: () => vm.state === "running" && !listener.isStopping && store.current !== undefined,
   };
 }
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -89,6 +89,21 @@
   fullUntil: number;
 }
 
+/** Why a target of a service gets no request now. */
+export interface TargetExclusion {
+  readonly id: model.TargetId;
+  readonly reason: "leaving" | "evacuated" | "outside_homes" | "tried" | "paused" | "limited";
+  /** Time until it gets requests, in milliseconds; undefined if that is not foreseeable. */
+  readonly milliseconds: number | undefined;
+}
+
+/** Ages of the latest load reports of other VMs, in milliseconds. */
+export interface LoadReportAges {
+  readonly vms: number;
+  readonly newest: number | undefined;
+  readonly oldest: number | undefined;
+}
+
 /** Tracks the health and load of each target. */
 export class TargetTracker {
   readonly #directory: declarations.TargetDirectory;
@@ -102,6 +117,8 @@
   readonly #vmsWithIgnoredEvidence = new Set<model.VmId>();
   #fullLoadsAt = Number.NEGATIVE_INFINITY;
   readonly #unreportedLoads = new Set<model.TargetId>();
+  /** Monotonic times of the latest load reports of other VMs, in milliseconds. */
+  readonly #loadsReceivedAt = new Map<model.VmId, number>();
   readonly processingTimes = new placement.ProcessingTimes();
   readonly reachability: reach.Reachability;
   readonly #pauses = new placement.TargetPauses();
@@ -232,6 +249,50 @@
     return isInHomes ? "evacuated" : "outside_homes";
   }
 
+  /** Lists the targets of a service that `listCandidates` leaves out, with the reason. */
+  listExclusions(
+    service: model.ServiceId,
+    excluded: ReadonlySet<model.TargetId>,
+    homes: placement.Homes,
+  ): TargetExclusion[] {
+    const usable = new Set(this.#listUsable(service, homes));
+    const serving = this.#directory.listServing(service).map(
+      (entry): TargetExclusion | undefined => {
+        const { id, dataCentre } = entry;
+        if (!usable.has(entry)) {
+          const reason = this.#evacuations.isEvacuated(dataCentre) ? "evacuated" : "outside_homes";
+          return { id, reason, milliseconds: undefined };
+        }
+        if (excluded.has(id)) {
+          return { id, reason: "tried", milliseconds: undefined };
+        }
+        const { milliseconds, isPause } = this.#getSchedule(entry);
+        return milliseconds === 0 ? undefined : {
+          id,
+          reason: isPause ? "paused" : "limited",
+          milliseconds: Number.isFinite(milliseconds) ? milliseconds : undefined,
+        };
+      },
+    );
+    const leaving = this.#directory.listLeaving(service).map(({ id }): TargetExclusion => ({
+      id,
+      reason: "leaving",
+      milliseconds: undefined,
+    }));
+    return [...serving.filter((exclusion) => exclusion !== undefined), ...leaving];
+  }
+
+  /** Ages of the loads that other VMs have reported. A VM without changes reports none. */
+  getLoadReportAges(): LoadReportAges {
+    const now = kernel.getMonotonicMilliseconds();
+    const ages = [...this.#loadsReceivedAt.values()].map((at) => now - at);
+    return {
+      vms: ages.length,
+      newest: ages.length === 0 ? undefined : Math.min(...ages),
+      oldest: ages.length === 0 ? undefined : Math.max(...ages),
+    };
+  }
+
   /** Targets of a service outside evacuated data centres and within the homes of a request. */
   #listUsable(
     service: model.ServiceId,
@@ -435,6 +496,11 @@
         this.#vmsWithIgnoredEvidence.delete(vm);
       }
     }
+    for (const vm of this.#loadsReceivedAt.keys()) {
+      if (!present.has(vm)) {
+        this.#loadsReceivedAt.delete(vm);
+      }
+    }
     for (const [target, record] of this.#records) {
       for (const [vm, load] of record.loadByVm) {
         if (!present.has(vm)) {
@@ -608,6 +674,7 @@
 
   #receiveLoads(vm: model.VmId, payload: unknown): void {
     const [isFull, loads] = payload as LoadPayload;
+    this.#loadsReceivedAt.set(vm, kernel.getMonotonicMilliseconds());
     if (isFull) {
       for (const record of this.#records.values()) {
         setLoad(record, vm, 0);
--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -329,6 +329,10 @@
     return this.#vm?.isReady() ?? false;
   }
 
+  get explainer(): proxy.PlacementExplainer {
+    return this.#vm?.explainer ?? assert.fail();
+  }
+
   get host(): string {
     return this.#options.host ?? "127.0.0.1";
   }
