hemlockctl explain-placement

The command asks one VM where it would send a request and prints the answer in the order of the decisions, or as JSON.

--- a/packages/operator/src/main.ts
+++ b/packages/operator/src/main.ts
@@ -9,6 +9,7 @@
 import * as diff from "./commands/diff.ts";
 import * as evacuations from "./commands/evacuations.ts";
 import * as explain from "./commands/explain.ts";
+import * as explainPlacement from "./commands/explain_placement.ts";
 import * as explainRequest from "./commands/explain_request.ts";
 import * as keyNew from "./commands/key_new.ts";
 import * as noteNew from "./commands/note_new.ts";
@@ -39,6 +40,7 @@
     diff: diff.diffCommand,
     evacuations: evacuations.evacuationsCommand,
     explain: explain.explainCommand,
+    "explain-placement": explainPlacement.explainPlacementCommand,
     "explain-request": explainRequest.explainRequestCommand,
     key: keyCommand,
     note: noteCommand,
