--- a/packages/proxy/test/placement_explanation_test.ts
+++ b/packages/proxy/test/placement_explanation_test.ts
@@ -156,6 +156,14 @@
     return this.#others;
   }
 
+  listInContact() {
+    return this.#others;
+  }
+
+  hasLeft(): boolean {
+    return false;
+  }
+
   reportSoon(): void {
     this.urgentReports++;
   }
@@ -215,7 +223,10 @@
       tracker: this.tracker,
       budgets: this.budgets,
       hedges: this.hedges,
-      connections: { closeUnusable: () => {} },
+      connections: {
+        closeUnusable: () => {},
+        listIdle: () => new Set(state.seed % 2 === 0 ? [] : [UNUSABLE_ADDRESS]),
+      },
       log: {
         write: (trace: log.RequestTrace, outcome: string, status: number) =>
           this.#handled.push({ status, outcome, retryAfter: undefined, steps: trace.steps }),
