--- a/packages/placement/src/choice_explanation.ts
+++ b/packages/placement/src/choice_explanation.ts
@@ -67,5 +67,4 @@
   warmUp: 0,
   distance: 0,
   unreachable: 0,
-  connect: 0,
 };
--- a/packages/placement/src/chooser.ts
+++ b/packages/placement/src/chooser.ts
@@ -10,8 +10,7 @@
  *
  * The load of a target is known only as of 80 to 250 ms ago. If all VMs chose the best of many
  * targets, they would all choose the same few in that time and overload them. Each request therefore
- * considers a random sample of the targets. Targets to which this VM has an idle connection are more
- * likely to be in it, since a new connection costs a round trip.
+ * considers a random sample of the targets.
  */
 
 import type * as model from "@hemlockwalk/model";
@@ -37,13 +36,6 @@
   readonly warmUpMilliseconds: number;
   /** Whether the requests during its warm-up are limited to a rate that it can handle. */
   readonly isColdRateLimited?: boolean;
-  /**
-   * Whether this VM has an idle connection to it that may be used for the request; undefined if it
-   * has none to any candidate.
-   */
-  readonly hasIdleConnection?: boolean | undefined;
-  /** Time that a new connection to it takes, in milliseconds; 0 by default. */
-  readonly connectMilliseconds?: number | undefined;
 }
 
 /** What the choice of a target depends on in a request. */
@@ -87,16 +79,6 @@
  */
 const SAMPLE_SIZE = 12;
 
-/**
- * Most targets of a sample that are in it because of an idle connection. The others are drawn from
- * the rest, so that a target which has become better is found. A sample that grew by them, rather than
- * held them among its number, cost more failures.
- */
-const MAX_CONNECTED_IN_SAMPLE = 6;
-
-/** Least cost of a new connection, in milliseconds: the work at the target. */
-const MIN_CONNECT_MILLISECONDS = 1;
-
 /** Targets are probed once they have been without an outcome for this long. */
 const PROBE_AFTER_MILLISECONDS = 500;
 
@@ -145,7 +127,6 @@
   readonly warmUp: number;
   readonly distance: number;
   readonly unreachable: number;
-  readonly connect: number;
 }
 
 /** Called with each candidate whose cost was considered, and the noise drawn for it. */
@@ -228,36 +209,10 @@
   const unreachable = candidate.isUnreachable
     ? UNREACHABLE_COST_IN_OBJECTIVES * request.objectiveMilliseconds
     : 0;
-  const connect = getConnectCost(candidate, request);
   if (onTerms !== undefined) {
-    reportTerms(
-      onTerms,
-      wait,
-      processing,
-      utilization,
-      failure,
-      warmUp,
-      distance,
-      unreachable,
-      connect,
-    );
-  }
-  return wait + processing + utilization + failure + warmUp + distance + unreachable + connect;
-}
-
-/**
- * Cost of a new connection in milliseconds, where the candidate has no idle one. It never exceeds the
- * cost of the first busy slot.
- */
-export function getConnectCost(
-  { hasIdleConnection, connectMilliseconds, slots }: Candidate,
-  { meanProcessingMilliseconds }: PlacementRequest,
-): number {
-  if (hasIdleConnection !== false) {
-    return 0;
+    reportTerms(onTerms, wait, processing, utilization, failure, warmUp, distance, unreachable);
   }
-  const slotCost = UTILIZATION_WEIGHT * meanProcessingMilliseconds / Math.max(slots, 1) ** 2;
-  return Math.min(Math.max(connectMilliseconds ?? 0, MIN_CONNECT_MILLISECONDS), slotCost);
+  return wait + processing + utilization + failure + warmUp + distance + unreachable;
 }
 
 /** Reports the terms of a cost. Kept out of `getCost`, which is faster without the object literal. */
@@ -270,9 +225,8 @@
   warmUp: number,
   distance: number,
   unreachable: number,
-  connect: number,
 ): void {
-  onTerms({ wait, processing, utilization, failure, warmUp, distance, unreachable, connect });
+  onTerms({ wait, processing, utilization, failure, warmUp, distance, unreachable });
 }
 
 /** Share of the slots of the candidates without a warm-up that are free, from 0 to 1. */
@@ -308,39 +262,18 @@
     return candidates;
   }
   const sample: Candidate[] = [];
-  addGroup(sample, own, random);
-  addGroup(sample, others, random);
+  addRandomMembers(sample, own, random);
+  addRandomMembers(sample, others, random);
   return sample;
 }
 
-/** Adds members of a group to a sample, and some of those with an idle connection first. */
-function addGroup(
-  sample: Candidate[],
-  group: readonly Candidate[],
-  random: () => number,
-): void {
-  const connected = group.filter(({ hasIdleConnection }) => hasIdleConnection === true);
-  if (connected.length === 0 || group.length <= SAMPLE_SIZE) {
-    addRandomMembers(sample, group, SAMPLE_SIZE, random);
-    return;
-  }
-  const unconnected = group.filter(({ hasIdleConnection }) => hasIdleConnection !== true);
-  const count = Math.max(
-    Math.min(MAX_CONNECTED_IN_SAMPLE, connected.length),
-    SAMPLE_SIZE - unconnected.length,
-  );
-  addRandomMembers(sample, connected, count, random);
-  addRandomMembers(sample, unconnected, SAMPLE_SIZE - count, random);
-}
-
-/** Adds random members of a group to a sample, each at most once, without changing the group. */
+/** Adds members of a group to a sample, each at most once, without changing the group. */
 function addRandomMembers(
   sample: Candidate[],
   group: readonly Candidate[],
-  most: number,
   random: () => number,
 ): void {
-  const size = Math.min(most, group.length);
+  const size = Math.min(SAMPLE_SIZE, group.length);
   /** Positions drawn so far, in ascending order. */
   const drawn: number[] = [];
   while (drawn.length < size) {
--- a/packages/proxy/src/reachability.ts
+++ b/packages/proxy/src/reachability.ts
@@ -76,11 +76,6 @@
     return MIN_CONNECT_TIMEOUT_MILLISECONDS + MAX_USUAL_CONNECT_TIMES * usual;
   }
 
-  /** Usual connect time of a target, in milliseconds; 0 before the first connection. */
-  getConnectTime(target: model.TargetId): number {
-    return this.#connectTimes.get(target) ?? 0;
-  }
-
   recordConnected(target: model.TargetId, milliseconds: number): void {
     const usual = this.#connectTimes.get(target) ?? milliseconds;
     this.#connectTimes.set(target, usual + CONNECT_TIME_WEIGHT * (milliseconds - usual));
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -58,7 +58,7 @@
 
 /** What a placer uses. */
 export type PlacerContext =
-  & Pick<contexts.RequestContext, "connections" | "tracker" | "queues" | "getConfirmedAt">
+  & Pick<contexts.RequestContext, "tracker" | "queues" | "getConfirmedAt">
   & { readonly budgets: Pick<contexts.RequestContext["budgets"], "getRetryLevel"> };
 
 /** Chooses the targets of one request, one after another. */
@@ -196,16 +196,10 @@
   }
 
   #choose(
-    { service, homes, route }: types.AcceptedRequest,
+    { service, homes }: types.AcceptedRequest,
     placementRequest: placement.PlacementRequest,
   ): placement.Choice {
-    const connected = this.#context.connections.listIdle(route.isIdempotent);
-    const candidates = this.#context.tracker.listCandidates(
-      service,
-      this.#tried,
-      homes,
-      connected.size === 0 ? undefined : connected,
-    );
+    const candidates = this.#context.tracker.listCandidates(service, this.#tried, homes);
     return this.#chooseTarget(candidates, placementRequest);
   }
 
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -21,9 +21,6 @@
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARD_MILLISECONDS = 500;
 
-/** Errors of a connection that the other end has closed. */
-const RESET_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE"]);
-
 /** A target's response: buffered completely, or its beginning and the stream of the rest. */
 export interface TargetAnswer {
   readonly status: number;
@@ -159,7 +156,6 @@
     });
     this.#outgoing.once("response", (incoming) => this.#handleResponse(incoming));
     this.#outgoing.on("error", (error: NodeJS.ErrnoException) => {
-      this.#recordReset(error);
       this.#fail(error.code?.startsWith("HPE_") === true ? "spoilt" : "reset");
       // The runtime would take a reset for the end of a response without a length.
       if (this.#incoming?.complete === false) {
@@ -174,17 +170,6 @@
     this.#transfer = options.body.sendTo(this.#outgoing, () => this.#breakOff());
   }
 
-  /** Records that the target closed a reused connection while the request was sent to it. */
-  #recordReset(error: NodeJS.ErrnoException): void {
-    const isReset = RESET_CODES.has(error.code ?? "") && this.#outgoing.reusedSocket &&
-      this.#incoming === undefined && !this.#isSettled;
-    if (isReset) {
-      const { connections, destination } = this.#options;
-      const { host, port } = kernel.splitAddress(destination.address);
-      connections.recordReset(host, port);
-    }
-  }
-
   /** Ends the attempt because the request can never be complete. */
   #breakOff(): void {
     this.#fail("cancelled");
--- a/packages/proxy/src/target_connections.ts
+++ b/packages/proxy/src/target_connections.ts
@@ -24,12 +24,6 @@
 /** Share of a target's announced idle timeout after which its connection is no longer used. */
 const SHARE_OF_ANNOUNCED_IDLE_TIME = 0.5;
 
-/**
- * Time for which the idle connections of a target are not used after it has reset one under a request.
- * Targets of a deployment are alike, so no target is preferred for its connections in this time.
- */
-const DISTRUST_MILLISECONDS = 10_000;
-
 interface IdleSocket {
   readonly idleSince: number;
   readonly maxIdleMilliseconds: number;
@@ -45,8 +39,6 @@
   readonly #idle = new WeakMap<net.Socket, IdleSocket>();
   /** Connections that must not be reused, whatever headers their response carries. */
   readonly #notReusable = new WeakSet<net.Socket>();
-  /** Monotonic time of the latest reset of a reused connection, by name of the pool. */
-  readonly #resetAt = new Map<string, number>();
 
   /** @param sourceAddress Own address from which to connect; undefined for any. */
   constructor(sourceAddress?: string) {
@@ -64,9 +56,15 @@
     const name = this.#getPoolName(host, port);
     const { freeSockets } = this as unknown as AgentInternals;
     const now = kernel.getMonotonicMilliseconds();
-    const isDistrusted = this.#isDistrusted(name, now);
     for (const socket of [...(freeSockets[name] ?? [])]) {
-      const isUsable = !isDistrusted && this.#isUsable(socket, isIdempotent, now);
+      const idle = this.#idle.get(socket);
+      const limit = Math.min(
+        isIdempotent ? MAX_IDLE_MILLISECONDS : MAX_FRESH_IDLE_MILLISECONDS,
+        idle?.maxIdleMilliseconds ?? 0,
+      );
+      // Bytes that arrived on an idle connection do not belong to any request.
+      const isUsable = idle !== undefined && now - idle.idleSince <= limit &&
+        socket.readableLength === 0;
       if (!isUsable) {
         socket.destroy();
         freeSockets[name] = freeSockets[name]?.filter((other) => other !== socket);
@@ -77,54 +75,6 @@
     }
   }
 
-  /**
-   * Addresses of the targets to which an idle connection may be used for a request of this kind; none
-   * while targets have been found to reset idle connections.
-   */
-  listIdle(isIdempotent: boolean): ReadonlySet<string> {
-    const { freeSockets } = this as unknown as AgentInternals;
-    const now = kernel.getMonotonicMilliseconds();
-    const addresses = new Set<string>();
-    if ([...this.#resetAt.keys()].some((name) => this.#isDistrusted(name, now))) {
-      return addresses;
-    }
-    // The name of a pool is the address of the target, a colon and the source address.
-    const suffix = `:${this.#sourceAddress ?? ""}`;
-    for (const [name, sockets] of Object.entries(freeSockets)) {
-      const isUsable = name.endsWith(suffix) &&
-        sockets?.some((socket) => this.#isUsable(socket, isIdempotent, now)) === true;
-      if (isUsable) {
-        addresses.add(name.slice(0, -suffix.length));
-      }
-    }
-    return addresses;
-  }
-
-  /** Records that a reused connection was reset under a request, before any response. */
-  recordReset(host: string, port: number): void {
-    this.#resetAt.set(this.#getPoolName(host, port), kernel.getMonotonicMilliseconds());
-  }
-
-  #isDistrusted(name: string, now: number): boolean {
-    const resetAt = this.#resetAt.get(name);
-    if (resetAt !== undefined && now - resetAt >= DISTRUST_MILLISECONDS) {
-      this.#resetAt.delete(name);
-      return false;
-    }
-    return resetAt !== undefined;
-  }
-
-  #isUsable(socket: net.Socket, isIdempotent: boolean, now: number): boolean {
-    const idle = this.#idle.get(socket);
-    const limit = Math.min(
-      isIdempotent ? MAX_IDLE_MILLISECONDS : MAX_FRESH_IDLE_MILLISECONDS,
-      idle?.maxIdleMilliseconds ?? 0,
-    );
-    // Bytes that arrived on an idle connection do not belong to any request.
-    return idle !== undefined && !socket.destroyed && now - idle.idleSince <= limit &&
-      socket.readableLength === 0;
-  }
-
   /** Closes all idle connections to a target; those in use close after their response. */
   closeIdle(host: string, port: number): void {
     const name = this.#getPoolName(host, port);
--- a/packages/proxy/src/target_tracker.ts
+++ b/packages/proxy/src/target_tracker.ts
@@ -201,17 +201,11 @@
     });
   }
 
-  /**
-   * Lists the candidates of a service for a request with homes, without the excluded targets.
-   *
-   * @param connected Addresses of targets to which there is an idle connection for the request; none
-   * are preferred if it is undefined.
-   */
+  /** Lists the candidates of a service for a request with homes, without the excluded targets. */
   listCandidates(
     service: model.ServiceId,
     excluded: ReadonlySet<model.TargetId>,
     homes: placement.Homes,
-    connected?: ReadonlySet<string>,
   ): placement.Candidate[] {
     const now = kernel.getMonotonicMilliseconds();
     const coldRate = this.#getColdRate(service);
@@ -224,7 +218,7 @@
       }
       const warmUpLeft = this.#directory.getWarmUpLeft(entry.id, now);
       if (this.#getSchedule(entry, warmUpLeft, coldRate).milliseconds === 0) {
-        candidates.push(this.#createCandidate(entry, now, warmUpLeft, coldRate, connected));
+        candidates.push(this.#createCandidate(entry, now, warmUpLeft, coldRate));
       }
     }
     return candidates;
@@ -562,7 +556,6 @@
     now: number,
     warmUpLeft: number,
     coldRate: number | undefined,
-    connected: ReadonlySet<string> | undefined,
   ): placement.Candidate {
     const record = this.#getRecord(entry.id);
     const isFull = record.fullUntil > now;
@@ -583,10 +576,6 @@
         this.#evacuations.getReturnMilliseconds(entry.dataCentre),
       ),
       isColdRateLimited: coldRate !== undefined,
-      hasIdleConnection: connected?.has(entry.address),
-      connectMilliseconds: connected === undefined
-        ? undefined
-        : this.reachability.getConnectTime(entry.id),
     };
   }
 
