--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,6 +1,7 @@
 /** A machine is stopped while requests wait in it for a free slot. */
 
 import * as path from "node:path";
+import process from "node:process";
 import * as url from "node:url";
 import * as clients from "../lib-2/client.mjs";
 import * as configs from "../lib-2/config.mjs";
@@ -24,7 +25,12 @@
 /** Times after the SIGTERM at which clients use the connections that they have kept. */
 const AFTER_STOP_MILLISECONDS = [1_000, 1_400, 1_800, 2_000, 2_200, 2_400];
 
-await systems.runCase(path.dirname(url.fileURLToPath(import.meta.url)), async (system, trouble) => {
+/** With TROUBLE=0 the same is played without the disruption. */
+const hasTrouble = process.env.TROUBLE !== "0";
+
+const folder = path.dirname(url.fileURLToPath(import.meta.url));
+
+await systems.runCase(folder, hasTrouble, async (system, trouble) => {
   const ran = new Set();
   const work = async (_server, { response, id, request }) => {
     ran.add(id);
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,6 +1,7 @@
 /** A machine is stopped while it holds back the answer to a request that was sent behind another. */
 
 import * as path from "node:path";
+import process from "node:process";
 import * as url from "node:url";
 import * as clients from "../lib-2/client.mjs";
 import * as configs from "../lib-2/config.mjs";
@@ -20,7 +21,12 @@
 
 const CLIENTS = 3;
 
-await systems.runCase(path.dirname(url.fileURLToPath(import.meta.url)), async (system, trouble) => {
+/** With TROUBLE=0 the same is played without the disruption. */
+const hasTrouble = process.env.TROUBLE !== "0";
+
+const folder = path.dirname(url.fileURLToPath(import.meta.url));
+
+await systems.runCase(folder, hasTrouble, async (system, trouble) => {
   /** Times at which servers have answered, by id. */
   const answeredAt = new Map();
   const work = async (server, { response, id, request }) => {
--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -310,10 +310,10 @@
 /**
  * Runs a case: exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
  *
- * @param play Plays the case and returns the findings that break the rule.
+ * @param hasTrouble Whether to play the case with its disruption.
+ * @param play Plays the case and returns whether the rule was broken, and a summary.
  */
-export async function runCase(folder, play) {
-  const hasTrouble = process.env.TROUBLE !== "0";
+export async function runCase(folder, hasTrouble, play) {
   const system = new System(folder);
   let code = 2;
   const limit = setTimeout(() => {
