A request that runs is refused as not run because of the copy of an earlier refusal

Callers saw 503 for a request that may run once and that a target ran; after it the VM could send the request to a further target.

Cause: what tells to which attempt a refusal belongs was the identifier of the request alone. It does not tell two attempts of one request apart. The handler remembers the targets of a request by their identifier, connections are kept by address, and an address that passes to another target brings the request to the same connection again. There a target that sends a refusal twice is believed twice. A refusal that names no request was believed wherever it arrived.

Now no request is sent twice on one connection: a connection remembers the identifiers that it has carried, for 256 requests at most, and idle ones that have carried the request are closed before it is sent. A refusal counts only if it names the request, which the connection then carries for the first time, or names none on a connection that has carried no other. Any other one leaves it open whether the request has run (`unattributed`): 502, and no further attempt where it must not run twice. It holds for refusals of other VMs as well, whose connections are of the same kind.

--- a/packages/proxy/src/outgoing_request.ts
+++ b/packages/proxy/src/outgoing_request.ts
@@ -32,7 +32,7 @@
 export function createRequest(options: OutgoingRequestOptions): http.ClientRequest | undefined {
   const { request, destination, connections } = options;
   const { host, port } = kernel.splitAddress(destination.address);
-  connections.closeUnusable(host, port, request.route.isIdempotent);
+  connections.closeUnusable(host, port, request);
   try {
     return http.request({
       agent: connections,
--- a/packages/proxy/src/request_evidence.ts
+++ b/packages/proxy/src/request_evidence.ts
@@ -76,7 +76,8 @@
     const fingerprint = this.#getFingerprint(accepted, body);
     this.#trace.add("failed", { target: target.id, reason, fingerprint });
     // After a response that cannot be read, the target still runs.
-    if (!isGivenUp && reason !== "spoilt" && reason !== "foreign") {
+    const hasResponded = reason === "spoilt" || reason === "foreign" || reason === "unattributed";
+    if (!isGivenUp && !hasResponded) {
       this.#context.crashes.recordBreak(target, fingerprint);
     }
   }
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -47,6 +47,8 @@
   | "spoilt"
   /** The response names another request. */
   | "foreign"
+  /** A refusal that may be the copy of an earlier one. */
+  | "unattributed"
   | "cut_short"
   | "silent"
   | "cancelled";
@@ -216,7 +218,14 @@
       return;
     }
     const refusal = incoming.headers[headers.REFUSAL_HEADER];
-    if (destination.kind === "peer" && typeof refusal === "string") {
+    const isRefusedByPeer = destination.kind === "peer" && typeof refusal === "string";
+    const isRefused = incoming.headers[profile.notRun] !== undefined || status === 421;
+    const connection = kernel.getDefined(this.#connection, "A response comes over a connection.");
+    if ((isRefusedByPeer || isRefused) && !isOwnResponse(echoed, connection)) {
+      this.#fail("unattributed");
+      return;
+    }
+    if (isRefusedByPeer) {
       this.#discardBody(incoming);
       this.#settle({
         kind: "refused_by_peer",
@@ -224,7 +233,7 @@
       });
       return;
     }
-    if (incoming.headers[profile.notRun] !== undefined || status === 421) {
+    if (isRefused) {
       if (status !== 421) {
         this.#recordNotice(incoming, status);
       }
@@ -233,11 +242,7 @@
         kind: "not_run",
         reason: status === 421 ? "other_target" : "shed",
         hasArrived: true,
-        refusal: {
-          status,
-          isNamed: echoed !== undefined,
-          connection: kernel.getDefined(this.#connection, "A response comes over a connection."),
-        },
+        refusal: { status, isNamed: echoed !== undefined, connection },
       });
       return;
     }
@@ -407,6 +412,18 @@
   }
 }
 
+/**
+ * Whether a response belongs to the present attempt, if it names no other request. A surplus response
+ * to an earlier one may arrive in its place, so it must name a request that the connection has
+ * carried only now, unless the connection has carried no other.
+ */
+function isOwnResponse(
+  echoed: string | string[] | undefined,
+  connection: targetConnections.ConnectionUse,
+): boolean {
+  return echoed === undefined ? connection.earlierRequests === 0 : !connection.isRepetition;
+}
+
 /** Whether the end of a response is known before that of its connection (RFC 9112, section 6.3). */
 function isFramed(incoming: http.IncomingMessage, method: string): boolean {
   const hasNoBody = method === "HEAD" || incoming.statusCode === 204 || incoming.statusCode === 304;
--- a/packages/proxy/src/target_connections.ts
+++ b/packages/proxy/src/target_connections.ts
@@ -4,11 +4,18 @@
  * An idle connection is kept only for a short time: targets drop idle connections without notice,
  * and a request sent on such a connection may have to be counted as run. Requests that may not be
  * retried use only connections that were in use a moment ago.
+ *
+ * A request is never sent twice on one connection. A target may send a second copy of a response,
+ * which names the request that it was for; on a connection that carries each request once, a response
+ * with the identifier of the present request can only be the response to the present attempt. The
+ * address of a target says nothing of that: it may have belonged to another target, at which the same
+ * request was tried before.
  */
 
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as kernel from "@hemlockwalk/kernel";
+import type * as types from "./types.ts";
 
 /**
  * Connections that are idle for longer are closed. Well below the idle timeouts of common servers.
@@ -21,8 +28,11 @@
 /** Most idle connections kept to one target. */
 const MAX_IDLE_PER_TARGET = 2;
 
-/** Requests whose identifiers are remembered for each connection, to limit the memory for them. */
-const MAX_REMEMBERED_REQUESTS = 64;
+/**
+ * Most requests that are sent on one connection, which limits the memory for their identifiers.
+ * Few enough to take some kilobytes, and enough that a new connection for each is of no account.
+ */
+const MAX_REQUESTS_PER_CONNECTION = 256;
 
 /** Share of a target's announced idle timeout after which its connection is no longer used. */
 const SHARE_OF_ANNOUNCED_IDLE_TIME = 0.5;
@@ -37,17 +47,16 @@
   readonly isRepetition: boolean;
 }
 
+/** What the choice of a connection depends on in a request. */
+export type OutgoingRequest = Pick<types.AcceptedRequest, "id"> & {
+  readonly route: Pick<types.AcceptedRoute, "isIdempotent">;
+};
+
 interface IdleSocket {
   readonly idleSince: number;
   readonly maxIdleMilliseconds: number;
 }
 
-interface RequestHistory {
-  count: number;
-  /** The oldest one first. */
-  readonly latest: Set<string>;
-}
-
 type AgentInternals = {
   freeSockets: Record<string, net.Socket[] | undefined>;
 };
@@ -59,7 +68,7 @@
   /** Connections that must not be reused, whatever headers their response carries. */
   readonly #notReusable = new WeakSet<net.Socket>();
   /** Identifiers of the requests that were sent on each connection. */
-  readonly #requests = new WeakMap<net.Socket, RequestHistory>();
+  readonly #requests = new WeakMap<net.Socket, Set<string>>();
 
   /** @param sourceAddress Own address from which to connect; undefined for any. */
   constructor(sourceAddress?: string) {
@@ -72,20 +81,20 @@
     this.#sourceAddress = sourceAddress;
   }
 
-  /** Closes idle connections to a target that must not be used for a request of this kind. */
-  closeUnusable(host: string, port: number, isIdempotent: boolean): void {
+  /** Closes idle connections to a target that must not be used for a request. */
+  closeUnusable(host: string, port: number, request: OutgoingRequest): void {
     const name = this.#getPoolName(host, port);
     const { freeSockets } = this as unknown as AgentInternals;
     const now = kernel.getMonotonicMilliseconds();
     for (const socket of [...(freeSockets[name] ?? [])]) {
       const idle = this.#idle.get(socket);
       const limit = Math.min(
-        isIdempotent ? MAX_IDLE_MILLISECONDS : MAX_FRESH_IDLE_MILLISECONDS,
+        request.route.isIdempotent ? MAX_IDLE_MILLISECONDS : MAX_FRESH_IDLE_MILLISECONDS,
         idle?.maxIdleMilliseconds ?? 0,
       );
       // Bytes that arrived on an idle connection do not belong to any request.
       const isUsable = idle !== undefined && now - idle.idleSince <= limit &&
-        socket.readableLength === 0;
+        socket.readableLength === 0 && this.#requests.get(socket)?.has(request.id) !== true;
       if (!isUsable) {
         socket.destroy();
         freeSockets[name] = freeSockets[name]?.filter((other) => other !== socket);
@@ -118,22 +127,14 @@
 
   /** Records that a request is sent on a connection. */
   recordRequest(socket: net.Socket, requestId: string): ConnectionUse {
-    let history = this.#requests.get(socket);
-    if (history === undefined) {
-      history = { count: 0, latest: new Set() };
-      this.#requests.set(socket, history);
-    }
-    const { count, latest } = history;
-    const isRepetition = latest.has(requestId);
-    history.count++;
-    latest.add(requestId);
-    for (const oldest of latest) {
-      if (latest.size <= MAX_REMEMBERED_REQUESTS) {
-        break;
-      }
-      latest.delete(oldest);
-    }
-    return { getPort: () => socket.localPort, earlierRequests: count, isRepetition };
+    const earlier = this.#requests.get(socket) ?? new Set();
+    const use = {
+      getPort: () => socket.localPort,
+      earlierRequests: earlier.size,
+      isRepetition: earlier.has(requestId),
+    };
+    this.#requests.set(socket, earlier.add(requestId));
+    return use;
   }
 
   /** Records the idle timeout that the target announced for a connection. */
@@ -148,7 +149,11 @@
 
   /** Called by the agent when a connection could be kept. */
   override keepSocketAlive(socket: net.Socket): boolean {
-    if (this.#notReusable.has(socket) || !this.#idle.has(socket)) {
+    const requests = this.#requests.get(socket)?.size ?? 0;
+    if (
+      this.#notReusable.has(socket) || !this.#idle.has(socket) ||
+      requests >= MAX_REQUESTS_PER_CONNECTION
+    ) {
       return false;
     }
     const previous = this.#idle.get(socket);
