A VM passes on a promise that a target has not made

Callers saw 503, 429 or 408 as a target had sent it without the mark of a request that has not run. These statuses promise callers that their request has not run and never will; such a target may have run it.

Cause: a response was forwarded as it was, whatever its status means to a caller, while the VM itself counted the request as run. Now the caller gets 502 of the VM in its place, which promises nothing. A route that allows repetitions is still served elsewhere after a 503, as before.

--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -645,6 +645,12 @@
         );
         return;
       case "answered":
+        if (refusals.isNotRunStatus(result.answer.status)) {
+          // The status would tell the caller what the target has not said.
+          result.answer.discard();
+          this.#finalAnswer.refuse({ status: 502, reason: "target_failed" });
+          return;
+        }
         this.#finalAnswer.forward(result.answer, accepted.endsAt);
         return;
       case "not_run":
