Stop: what waits in a VM that stops is refused in time, not dropped

Cause: a request waited for a slot, a pause or a rate for up to half of its objective without regard to the stop of its VM. Whether a request could end was asked only once the listener had closed and a slot was free, never before it was passed on to another VM, and the answer came from its route's mean time alone. A failed answer that could have been forwarded was discarded before that question.

Done: stop_limit.ts decides until when a request may begin, from the cut-off, its own time and its route's objective. Placement, the queue (also for what waits already), the rate, passing on, and each request whose turn or start has come ask it. What may not begin is refused with 503, "stopping" and Retry-After 0.05 s. Its rate is not charged, or returned. A request whose time is over before the cut-off, and one in a VM that does not stop, waits as before; a test checks this.

Ruled out: a signal to everything that waits. The limit is read while a request waits, so the queue needs no state of its own. A limit from the mean alone: processing times vary.

--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -12,6 +12,7 @@
 import * as refusals from "./refusals.ts";
 import type * as contexts from "./request_context.ts";
 import type * as log from "./request_log.ts";
+import * as limits from "./stop_limit.ts";
 import type * as types from "./types.ts";
 
 /** Deadline of a request without a deadline header, unless its route has a timeout. */
@@ -84,6 +85,10 @@
   if ("status" in declared) {
     return declared;
   }
+  const stopping = findStopRefusal(context, request, trace, declared);
+  if (stopping !== undefined) {
+    return stopping;
+  }
   const { route, workspace } = declared;
   if (workspace !== undefined && !await takeRate(budgets, workspace, route, trace)) {
     const timeLeft = getTimeLeft(request, route, profile);
@@ -103,6 +108,20 @@
   return { status: 429, reason: "over_rate", retryAfterSeconds };
 }
 
+/**
+ * The refusal of a request that may not begin any more, since this VM stops; undefined if it may.
+ * It takes nothing of its workspace's rate.
+ */
+export function findStopRefusal(
+  context: AdmissionContext & limits.StopLimitContext,
+  request: headers.RequestHead,
+  trace: log.RequestTrace,
+  { route }: Pick<DeclaredRequest, "route">,
+): refusals.Refusal | undefined {
+  const endsAt = trace.arrivedAt + getAnswerTime(request, route, context.profile);
+  return limits.mayBegin(context, { route, endsAt }) ? undefined : refusals.createStopping();
+}
+
 /** Finds the route and the workspace of a request, or returns why it is refused. */
 export function findDeclared(
   context: AdmissionContext,
@@ -145,6 +164,20 @@
     route.timeoutMilliseconds ?? DEFAULT_DEADLINE_MILLISECONDS;
 }
 
+/** Time from the arrival of a request to its final response at the latest, in milliseconds. */
+function getAnswerTime(
+  request: headers.RequestHead,
+  route: declarations.DeclaredRoute,
+  profile: types.HeaderProfile,
+): number {
+  const callerDeadline = headers.parseMilliseconds(request.headers[profile.deadline]);
+  return Math.min(
+    callerDeadline === undefined ? Infinity : callerDeadline - ANSWER_MARGIN_MILLISECONDS,
+    route.timeoutMilliseconds ?? Infinity,
+    getTimeLeft(request, route, profile),
+  );
+}
+
 /** Accepts a request that is within its workspace's rate, and draws its service. */
 export function createAccepted(
   context: AdmissionContext,
@@ -155,12 +188,7 @@
   const { profile } = context;
   const service = chooseDestination(route.destinations);
   const arrivedAt = trace.arrivedAt;
-  const callerDeadline = headers.parseMilliseconds(request.headers[profile.deadline]);
-  const left = Math.min(
-    callerDeadline === undefined ? Infinity : callerDeadline - ANSWER_MARGIN_MILLISECONDS,
-    route.timeoutMilliseconds ?? Infinity,
-    getTimeLeft(request, route, profile),
-  );
+  const left = getAnswerTime(request, route, profile);
   trace.add("accepted", {
     route: route.id,
     service,
@@ -196,8 +224,7 @@
   const { forwardedRequests, profile, path, stop } = context;
   if (stop.isStopping) {
     // Other VMs do not know, and would keep it busy until it cuts off the last of their requests.
-    const retryAfterSeconds = refusals.RETRY_AFTER_SECONDS.stopping;
-    return { status: 503, reason: "stopping", retryAfterSeconds };
+    return refusals.createStopping();
   }
   if (path.isIsolated) {
     return { status: 503, reason: "isolated" };
--- a/packages/proxy/src/passing_on.ts
+++ b/packages/proxy/src/passing_on.ts
@@ -25,12 +25,14 @@
   readonly attemptsLeft: number;
   /** Whether the whole request can be sent, possibly once more. */
   readonly canBeSent: boolean;
+  /** Whether it may begin, as far as a stop of this VM allows it. */
+  readonly mayBegin: boolean;
 }
 
 /** Whether another VM is to serve a request, since this one reaches no target. */
 export function mayPassOn(situation: PassingOnSituation): boolean {
   return situation.isIsolated && !situation.isForwarded && situation.attemptsLeft > 0 &&
-    situation.canBeSent;
+    situation.canBeSent && situation.mayBegin;
 }
 
 /** The calls of one request to other VMs. */
--- a/packages/proxy/src/placement_explanation.ts
+++ b/packages/proxy/src/placement_explanation.ts
@@ -23,6 +23,7 @@
 import * as evidence from "./request_evidence.ts";
 import * as log from "./request_log.ts";
 import * as placers from "./request_placer.ts";
+import * as limits from "./stop_limit.ts";
 import type * as trackers from "./target_tracker.ts";
 import type * as types from "./types.ts";
 import * as unplaced from "./unplaced_refusal.ts";
@@ -202,6 +203,16 @@
   ): PlacementExplanation {
     const { context } = this.#options;
     const { route, workspace } = declared;
+    const stopping = admission.findStopRefusal(context, head, trace, declared);
+    if (stopping !== undefined) {
+      return {
+        ...this.#describe(declared, undefined),
+        priority: workspace?.priority ?? route.priority,
+        service: undefined,
+        ...createRefused(stopping),
+        ...NOTHING_LISTED,
+      };
+    }
     const rate = workspace === undefined ? undefined : context.budgets.previewRate(
       workspace,
       route.priority,
@@ -292,6 +303,7 @@
       isForwarded: false,
       attemptsLeft: accepted.route.attempts,
       canBeSent: true,
+      mayBegin: limits.mayBegin(context, accepted),
     });
     // The request is not sent, so no response is buffered.
     const peers = new passingOn.PeerCalls(context, trace, () => 0);
--- a/packages/proxy/src/refusals.ts
+++ b/packages/proxy/src/refusals.ts
@@ -47,6 +47,11 @@
   readonly retryAfterSeconds?: number;
 }
 
+/** The refusal of a request that another VM serves, since this one stops. */
+export function createStopping(): Refusal {
+  return { status: 503, reason: "stopping", retryAfterSeconds: RETRY_AFTER_SECONDS.stopping };
+}
+
 /** Reads a refusal of another VM; an unknown reason counts as a failure of the target. */
 export function readRefusal(
   status: number,
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -20,6 +20,7 @@
 import * as log from "./request_log.ts";
 import type * as peers from "./serving_peers.ts";
 import * as placers from "./request_placer.ts";
+import * as limits from "./stop_limit.ts";
 import * as calls from "./target_call.ts";
 import type * as types from "./types.ts";
 import * as unplaced from "./unplaced_refusal.ts";
@@ -36,12 +37,6 @@
 /** A retry needs at least this share of a mean processing time before the request's deadline. */
 const MIN_RETRY_TIME_IN_MEAN_TIMES = 0.6;
 
-/**
- * A stopping VM begins a request only if this many mean processing times are left until it cuts off
- * those that still run.
- */
-const MIN_STOP_TIME_IN_MEAN_TIMES = 3;
-
 /** Handles one request until it has ended. */
 export class RequestHandler {
   readonly #context: contexts.RequestContext;
@@ -217,14 +212,6 @@
     await this.#serve(accepted, read.body);
   }
 
-  /** Whether the request is likely to end before a stop of this VM cuts it off. */
-  #mayEndBeforeStop({ route }: types.AcceptedRequest): boolean {
-    const { stop, tracker } = this.#context;
-    const mean = tracker.processingTimes.getRouteMean(route.id, route.objectiveMilliseconds);
-    const left = stop.cutOffAt - kernel.getMonotonicMilliseconds();
-    return !stop.isClosing || left >= mean * MIN_STOP_TIME_IN_MEAN_TIMES;
-  }
-
   async #serve(accepted: types.AcceptedRequest, body: bodies.RequestBody): Promise<void> {
     const timer = setTimeout(
       () => this.#expire(),
@@ -248,6 +235,9 @@
           break;
         }
         if (placed.kind === "refused") {
+          if (placed.reason === "stopping") {
+            this.#returnRate(accepted);
+          }
           this.#answerUnplaced(
             accepted,
             result,
@@ -264,17 +254,6 @@
           return;
         }
         calls.discardAnswer(result);
-        if (!this.#mayEndBeforeStop(accepted)) {
-          this.#dropPlacement(placed);
-          this.#context.queues.get(accepted.service).advance();
-          const retryAfterSeconds = refusals.RETRY_AFTER_SECONDS.stopping;
-          this.#answerUnplaced(accepted, result, {
-            status: 503,
-            reason: "stopping",
-            retryAfterSeconds,
-          });
-          return;
-        }
         result = await this.#callPlaced(accepted, body, placed);
       } while (!this.#finalAnswer.isDecided && this.#mayRetry(accepted, body, result));
       if (!this.#finalAnswer.isDecided && result !== undefined && !this.#caller.signal.aborted) {
@@ -420,6 +399,7 @@
       isForwarded: this.#isForwarded,
       attemptsLeft: accepted.route.attempts - this.#arrivals,
       canBeSent: body.isBuffered || !this.#hasAttempted,
+      mayBegin: limits.mayBegin(this.#context, accepted),
     });
   }
 
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -7,6 +7,7 @@
 import * as placement from "@hemlockwalk/placement";
 import type * as contexts from "./request_context.ts";
 import type * as log from "./request_log.ts";
+import * as limits from "./stop_limit.ts";
 import type * as types from "./types.ts";
 
 /** A request waits for a slot for at most this share of its objective. */
@@ -58,9 +59,11 @@
 
 /** What a placer uses. */
 export type PlacerContext =
-  & Pick<contexts.RequestContext, "tracker" | "queues" | "getConfirmedAt">
+  & Pick<contexts.RequestContext, "tracker" | "queues" | "getConfirmedAt" | "stop">
   & { readonly budgets: Pick<contexts.RequestContext["budgets"], "getRetryLevel"> };
 
+const STOPPING = { kind: "refused", reason: "stopping" } as const;
+
 /** Chooses the targets of one request, one after another. */
 export class RequestPlacer {
   readonly #context: PlacerContext;
@@ -123,7 +126,9 @@
       accepted.workspace,
     );
     const mustQueue = this.#tried.size === 0 && accepted.homes === undefined && ahead > 0;
-    const decided = mustQueue
+    const decided = !limits.mayBegin(this.#context, accepted)
+      ? STOPPING
+      : mustQueue
       ? this.#refuseIfHopeless(accepted, placementRequest, waitUntil, ahead)
       : this.#decide(accepted, placementRequest, waitUntil, ahead);
     return { placementRequest, waitUntil, ahead, mustQueue, decided };
@@ -164,10 +169,11 @@
   }
 
   #decideWithoutCandidate(
-    { service, homes }: types.AcceptedRequest,
+    accepted: types.AcceptedRequest,
     waitUntil: number,
     ahead: number,
   ): Extract<Placement, { kind: "refused" }> | undefined {
+    const { service, homes } = accepted;
     const { tracker } = this.#context;
     const wait = tracker.findShortestWait(service, this.#tried, homes, ahead);
     if (wait === undefined) {
@@ -179,10 +185,11 @@
       }
       return { kind: "refused", reason: reason ?? "no_target" };
     }
-    const maxWait = waitUntil - kernel.getMonotonicMilliseconds();
+    const now = kernel.getMonotonicMilliseconds();
+    const maxWait = waitUntil - now;
     const turn = wait.milliseconds + TURN_MARGIN_MILLISECONDS;
     if (placement.decideWithoutTarget(turn, maxWait) === "wait") {
-      return undefined;
+      return now + turn <= limits.getLatestBegin(this.#context, accepted) ? undefined : STOPPING;
     }
     const milliseconds = Number.isFinite(wait.milliseconds)
       ? Math.round(wait.milliseconds)
@@ -234,17 +241,23 @@
     mayBePlacedNow: boolean,
   ): Promise<Placement> {
     const { service } = accepted;
-    const queue = this.#context.queues.get(service);
+    const context = this.#context;
+    const queue = context.queues.get(service);
     this.#trace.add("waits", { ahead: queue.countAhead(accepted.priority, accepted.workspace) });
     return new Promise((resolve) => {
       const queued: placement.QueuedRequest = {
         priority: accepted.priority,
         workspace: accepted.workspace,
         acceptsAnyTarget: this.#tried.size === 0 && accepted.homes === undefined,
-        waitUntil,
+        // The VM may be asked to stop while it waits.
+        get waitUntil() {
+          return Math.min(waitUntil, limits.getLatestBegin(context, accepted));
+        },
         tryPlace: () => {
           // Its turn was found to come in time, before those behind it.
-          const decided = this.#decide(accepted, placementRequest, waitUntil, 0);
+          const decided = limits.mayBegin(context, accepted)
+            ? this.#decide(accepted, placementRequest, waitUntil, 0)
+            : STOPPING;
           if (decided !== undefined) {
             this.#caller.removeEventListener("abort", onAbort);
             resolve(this.#carryOut(decided));
@@ -253,7 +266,8 @@
         },
         onTimeout: () => {
           this.#caller.removeEventListener("abort", onAbort);
-          resolve({ kind: "refused", reason: "no_room" });
+          const isOver = kernel.getMonotonicMilliseconds() >= waitUntil;
+          resolve(isOver ? { kind: "refused", reason: "no_room" } : STOPPING);
         },
       };
       const onAbort = () => {
--- a/packages/proxy/src/unplaced_refusal.ts
+++ b/packages/proxy/src/unplaced_refusal.ts
@@ -40,6 +40,9 @@
     // Nothing tells when this ends, and another VM would refuse the request too.
     return { status: 503, reason };
   }
+  if (reason === "stopping" && !hasUsedAttempts) {
+    return refusals.createStopping();
+  }
   const queue = context.queues.get(accepted.service);
   const retryAfterSeconds = getRetryAfterSeconds(
     context,
