Stop: a request read after the listener has closed begins only if it must end before the cut-off

Cause: a caller that connects before the listener closes may send its first request later. No processing time that was seen before, and no objective, bounds how long a target works.

Done: a request that is read once no connections are accepted begins only if the time for its response is over before the cut-off, so that it has one in any case. Otherwise it is refused as not run at once. What was read before, and waits for a slot, keeps the limit of its objective.

Ruled out: a larger multiple of the mean or of the objective. Either may be exceeded by a slow target.

--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -63,7 +63,7 @@
 /** What admission depends on. */
 export type AdmissionContext = Pick<
   contexts.RequestContext,
-  "profile" | "store" | "getConfirmedAt"
+  "profile" | "store" | "getConfirmedAt" | "stop"
 >;
 
 /** What the declarations in force give for a request. */
@@ -119,7 +119,9 @@
   { route }: Pick<DeclaredRequest, "route">,
 ): refusals.Refusal | undefined {
   const endsAt = trace.arrivedAt + getAnswerTime(request, route, context.profile);
-  return limits.mayBegin(context, { route, endsAt }) ? undefined : refusals.createStopping();
+  return limits.mayBegin(context, { route, endsAt, isLate: context.stop.isClosing })
+    ? undefined
+    : refusals.createStopping();
 }
 
 /** Finds the route and the workspace of a request, or returns why it is refused. */
@@ -206,6 +208,7 @@
     homes: placement.intersectHomes(route.homes, workspace?.homes),
     arrivedAt,
     endsAt: arrivedAt + left,
+    isLate: context.stop.isClosing,
     method: request.method ?? "GET",
     path: request.url ?? "/",
     headers: headers.createForwardedHeaders(request, profile),
--- a/packages/proxy/src/forwarded_requests.ts
+++ b/packages/proxy/src/forwarded_requests.ts
@@ -180,6 +180,8 @@
     homes: placement.intersectHomes(route.homes, workspace?.homes),
     arrivedAt,
     endsAt: arrivedAt + decisions.left - RETURN_MARGIN_MILLISECONDS,
+    // A VM that stops accepts none.
+    isLate: false,
     method: request.method ?? "GET",
     path: request.url ?? "/",
     headers: headers.createForwardedHeaders(request, profile),
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -209,7 +209,9 @@
       this.#context.budgets.countRequest(accepted.service);
       this.#context.hedges.countRequest(accepted.service);
     }
-    await this.#serve(accepted, read.body);
+    // The VM may have ceased to accept connections while the body was read.
+    const isLate = accepted.isLate || (this.#context.stop.isClosing && !this.#isForwarded);
+    await this.#serve(isLate ? { ...accepted, isLate } : accepted, read.body);
   }
 
   async #serve(accepted: types.AcceptedRequest, body: bodies.RequestBody): Promise<void> {
--- a/packages/proxy/src/stop_limit.ts
+++ b/packages/proxy/src/stop_limit.ts
@@ -10,6 +10,9 @@
  *
  * - A request whose time for the response is over before the cut-off may begin at any time, since it
  *   has a response by then.
+ * - A request that is read when the VM accepts no connections any more does not begin otherwise.
+ *   Its target may work for longer than any objective, and a caller that is refused at once has lost
+ *   nothing.
  * - Otherwise its objective has to fit in before the cut-off, or more if its route has been slower.
  */
 
@@ -29,7 +32,7 @@
 }
 
 /** What the limit depends on in a request. */
-export type BeginningRequest = Pick<types.AcceptedRequest, "endsAt"> & {
+export type BeginningRequest = Pick<types.AcceptedRequest, "endsAt" | "isLate"> & {
   readonly route: Pick<types.AcceptedRoute, "id" | "objectiveMilliseconds">;
 };
 
@@ -39,11 +42,14 @@
  */
 export function getLatestBegin(
   { stop, tracker }: StopLimitContext,
-  { route, endsAt }: BeginningRequest,
+  { route, endsAt, isLate }: BeginningRequest,
 ): number {
   if (endsAt <= stop.cutOffAt) {
     return Number.POSITIVE_INFINITY;
   }
+  if (isLate) {
+    return Number.NEGATIVE_INFINITY;
+  }
   const mean = tracker.processingTimes.getRouteMean(route.id, route.objectiveMilliseconds);
   return stop.cutOffAt - Math.max(route.objectiveMilliseconds, mean * MIN_TIME_IN_MEAN_TIMES);
 }
--- a/packages/proxy/src/types.ts
+++ b/packages/proxy/src/types.ts
@@ -88,6 +88,8 @@
   readonly arrivedAt: number;
   /** Monotonic time by which it must have its final response, in milliseconds. */
   readonly endsAt: number;
+  /** Whether this VM accepted no further connections when it was read. */
+  readonly isLate: boolean;
   readonly method: string;
   readonly path: string;
   /** Names and values in turn, without the caller's key and the headers of a single connection. */
--- a/packages/proxy/test/call_bench.ts
+++ b/packages/proxy/test/call_bench.ts
@@ -46,6 +46,7 @@
     homes: undefined,
     arrivedAt: now,
     endsAt: now + 10_000,
+    isLate: false,
     method: method ?? "GET",
     path: "/bookings/1",
     headers: ["Host", "desk.example"],
--- a/packages/proxy/test/placement_explanation_test.ts
+++ b/packages/proxy/test/placement_explanation_test.ts
@@ -706,6 +706,7 @@
           homes: undefined,
           arrivedAt: trace.arrivedAt,
           endsAt: trace.arrivedAt + 2_000,
+          isLate: false,
           method: "POST",
           path: "/bookings/1",
           headers: [],
--- a/packages/proxy/test/stop_limit_test.ts
+++ b/packages/proxy/test/stop_limit_test.ts
@@ -4,6 +4,7 @@
  */
 
 import * as assert from "node:assert/strict";
+import * as events from "node:events";
 import type * as http from "node:http";
 import * as test from "node:test";
 import * as declarations from "@hemlockwalk/declarations";
@@ -32,6 +33,9 @@
 /** Time from the stop signal to the cut-off of running requests. */
 const CUT_OFF_AFTER = 5_700;
 
+/** Time from the stop signal to the close of the listener. */
+const CLOSES_AFTER = 2_800;
+
 /** How often queues are processed, plus a step of the clock. */
 const PROMPTLY = 40;
 
@@ -56,12 +60,12 @@
   readonly #clock: kernelTesting.TestClock;
   readonly context: contexts.RequestContext;
 
-  constructor(clock: kernelTesting.TestClock) {
+  constructor(clock: kernelTesting.TestClock, objectiveMilliseconds: number) {
     this.#clock = clock;
     const store = new declarations.DeclarationStore();
     store.apply(fixtures.createDeclarations(1, {
       routes: [fixtures.createRoute({
-        objectiveMilliseconds: OBJECTIVE,
+        objectiveMilliseconds,
         timeoutMilliseconds: TIMEOUT,
       })],
       workspaces: [{
@@ -139,18 +143,31 @@
     return placed;
   }
 
-  /** Handles a request of a caller; the response is undefined until it is sent. */
-  handle(hasWaited = false) {
+  /** Accepts no connections any more. */
+  close(): void {
+    this.stop.isClosing = true;
+  }
+
+  /**
+   * Handles a request of a caller; the response is undefined until it is sent.
+   *
+   * @param body Emits the body, if there is one.
+   */
+  handle(
+    hasWaited = false,
+    fieldsBeside: Record<string, string> = {},
+    body = new events.EventEmitter(),
+  ) {
     const sent: { status?: number; retryAfter?: number; body?: string } = {};
-    const fields = { host: "desk.example", authorization: "Bearer secret" };
-    const request = {
+    const fields = { host: "desk.example", authorization: "Bearer secret", ...fieldsBeside };
+    const request = Object.assign(body, {
       headers: fields,
       rawHeaders: Object.entries(fields).flat(),
       method: "POST",
       url: "/bookings/1",
       httpVersion: "1.1",
       resume: () => {},
-    } as unknown as http.IncomingMessage;
+    }) as unknown as http.IncomingMessage;
     const response = {
       writeHead: (status: number, head: readonly string[]) => {
         sent.status = status;
@@ -198,6 +215,7 @@
     homes: undefined,
     arrivedAt: now,
     endsAt: now + TIMEOUT,
+    isLate: false,
     method: "POST",
     path: "/bookings/1",
     headers: [],
@@ -205,10 +223,13 @@
   };
 }
 
-async function withWorld(run: (world: TestWorld) => Promise<void>): Promise<void> {
+async function withWorld(
+  run: (world: TestWorld) => Promise<void>,
+  objectiveMilliseconds = OBJECTIVE,
+): Promise<void> {
   const clock = new kernelTesting.TestClock();
   try {
-    await run(new TestWorld(clock));
+    await run(new TestWorld(clock, objectiveMilliseconds));
   } finally {
     clock.restore();
   }
@@ -216,6 +237,9 @@
 
 const FULL = 10;
 
+/** The error of a request that is sent to the target. */
+const NOT_A_TARGET = /A candidate is in the directory/;
+
 function assertStopping(sent: ReturnType<TestWorld["handle"]>): void {
   assert.equal(sent.status, 503);
   assert.match(sent.body ?? "", /"stopping"/);
@@ -342,6 +366,47 @@
     });
   });
 
+  test.it("a request that is read once the listener has closed begins and is cut off", async () => {
+    const objective = 400;
+    await withWorld(async (world) => {
+      world.terminate();
+      await world.advance(CLOSES_AFTER - 100);
+      const taken = world.handle();
+      await world.advance(1);
+      assert.match(taken.body ?? "", NOT_A_TARGET, "it begins while connections are accepted");
+      const body = new events.EventEmitter();
+      const slow = world.handle(false, { "content-length": "10" }, body);
+      await world.advance(200);
+      world.close();
+      const late = world.handle();
+      body.emit("end");
+      await world.advance(1);
+      assertStopping(late);
+      assertStopping(slow);
+      const left = String(world.stop.cutOffAt - kernel.getMonotonicMilliseconds());
+      const short = world.handle(false, { [harness.PROFILE.deadline]: left });
+      await world.advance(1);
+      assert.match(short.body ?? "", NOT_A_TARGET, "it has a response before the cut-off");
+    }, objective);
+  });
+
+  test.it("a request that waited when the listener closed is refused needlessly", async () => {
+    await withWorld(async (world) => {
+      world.load = FULL;
+      world.terminate();
+      await world.advance(CLOSES_AFTER - 100);
+      const placed = world.place({
+        route: fixtures.createRoute({ objectiveMilliseconds: 1_000 }),
+      });
+      await world.advance(200);
+      world.close();
+      await world.advance(100);
+      world.load = 0;
+      await world.advance(PROMPTLY);
+      assert.equal(placed.outcome, "placed");
+    });
+  });
+
   test.it("a VM that does not stop, or not before the response, waits otherwise", async () => {
     for (const isStopping of [false, true]) {
       await withWorld(async (world) => {
