Listener: an unused connection may stay idle for the idle timeout

Cause: the server of Node.js takes a new connection for one whose head is slow, from its beginning on.

Done: while nothing has been received, the time-out of the head is ignored, and the idle timeout ends the connection, without a response.

--- a/packages/proxy/src/caller_connection.ts
+++ b/packages/proxy/src/caller_connection.ts
@@ -169,6 +169,11 @@
     return this.#state === "handling";
   }
 
+  /** Whether the caller has sent nothing yet. */
+  get isUnused(): boolean {
+    return this.#state === "idle" && this.#transport.bytesRead === 0;
+  }
+
   get isClosed(): boolean {
     return this.#state === "closed";
   }
--- a/packages/proxy/src/http_connection.ts
+++ b/packages/proxy/src/http_connection.ts
@@ -137,10 +137,13 @@
   }
 }
 
+/** Code of the error when the caller does not send a head in time. */
+export const TIMEOUT_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
+
 /** Status lines of the responses to what is no request that this server handles. */
 const INVALID_INPUT_STATUSES: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
-  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+  [TIMEOUT_CODE]: "408 Request Timeout",
 };
 
 /** Code of the error when the caller ends its side within a request. */
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -90,7 +90,11 @@
       // The server would respond by itself, unknown to the connection.
       requireHostHeader: false,
     });
-    this.#server.on("connection", (socket) => this.#track(socket));
+    this.#server.on("connection", (socket) => {
+      // The server itself bounds only the time between requests.
+      socket.setTimeout(this.#server.keepAliveTimeout);
+      this.#track(socket);
+    });
     this.#server.on("request", (request, response) => this.#handle(request, response, false));
     this.#server.on(
       "timeout",
@@ -217,6 +221,11 @@
 
   #onClientError(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
     const connection = this.#connections.get(socket as net.Socket);
+    // The server takes a connection for a slow head from its beginning on, but nothing of a head was
+    // sent: it is idle.
+    if (error.code === bindings.TIMEOUT_CODE && connection?.isUnused === true) {
+      return;
+    }
     if (connection === undefined || !bindings.isInputError(error.code)) {
       socket.destroy();
     } else if (error.code === bindings.CALLER_ENDED_CODE) {
