Tests: random stops, and explanations in a VM that stops

Guards against a wait that the limit of a stop forgets: 60 random requests around a stop, with slots in use or targets that pause, have their outcome by the cut-off and begin only within the limit.

--- a/packages/proxy/test/placement_explanation_test.ts
+++ b/packages/proxy/test/placement_explanation_test.ts
@@ -85,6 +85,14 @@
   readonly path: string;
   readonly key: string | undefined;
   readonly seed: number;
+  /** The stop of the VM, if it stops. */
+  readonly stop?: DrawnStop;
+}
+
+interface DrawnStop {
+  /** Time until the cut-off. */
+  readonly leftMilliseconds: number;
+  readonly isClosing: boolean;
 }
 
 /** What a request got, and the decisions on the way. */
@@ -235,7 +243,11 @@
       recordLeaving: () => {},
       recordRate: () => {},
       getConfirmedAt: () => kernel.getMonotonicMilliseconds() - 100,
-      stop: { isStopping: false, isClosing: false, cutOffAt: Number.POSITIVE_INFINITY },
+      stop: {
+        isStopping: state.stop !== undefined,
+        isClosing: state.stop?.isClosing === true,
+        cutOffAt: kernel.getMonotonicMilliseconds() + (state.stop?.leftMilliseconds ?? Infinity),
+      },
       path,
       peers: new peers.ServingPeers(vmMesh, path as unknown as paths.PathMonitor, homePolicy),
       forwardedRequests: {},
@@ -510,6 +522,12 @@
   seed: fastCheck.integer(),
 });
 
+/** Around the objective of 500 ms, the timeout of the route and the time that passes before. */
+const STOP: fastCheck.Arbitrary<DrawnStop> = fastCheck.record({
+  leftMilliseconds: fastCheck.integer({ min: 0, max: 400 }).map((steps) => steps * 10),
+  isClosing: fastCheck.boolean(),
+});
+
 /** Creates the same VM twice, and stops both in the end. */
 async function withTwins(
   state: DrawnState,
@@ -649,6 +667,25 @@
     }
   });
 
+  test.it("says something else than what the request gets in a VM that stops", async () => {
+    const reasons = new Map<string, number>();
+    await fastCheck.assert(
+      fastCheck.asyncProperty(STATE, STOP, async (drawn, stop) => {
+        await withTwins({ ...drawn, stop }, async (world, _untouched, clock) => {
+          const explained = world.explain();
+          const outcome = explained.isOk() ? explained.value.outcome : undefined;
+          const reason = outcome?.kind === "refused" ? outcome.reason : outcome?.kind ?? "error";
+          reasons.set(reason, (reasons.get(reason) ?? 0) + 1);
+          compare(explained, await world.send(clock));
+        });
+      }),
+      runs,
+    );
+    for (const reason of ["placed", "waits", "stopping"]) {
+      assert.ok((reasons.get(reason) ?? 0) > 0, `no state with the outcome ${reason}`);
+    }
+  });
+
   test.it("takes a token, a slot or a rate, is counted, or is reported to other VMs", async () => {
     await fastCheck.assert(
       fastCheck.asyncProperty(STATE, async (state) => {
--- a/packages/proxy/test/stop_limit_test.ts
+++ b/packages/proxy/test/stop_limit_test.ts
@@ -13,6 +13,7 @@
 import * as kernelTesting from "@hemlockwalk/kernel/testing";
 import * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
+import * as fastCheck from "fast-check";
 import type * as connections from "../src/caller_connection.ts";
 import type * as contexts from "../src/request_context.ts";
 import * as handlers from "../src/request_handler.ts";
@@ -130,7 +131,7 @@
 
   /** Places a request; the outcome is undefined while it waits. */
   place(changes: Partial<types.AcceptedRequest> = {}) {
-    const placed: { outcome: string | undefined } = { outcome: undefined };
+    const placed = { outcome: undefined as string | undefined, at: Number.NaN };
     const placer = new placers.RequestPlacer(
       this.context,
       new log.RequestTrace(""),
@@ -138,6 +139,7 @@
       new AbortController().signal,
     );
     void placer.place(createAccepted(changes)).then((placement) => {
+      placed.at = kernel.getMonotonicMilliseconds();
       placed.outcome = placement.kind === "placed" ? "placed" : placement.reason;
     });
     return placed;
@@ -249,6 +251,19 @@
   );
 }
 
+/** Time of SIGTERM in a random history. */
+const STOPPED_AT = 3_000;
+
+/** One request; times are in milliseconds from the beginning of the history. */
+const HISTORY = fastCheck.record({
+  objective: fastCheck.integer({ min: 50, max: 8_000 }),
+  timeout: fastCheck.integer({ min: 50, max: 20_000 }),
+  sentAt: fastCheck.integer({ min: 0, max: STOPPED_AT + CLOSES_AFTER + 500 }),
+  /** How much longer the target pauses; undefined if its slots are in use. */
+  wait: fastCheck.option(fastCheck.integer({ min: 1, max: 4_000 }), { nil: undefined }),
+  isFreeAt: fastCheck.integer({ min: 0, max: STOPPED_AT + CUT_OFF_AFTER }),
+});
+
 /** Time after SIGTERM until which a request with the objective above may begin. */
 const LATEST_BEGIN_AFTER = CUT_OFF_AFTER - OBJECTIVE;
 
@@ -430,6 +445,55 @@
   });
 });
 
+test.describe("random stops", () => {
+  const runs = kernelTesting.getRandomRuns(54, 60);
+
+  test.it("a request still waits at the cut-off, or begins too late", async () => {
+    const outcomes = new Map<string, number>();
+    await fastCheck.assert(
+      fastCheck.asyncProperty(HISTORY, async (history) => {
+        await withWorld(async (world) => {
+          const { objective, timeout, sentAt, wait, isFreeAt } = history;
+          world.load = wait === undefined ? FULL : undefined;
+          world.wait = { milliseconds: wait ?? 0, isPause: true };
+          const steps = [
+            { at: STOPPED_AT, run: () => world.terminate() },
+            { at: STOPPED_AT + CLOSES_AFTER, run: () => world.close() },
+            { at: isFreeAt, run: () => world.load = 0 },
+          ].filter(({ at }) => at > sentAt).sort((left, right) => left.at - right.at);
+          let now = sentAt;
+          if (sentAt >= STOPPED_AT) {
+            world.terminate();
+            world.stop.cutOffAt -= sentAt - STOPPED_AT;
+          }
+          const isLate = sentAt >= STOPPED_AT + CLOSES_AFTER;
+          const endsAt = kernel.getMonotonicMilliseconds() + timeout;
+          const route = fixtures.createRoute({ objectiveMilliseconds: objective });
+          const placed = world.place({ route, endsAt, isLate });
+          for (const { at, run } of steps) {
+            await world.advance(at - now);
+            run();
+            now = at;
+          }
+          const { cutOffAt } = world.stop;
+          await world.advance(Math.max(0, cutOffAt - kernel.getMonotonicMilliseconds()));
+          const outcome = placed.outcome ?? "waits";
+          outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
+          assert.notEqual(outcome, "waits");
+          if (outcome === "placed" && placed.at > cutOffAt - CUT_OFF_AFTER) {
+            const isInTime = endsAt <= cutOffAt || (!isLate && placed.at + objective <= cutOffAt);
+            assert.ok(isInTime, `it began ${cutOffAt - placed.at} ms before the cut-off`);
+          }
+        });
+      }),
+      runs,
+    );
+    for (const outcome of ["placed", "stopping", "no_room"]) {
+      assert.ok((outcomes.get(outcome) ?? 0) > 0, `no request is ${outcome}`);
+    }
+  });
+});
+
 test.describe("the limit of a stop", () => {
   test.it("a route that has been slower than its objective gets too little time", async () => {
     await withWorld(async (world) => {
