Start requests ahead only behind responses known to be short

Cause: requests started ahead whatever the length of the responses before them. A response begins once more than 256 KiB of it have been read; a shorter one that breaks off becomes a 502, and the connection goes on. So only long responses put others at risk.

A long response that turns up nevertheless while requests run ahead behind it is buffered whole, up to 1 MiB of one and 4 MiB on a VM, and is replaced by a failure if it breaks off.

In requests_ahead_test.ts each test now lets the VM see one short response first, without which nothing runs ahead. The response without a length that breaks off after it has begun is 24 MB long in place of 600,000 bytes, since the shorter one no longer begins there; what is checked is the same.

--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -32,22 +32,23 @@
 const SAFE_METHODS: ReadonlySet<string | undefined> = new Set(["GET", "HEAD"]);
 
 /**
- * Whether a request of a caller may be handled at the same time as others of its connection for
- * which this holds (RFC 9112, section 9.3.2). It has no body, so that nothing of it is left to read.
+ * Finds the route of a request of a caller that may be handled at the same time as others of its
+ * connection for which there is one (RFC 9112, section 9.3.2). Such a request has no body, so that
+ * nothing of it is left to read.
  */
-export function mayRunAhead(
+export function findRouteAhead(
   view: declarations.DeclarationView,
   request: http.IncomingMessage,
-): boolean {
+): declarations.DeclaredRoute | undefined {
   const { headers: fields } = request;
   const hasBody = fields["transfer-encoding"] !== undefined ||
     (fields["content-length"] ?? "0") !== "0";
   // A caller of HTTP/1.0 cannot get a response in chunks, which keeps the connection open.
   if (!SAFE_METHODS.has(request.method) || request.httpVersion !== "1.1" || hasBody) {
-    return false;
+    return undefined;
   }
   const route = fields.expect === undefined ? findRoute(view, request) : undefined;
-  return route?.isIdempotent === true && route.mayRunAhead === true;
+  return route?.isIdempotent === true && route.mayRunAhead === true ? route : undefined;
 }
 
 function findRoute(
--- a/packages/proxy/src/caller_connection.ts
+++ b/packages/proxy/src/caller_connection.ts
@@ -7,9 +7,14 @@
  * and their responses wait. Requests that were passed on to a target are therefore always the first
  * ones of the queue, and no response announces the end of the connection while one behind it runs
  * ahead. So nothing that ends the connection in order takes a response with it: what was read
- * behind has not been passed on. Only a response that breaks off ends the connection before the
- * responses to requests that run ahead, which are cancelled. To keep this rare, nothing starts ahead
- * behind a response that has begun.
+ * behind has not been passed on.
+ *
+ * Only a response that breaks off after it has begun ends the connection before the responses to
+ * requests that run ahead, which are cancelled. So nothing starts ahead behind a response that has
+ * begun, nor behind a request whose response is not known to be short, that is, to be buffered whole
+ * before it begins. A long response that begins nevertheless while requests run ahead behind it is
+ * buffered whole as well, within the memory that `AheadBudget` allows. Beyond that, at most three
+ * requests of a connection are at risk.
  *
  * A connection ends in two steps. This VM ends its own side, then reads and drops what the caller
  * still sends until the caller has ended its side. A connection that is closed with unread bytes is
@@ -89,6 +94,8 @@
    * so, its request has no body.
    */
   readonly mayRunAhead: boolean;
+  /** Whether its response is known to be buffered whole before it begins. */
+  readonly isResponseShort: boolean;
   /**
    * Begins to handle the request, at most once.
    *
@@ -129,6 +136,8 @@
   #running = 0;
   /** What the requests that run ahead have reserved. */
   readonly #reservations = new Map<ConnectionExchange, budgets.AheadReservation>();
+  /** What the response to the first request uses beyond what is buffered of any. */
+  readonly #longReservation: budgets.LongReservation;
   /** Whether the response to the first request has begun. */
   #hasResponseBegun = false;
   /** The answered request whose rest is read and dropped. */
@@ -157,6 +166,7 @@
     this.#record = record;
     this.#stop = stop;
     this.#budget = budget;
+    this.#longReservation = budget.createLongReservation();
   }
 
   /** Whether requests run ahead behind the first one. */
@@ -164,6 +174,15 @@
     return this.#running > 1;
   }
 
+  /**
+   * Whether so many bytes of the response to the first request may be buffered before it begins,
+   * beyond what is buffered of any response: as long as requests run ahead behind it, which it would
+   * take with it if it broke off.
+   */
+  mayBufferLong(bytes: number): boolean {
+    return this.isBusy && this.hasRunningBehind && this.#longReservation.growTo(bytes);
+  }
+
   /** Whether a request is handled or waits. */
   get isBusy(): boolean {
     return this.#state === "handling";
@@ -230,6 +249,7 @@
     const exchange = this.#queue.shift();
     this.#running--;
     this.#hasResponseBegun = false;
+    this.#longReservation.release();
     if (this.#running === 0 && (this.#isEndAnnounced || this.#mustEnd)) {
       exchange?.dropRest();
       this.#linger();
@@ -325,6 +345,7 @@
     this.#state = "closed";
     clearTimeout(this.#check);
     clearTimeout(this.#firstRequestTimer);
+    this.#longReservation.release();
     this.#cancelAhead();
     const unanswered = this.#queue.splice(0);
     this.#record.write({
@@ -372,7 +393,8 @@
       this.#stop.isStopping;
     return !isBarred && this.#running < MAX_RUNNING_REQUESTS &&
       this.#running < this.#queue.length &&
-      this.#queue.slice(0, this.#running + 1).every(({ mayRunAhead }) => mayRunAhead);
+      this.#queue.slice(0, this.#running + 1).every(({ mayRunAhead }) => mayRunAhead) &&
+      this.#queue.slice(0, this.#running).every(({ isResponseShort }) => isResponseShort);
   }
 
   /** Cancels the requests that run ahead; they stay in the queue, as unanswered ones. */
--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -114,8 +114,13 @@
    *
    * @param endsAt Monotonic time at which the caller's connection is closed if the response has not
    *   ended, in milliseconds.
+   * @param mayBuffer Whether so many bytes of it may be buffered before it begins.
    */
-  forward(answer: calls.TargetAnswer, endsAt: number): void {
+  forward(
+    answer: calls.TargetAnswer,
+    endsAt: number,
+    mayBuffer: (bytes: number) => boolean,
+  ): void {
     this.#isDecided = true;
     if (this.#hasTurn) {
       this.#send(answer, endsAt);
@@ -123,28 +128,30 @@
       this.#reservation?.shrinkTo(answer.chunks.reduce((sum, chunk) => sum + chunk.length, 0));
       this.#hold({ send: () => this.#send(answer, endsAt), drop: () => answer.discard() });
     } else {
-      this.#holdLong(answer, answer.rest, endsAt);
+      this.#holdLong(answer, answer.rest, endsAt, mayBuffer);
     }
   }
 
   /** Leaves the rest of a long response unread until its turn, at most as long as its caller waits. */
-  #holdLong(answer: calls.TargetAnswer, rest: http.IncomingMessage, endsAt: number): void {
+  #holdLong(
+    answer: calls.TargetAnswer,
+    rest: http.IncomingMessage,
+    endsAt: number,
+    mayBuffer: (bytes: number) => boolean,
+  ): void {
     const timer = setTimeout(
       () => rest.destroy(),
       Math.max(0, endsAt - kernel.getMonotonicMilliseconds()),
     );
     const send = () => {
       clearTimeout(timer);
-      if (!rest.destroyed) {
+      if (rest.destroyed) {
+        this.#refuseUnsent(endsAt);
+      } else if (this.#connection.hasRunningBehind) {
+        this.#bufferRest(answer, rest, endsAt, mayBuffer);
+      } else {
         this.#send(answer, endsAt);
-        return;
       }
-      // Nothing of it was sent, so the connection can be kept.
-      this.#isDecided = false;
-      const isLate = kernel.getMonotonicMilliseconds() >= endsAt;
-      this.refuse(
-        isLate ? { status: 504, reason: "timeout" } : { status: 502, reason: "target_failed" },
-      );
     };
     const drop = () => {
       clearTimeout(timer);
@@ -153,6 +160,61 @@
     this.#hold({ send, drop });
   }
 
+  /** Reads the rest of a long response at its turn, since requests run ahead behind it. */
+  #bufferRest(
+    answer: calls.TargetAnswer,
+    rest: http.IncomingMessage,
+    endsAt: number,
+    mayBuffer: (bytes: number) => boolean,
+  ): void {
+    const timer = setTimeout(
+      () => rest.destroy(),
+      Math.max(0, endsAt - kernel.getMonotonicMilliseconds()),
+    );
+    let bytes = answer.chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+    const onData = (chunk: Buffer) => {
+      answer.chunks.push(chunk);
+      bytes += chunk.length;
+      if (!mayBuffer(bytes)) {
+        rest.pause();
+        stop();
+        this.#send(answer, endsAt);
+      }
+    };
+    const onRestClosed = () => {
+      stop();
+      if (answer.isWhole()) {
+        this.#send({ ...answer, rest: undefined }, endsAt);
+      } else {
+        this.#refuseUnsent(endsAt);
+      }
+    };
+    const onCallerClosed = () => {
+      stop();
+      answer.discard();
+      this.finish("caller_left", 0);
+    };
+    const stop = () => {
+      clearTimeout(timer);
+      rest.off("data", onData);
+      rest.off("close", onRestClosed);
+      this.#response.off("close", onCallerClosed);
+    };
+    rest.on("data", onData);
+    rest.once("close", onRestClosed);
+    this.#response.once("close", onCallerClosed);
+    rest.resume();
+  }
+
+  /** Replaces a long response of which nothing was sent, so that the connection can be kept. */
+  #refuseUnsent(endsAt: number): void {
+    this.#isDecided = false;
+    const isLate = kernel.getMonotonicMilliseconds() >= endsAt;
+    this.refuse(
+      isLate ? { status: 504, reason: "timeout" } : { status: 502, reason: "target_failed" },
+    );
+  }
+
   #send(answer: calls.TargetAnswer, endsAt: number): void {
     const { rest } = answer;
     this.#delimiting = this.#getDelimiting(answer);
--- a/packages/proxy/src/http_connection.ts
+++ b/packages/proxy/src/http_connection.ts
@@ -107,6 +107,10 @@
     return this.#handler.mayRunAhead;
   }
 
+  get isResponseShort(): boolean {
+    return this.#handler.isResponseShort;
+  }
+
   start(hasWaited: boolean): void {
     this.#isStarted = true;
     this.#guard(() => this.#handler.run(hasWaited));
--- a/packages/proxy/src/mod.ts
+++ b/packages/proxy/src/mod.ts
@@ -16,6 +16,7 @@
 export * from "./publisher.ts";
 export * from "./reachability.ts";
 export * from "./request_log.ts";
+export * from "./response_sizes.ts";
 export type { PlacedTarget } from "./request_placer.ts";
 export * from "./start_gate.ts";
 export * from "./store_follower.ts";
--- a/packages/proxy/src/passing_on.ts
+++ b/packages/proxy/src/passing_on.ts
@@ -33,22 +33,30 @@
     situation.canBeSent;
 }
 
+/** What decides how much of a response is buffered before it begins. */
+export interface AnswerBuffering {
+  /** Called with the length that the head of a response states. */
+  recordLength(accepted: types.AcceptedRequest, bytes: number): void;
+  /** Whether so many bytes of a response may be buffered. */
+  mayBuffer(accepted: types.AcceptedRequest, bytes: number): boolean;
+}
+
 /** The calls of one request to other VMs. */
 export class PeerCalls {
   readonly #context: contexts.RequestContext;
   readonly #trace: log.RequestTrace;
-  readonly #getMaxBufferedBytes: () => number;
+  readonly #buffering: AnswerBuffering;
   readonly #tried = new Set<model.VmId>();
 
-  /** @param getMaxBufferedBytes Returns the most bytes of a response that are buffered. */
+  /** @param buffering What decides how much of a response is buffered. */
   constructor(
     context: contexts.RequestContext,
     trace: log.RequestTrace,
-    getMaxBufferedBytes: () => number,
+    buffering: AnswerBuffering,
   ) {
     this.#context = context;
     this.#trace = trace;
-    this.#getMaxBufferedBytes = getMaxBufferedBytes;
+    this.#buffering = buffering;
   }
 
   /** Whether the request may be passed on once more after another VM could not serve it. */
@@ -89,7 +97,8 @@
         isStillAccepted: () => true,
         // The other VM has recorded what the target says of itself.
         recordNotice: () => undefined,
-        getMaxBufferedBytes: this.#getMaxBufferedBytes,
+        recordLength: (bytes) => this.#buffering.recordLength(accepted, bytes),
+        mayBuffer: (bytes) => this.#buffering.mayBuffer(accepted, bytes),
         signal,
       });
       this.#record(peer.vm, result);
--- a/packages/proxy/src/placement_explanation.ts
+++ b/packages/proxy/src/placement_explanation.ts
@@ -31,6 +31,11 @@
 const MAX_LISTED = 50;
 
 const NO_TARGETS: ReadonlySet<model.TargetId> = new Set();
+const NO_BUFFERING: passingOn.AnswerBuffering = {
+  recordLength: () => undefined,
+  mayBuffer: () => false,
+};
+
 const NO_BODY = new bodies.RequestBody([], undefined);
 
 /** The request to explain. */
@@ -294,7 +299,7 @@
       canBeSent: true,
     });
     // The request is not sent, so no response is buffered.
-    const peers = new passingOn.PeerCalls(context, trace, () => 0);
+    const peers = new passingOn.PeerCalls(context, trace, NO_BUFFERING);
     const peer = isPassedOn ? peers.choose(accepted) : undefined;
     return peer === undefined
       ? this.#place(accepted, requestEvidence, trace)
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -18,6 +18,7 @@
 import * as listeners from "./listener.ts";
 import * as log from "./request_log.ts";
 import * as paths from "./path_monitor.ts";
+import * as sizes from "./response_sizes.ts";
 import * as explanations from "./placement_explanation.ts";
 import * as peers from "./serving_peers.ts";
 import * as gates from "./start_gate.ts";
@@ -182,6 +183,7 @@
         log: new log.RequestLog(createLogger("requests")),
         crashes: crashMonitor,
         queues: new requestQueues.RequestQueues(),
+        responseSizes: new sizes.ResponseSizes(),
         counters: {
           requests: metrics.createCounter(
             "hemlockwalk_requests_total",
--- a/packages/proxy/src/request_context.ts
+++ b/packages/proxy/src/request_context.ts
@@ -9,6 +9,7 @@
 import type * as hedges from "./hedges.ts";
 import type * as log from "./request_log.ts";
 import type * as gates from "./start_gate.ts";
+import type * as sizes from "./response_sizes.ts";
 import type * as calls from "./target_call.ts";
 import type * as connections from "./target_connections.ts";
 import type * as trackers from "./target_tracker.ts";
@@ -28,6 +29,7 @@
   readonly log: log.RequestLog;
   readonly crashes: crashes.CrashMonitor;
   readonly queues: requestQueues.RequestQueues;
+  readonly responseSizes: sizes.ResponseSizes;
   readonly counters: {
     /** Requests of callers. */
     readonly requests: { inc(labels: { outcome: string }): void };
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -47,6 +47,7 @@
   readonly #context: contexts.RequestContext;
   readonly #request: http.IncomingMessage;
   readonly #response: http.ServerResponse;
+  readonly #connection: connections.CallerConnection;
   readonly #finalAnswer: answers.FinalAnswer;
   readonly #trace: log.RequestTrace;
   readonly #caller = new AbortController();
@@ -63,7 +64,7 @@
   #hasExpired = false;
   /** The declarations for which it is known whether the request may run ahead. */
   #aheadView: declarations.DeclarationView | undefined;
-  #mayRunAhead = false;
+  #aheadRoute: declarations.DeclaredRoute | undefined;
   /** Whether the target that shed the request last seemed to have no free slot. */
   #isOutOfSlots = true;
 
@@ -78,6 +79,7 @@
     this.#context = context;
     this.#request = request;
     this.#response = response;
+    this.#connection = connection;
     const id = request.headers[context.profile.requestId];
     this.#trace = new log.RequestTrace(typeof id === "string" ? id : "");
     this.#isForwarded = isForwarded;
@@ -86,7 +88,10 @@
     this.#peers = new passingOn.PeerCalls(
       context,
       this.#trace,
-      () => this.#getMaxBufferedBytes(),
+      {
+        recordLength: (accepted, bytes) => this.#recordLength(accepted, bytes),
+        mayBuffer: (accepted, bytes) => this.#mayBuffer(accepted, bytes),
+      },
     );
     this.#evidence = new evidence.RequestEvidence(context, this.#trace, request);
     this.#finalAnswer = new answers.FinalAnswer(
@@ -110,17 +115,30 @@
 
   /** Whether the request may run at the same time as others of its connection. */
   get mayRunAhead(): boolean {
+    return this.#findRouteAhead() !== undefined;
+  }
+
+  /** Whether the response to a request that may run ahead is known to be buffered whole. */
+  get isResponseShort(): boolean {
+    const route = this.#findRouteAhead();
+    return route !== undefined &&
+      (this.#request.method === "HEAD" || this.#context.responseSizes.isShort(route.id));
+  }
+
+  /** Finds the route of a request that may run ahead. */
+  #findRouteAhead(): declarations.DeclaredRoute | undefined {
     const { store, startGate } = this.#context;
     // At the end of the connection that the caller requests, nothing behind may have begun.
     if (this.#isForwarded || !startGate.isOpen || !this.#response.shouldKeepAlive) {
-      return false;
+      return undefined;
     }
     if (store.current !== this.#aheadView) {
       this.#aheadView = store.current;
-      this.#mayRunAhead = store.current !== undefined &&
-        admission.mayRunAhead(store.current, this.#request);
+      this.#aheadRoute = store.current === undefined
+        ? undefined
+        : admission.findRouteAhead(store.current, this.#request);
     }
-    return this.#mayRunAhead;
+    return this.#aheadRoute;
   }
 
   /** Called when the caller's connection has closed. */
@@ -356,7 +374,8 @@
           tracker.reachability.recordConnected(target.id, milliseconds),
         isStillAccepted: () => tracker.accepts(target, placed.rateToken),
         recordNotice: (notice) => this.#recordNotice(target, notice),
-        getMaxBufferedBytes: () => this.#getMaxBufferedBytes(),
+        recordLength: (bytes) => this.#recordLength(accepted, bytes),
+        mayBuffer: (bytes) => this.#mayBuffer(accepted, bytes),
         signal: attempt.signal,
       });
       heldBack = this.#findHeldBack(result);
@@ -383,10 +402,34 @@
     return result;
   }
 
-  #getMaxBufferedBytes(): number {
-    return this.#finalAnswer.hasTurn
-      ? calls.MAX_BUFFERED_ANSWER_BYTES
-      : aheadBudgets.MAX_AHEAD_RESPONSE_BYTES;
+  /** Records a response that is going to be long, so that nothing more starts ahead behind it. */
+  #recordLength({ route }: types.AcceptedRequest, bytes: number): void {
+    if (bytes > calls.MAX_BUFFERED_ANSWER_BYTES) {
+      this.#context.responseSizes.recordLong(route.id);
+    }
+  }
+
+  /** Whether so many bytes of a response may be buffered before it begins. */
+  #mayBuffer(accepted: types.AcceptedRequest, bytes: number): boolean {
+    if (!this.#finalAnswer.hasTurn) {
+      return bytes <= aheadBudgets.MAX_AHEAD_RESPONSE_BYTES;
+    }
+    this.#recordLength(accepted, bytes);
+    return bytes <= calls.MAX_BUFFERED_ANSWER_BYTES || this.#connection.mayBufferLong(bytes);
+  }
+
+  /**
+   * Records that a success is short. Other responses, and those to HEAD, say nothing about the length
+   * of a success.
+   */
+  #recordSize({ route, method }: types.AcceptedRequest, answer: calls.TargetAnswer): void {
+    const isSuccess = answer.status >= 200 && answer.status < 300;
+    if (answer.rest === undefined && isSuccess && method !== "HEAD") {
+      const bytes = answer.chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+      if (bytes <= calls.MAX_BUFFERED_ANSWER_BYTES) {
+        this.#context.responseSizes.recordShort(route.id);
+      }
+    }
   }
 
   /** The rest of a response that is left unread until its turn, while its target sends it. */
@@ -630,7 +673,12 @@
         );
         return;
       case "answered":
-        this.#finalAnswer.forward(result.answer, accepted.endsAt);
+        this.#recordSize(accepted, result.answer);
+        this.#finalAnswer.forward(
+          result.answer,
+          accepted.endsAt,
+          (bytes) => this.#mayBuffer(accepted, bytes),
+        );
         return;
       case "not_run":
         if (this.#mayHaveRun) {
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -80,11 +80,13 @@
   readonly isStillAccepted: () => boolean;
   /** Called before the attempt ends with what the target says of itself. */
   readonly recordNotice: (notice: TargetNotice) => void;
+  /** Called with the length that the head of a response states. */
+  readonly recordLength?: (bytes: number) => void;
   /**
-   * Returns the most bytes of a response that are buffered before the attempt ends with the rest of
-   * it unread; by default 262,144.
+   * Whether so many bytes of a response may be buffered; otherwise the attempt ends with the rest of
+   * it unread. By default up to 262,144.
    */
-  readonly getMaxBufferedBytes?: () => number;
+  readonly mayBuffer?: (bytes: number) => boolean;
   /** Ends the attempt. The reason of the signal is `silent` or `cancelled`. */
   readonly signal: AbortSignal;
 }
@@ -257,6 +259,10 @@
     const chunks: Buffer[] = [];
     let bytes = 0;
     let isWhole = false;
+    const length = Number(incoming.headers["content-length"] ?? Number.NaN);
+    if (length >= 0 && this.#options.request.method !== "HEAD") {
+      this.#options.recordLength?.(length);
+    }
     const createAnswer = (rest: http.IncomingMessage | undefined): CallResult => ({
       kind: "answered",
       answer: {
@@ -275,7 +281,7 @@
     const onData = (chunk: Buffer) => {
       chunks.push(chunk);
       bytes += chunk.length;
-      if (bytes > (this.#options.getMaxBufferedBytes?.() ?? MAX_BUFFERED_ANSWER_BYTES)) {
+      if (!(this.#options.mayBuffer?.(bytes) ?? bytes <= MAX_BUFFERED_ANSWER_BYTES)) {
         incoming.pause();
         incoming.off("data", onData);
         incoming.off("end", onEnd);
--- a/packages/proxy/test/caller_connection_test.ts
+++ b/packages/proxy/test/caller_connection_test.ts
@@ -11,6 +11,9 @@
 /** Most requests of a connection that may be handled at once. */
 const MAX_RUNNING = 4;
 
+/** What is buffered of a long response at a time. */
+const LONG_STEP_BYTES = 400_000;
+
 /** Memory for responses of requests that run ahead: enough for one, for two, or for any number. */
 const BUDGETS = [1, 2, 16].map((requests) => requests * proxy.MAX_AHEAD_RESPONSE_BYTES);
 
@@ -61,12 +64,20 @@
   hasTurn = false;
   readonly id: string;
   readonly mayRunAhead: boolean;
+  isResponseShort: boolean;
   readonly #world: World;
 
-  constructor(id: string, isRead: boolean, mayRunAhead: boolean, world: World) {
+  constructor(
+    id: string,
+    isRead: boolean,
+    mayRunAhead: boolean,
+    isResponseShort: boolean,
+    world: World,
+  ) {
     this.id = id;
     this.isRead = isRead;
     this.mayRunAhead = mayRunAhead;
+    this.isResponseShort = isResponseShort;
     this.#world = world;
   }
 
@@ -81,6 +92,10 @@
     assert.ok(before > 0 && before < MAX_RUNNING, `${before} requests before it`);
     assert.equal(before, unanswered.length, "no request is left out");
     assert.ok([...unanswered, this].every(({ mayRunAhead }) => mayRunAhead), "one must not");
+    assert.ok(
+      unanswered.every(({ isResponseShort }) => isResponseShort),
+      "nothing starts ahead behind a response that may begin before its end has arrived",
+    );
     assert.equal(stop.isStopping, false, "nothing starts ahead after SIGTERM");
     assert.equal(isResponseBegun, false, "nothing starts ahead behind a response that has begun");
     this.#begin();
@@ -126,6 +141,7 @@
   isResponseBegun = false;
   readonly budget: proxy.AheadBudget;
   #answered = 0;
+  #longBytes = 0;
 
   constructor(budgetBytes?: number) {
     this.budget = new proxy.AheadBudget({ inc: () => undefined }, budgetBytes);
@@ -146,13 +162,14 @@
     return this.unanswered[0];
   }
 
-  read(isWhole: boolean, mayRunAhead = false): void {
+  read(isWhole: boolean, mayRunAhead = false, isResponseShort = mayRunAhead): void {
     // The parser finishes one request before it begins the next one.
     if (this.isClosed || this.transport.isPaused || this.exchanges.at(-1)?.isRead === false) {
       return;
     }
     this.transport.bytesRead += 100;
-    const exchange = new TestExchange(`${this.exchanges.length}`, isWhole, mayRunAhead, this);
+    const id = `${this.exchanges.length}`;
+    const exchange = new TestExchange(id, isWhole, mayRunAhead, isResponseShort, this);
     this.exchanges.push(exchange);
     this.connection.add(exchange);
   }
@@ -177,7 +194,9 @@
     this.beginAnswer(isByEnd);
     exchange.isAnswered = true;
     this.isResponseBegun = false;
+    this.#longBytes = 0;
     this.connection.onResponseSent();
+    assert.equal(this.budget.longBytes, 0, "memory stays reserved");
   }
 
   /** Writes the head of the next response; returns whether it is delimited by the connection's end. */
@@ -194,6 +213,14 @@
     return endsConnection;
   }
 
+  /** Buffers more of a long response, if that is allowed. */
+  bufferLong(): void {
+    this.#longBytes += LONG_STEP_BYTES;
+    const isAllowed = this.connection.mayBufferLong(this.#longBytes);
+    assert.ok(!isAllowed || this.unanswered.length > 1, "no request behind it is at risk");
+    assert.ok(!isAllowed || this.budget.longBytes >= this.#longBytes, "memory is not reserved");
+  }
+
   breakOff(isByEnd: boolean): void {
     const exchange = this.running;
     if (exchange === undefined || this.transport.ended !== "open") {
@@ -225,6 +252,9 @@
   read: (world) => world.read(true),
   readAhead: (world) => world.read(true, true),
   readThreeAhead: (world) => [1, 2, 3].forEach(() => world.read(true, true)),
+  readLongAhead: (world) => world.read(true, true, false),
+  turnsOutLong: (world) => world.running !== undefined && (world.running.isResponseShort = false),
+  bufferLong: (world) => world.bufferLong(),
   readHead: (world) => world.read(false),
   readRest: (world) => world.readRest(),
   answer: (world) => world.answer(false),
@@ -253,6 +283,9 @@
   "read",
   "readAhead",
   "readThreeAhead",
+  "readLongAhead",
+  "turnsOutLong",
+  "bufferLong",
   "readHead",
   "readRest",
   "answer",
@@ -325,6 +358,7 @@
           assert.deepEqual(passedOn?.map(({ id }) => id), handled.map(({ id }) => id));
           assert.ok(handled.every(({ isCancelled }) => isCancelled));
           assert.equal(world.budget.reservedBytes, 0, "memory stays reserved");
+          assert.equal(world.budget.longBytes, 0, "memory stays reserved");
         } finally {
           clock.restore();
         }
@@ -409,6 +443,44 @@
     world.close();
   });
 
+  test.test("a response that breaks off takes those with it that started behind it", () => {
+    const world = new World();
+    world.read(true, true, false);
+    world.read(true, true);
+    world.read(true, true);
+    assert.deepEqual(world.unanswered.map(({ id }) => id), ["0"], "its length is not known");
+    world.answer(false);
+    assert.deepEqual(world.unanswered.map(({ id }) => id), ["1", "2"]);
+    // The head of the next response says that it is long.
+    const [running] = world.unanswered;
+    assert.ok(running !== undefined);
+    running.isResponseShort = false;
+    world.read(true, true);
+    assert.deepEqual(world.unanswered.map(({ id }) => id), ["1", "2"], "none starts behind it");
+    assert.equal(world.connection.mayBufferLong(500_000), true, "one behind it is at risk");
+    world.answer(false);
+    assert.equal(world.budget.longBytes, 0);
+    assert.deepEqual(world.unanswered.map(({ id }) => id), ["2", "3"]);
+    world.answer(false);
+    assert.equal(world.connection.mayBufferLong(500_000), false, "nothing is at risk");
+    world.close();
+  });
+
+  test.test("long responses that are buffered whole use memory without limit", () => {
+    const budget = new proxy.AheadBudget({ inc: () => undefined });
+    const reservations = Array.from({ length: 5 }, () => budget.createLongReservation());
+    assert.deepEqual(
+      reservations.map((one) => one.growTo(1_000_000)),
+      [true, true, true, true, false],
+    );
+    assert.equal(reservations[0]?.growTo(1_048_577), false, "one is longer than allowed");
+    assert.equal(budget.longBytes, 4_000_000);
+    reservations[0]?.release();
+    assert.equal(reservations[4]?.growTo(1_000_000), true);
+    reservations.forEach((one) => one.release());
+    assert.equal(budget.longBytes, 0);
+  });
+
   test.test("an end is announced while requests run ahead, and takes them with it", () => {
     const world = new World();
     [1, 2, 3].forEach(() => world.read(true, true));
--- a/packages/proxy/test/requests_ahead_test.ts
+++ b/packages/proxy/test/requests_ahead_test.ts
@@ -14,7 +14,7 @@
 
 const WORK_MILLISECONDS = 600;
 
-/** Longer than what is buffered ahead, and than the buffers of a loopback connection take up. */
+/** Longer than what is ever buffered, and than the buffers of a loopback connection take up. */
 const LONG_BODY = Buffer.alloc(24_000_000, "x");
 
 const COUNTER = "hemlockwalk_requests_ahead_total";
@@ -97,11 +97,44 @@
   setTimeout(() => socket.resetAndDestroy(), WORK_MILLISECONDS / 2);
 }
 
+/** Responds with a body of a length, or breaks off after a part of it. */
+function answerLong(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  bytes: number,
+  sentBytes = bytes,
+): void {
+  response.writeHead(200, {
+    ...harness.createAnswerHeaders(request),
+    "Content-Length": bytes,
+  });
+  const part = LONG_BODY.subarray(0, sentBytes);
+  if (sentBytes === bytes) {
+    response.end(part);
+  } else {
+    response.write(part, () => request.socket.destroy());
+  }
+}
+
+/** Lets the VM see that the responses of a route are short, then forgets the request. */
+async function warm(vm: harness.TestVm): Promise<void> {
+  const caller = new raw.RawCaller(vm);
+  caller.send(encodeReads(["warm"]));
+  const [answer] = await caller.readAnswers(1);
+  assert.equal(answer?.status, 200);
+  caller.close();
+  vm.targets.forEach(({ requests }) => requests.splice(0));
+}
+
 async function withCaller(
   targetCount: number,
   run: (vm: harness.TestVm, caller: raw.RawCaller) => Promise<void>,
+  isWarm = true,
 ): Promise<void> {
   await harness.withVm(targetCount, async (vm) => {
+    if (isWarm) {
+      await warm(vm);
+    }
     const caller = new raw.RawCaller(vm);
     try {
       await run(vm, caller);
@@ -169,6 +202,106 @@
     });
   }
 
+  test.test("requests run ahead behind a response of unknown length", async () => {
+    await withCaller(3, async (vm, caller) => {
+      answerFirstLate(vm);
+      caller.send(encodeReads(["a", "b", "c"]));
+      await kernel.sleep(WORK_MILLISECONDS / 2);
+      assert.deepEqual(listArrived(vm), ["a"]);
+      const answers = await caller.readAnswers(3);
+      assert.deepEqual(answers.map(({ id }) => id), ["a", "b", "c"]);
+      assert.equal(await vm.readCounter(COUNTER, { event: "started" }), 1, "c, behind b");
+    }, false);
+  });
+
+  test.test("requests run ahead behind a response of a route with long ones", async () => {
+    await withCaller(3, async (vm, caller) => {
+      setBehaviour(vm, (_id, request, response) => answerLong(request, response, 300_000));
+      caller.send(encodeReads(["long"]));
+      const [long] = await caller.readAnswers(1);
+      assert.equal(long?.body.length, 300_000);
+      answerFirstLate(vm);
+      caller.send(encodeReads(["a", "b", "c"]));
+      await kernel.sleep(WORK_MILLISECONDS / 2);
+      assert.deepEqual(listArrived(vm), ["a", "long"]);
+      await caller.readAnswers(4);
+      assert.equal(await vm.readCounter(COUNTER, { event: "started" }), 0);
+    });
+  });
+
+  test.test("requests start ahead behind a response whose head says that it is long", async () => {
+    await withCaller(3, async (vm, caller) => {
+      setBehaviour(vm, (id, request, response) => {
+        if (id === "a") {
+          response.writeHead(200, {
+            ...harness.createAnswerHeaders(request),
+            "Content-Length": 300_000,
+          });
+          response.write("x");
+          setTimeout(() => response.end(LONG_BODY.subarray(1, 300_000)), WORK_MILLISECONDS);
+        } else {
+          harness.answerSuccess(request, response);
+        }
+      });
+      caller.send(encodeReads(["a"]));
+      await kernel.sleep(WORK_MILLISECONDS / 2);
+      caller.send(encodeReads(["b"]));
+      await kernel.sleep(WORK_MILLISECONDS / 4);
+      assert.deepEqual(listArrived(vm), ["a"]);
+      const answers = await caller.readAnswers(2);
+      assert.deepEqual(answers.map(({ id, isWhole }) => [id, isWhole]), [["a", true], ["b", true]]);
+    });
+  });
+
+  for (const isFirst of [true, false]) {
+    const where = isFirst ? "first" : "held back";
+    test.test(`a long response that breaks off, ${where}, takes those behind it with it`, async () => {
+      await withCaller(3, async (vm, caller) => {
+        // The VM has only seen short responses. A part of this one is longer than what is buffered.
+        setBehaviour(vm, (id, request, response) => {
+          if (id === "a" && !isFirst) {
+            setTimeout(() => harness.answerSuccess(request, response), WORK_MILLISECONDS);
+          } else if (id === (isFirst ? "a" : "b")) {
+            // The rest comes when the response has its turn.
+            setTimeout(
+              () => answerLong(request, response, 500_000, 400_000),
+              WORK_MILLISECONDS / 2,
+            );
+          } else {
+            harness.answerSuccess(request, response);
+          }
+        });
+        caller.send(encodeReads(["a", "b", "c", "d"]));
+        const answers = await caller.readAnswers(4);
+        const statuses = isFirst ? [502, 200, 200, 200] : [200, 502, 200, 200];
+        assert.deepEqual(
+          answers.map(({ id, status, isWhole }) => [id, status, isWhole]),
+          ["a", "b", "c", "d"].map((id, index) => [id, statuses[index], true]),
+        );
+      });
+    });
+  }
+
+  test.test("a long response is not whole if requests run ahead behind it", async () => {
+    await withCaller(3, async (vm, caller) => {
+      setBehaviour(vm, (id, request, response) => {
+        if (id === "a") {
+          setTimeout(() => answerLong(request, response, 700_000), WORK_MILLISECONDS);
+        } else if (id === "b") {
+          answerLong(request, response, 600_000);
+        } else {
+          harness.answerSuccess(request, response);
+        }
+      });
+      caller.send(encodeReads(["a", "b", "c"]));
+      const answers = await caller.readAnswers(3);
+      assert.deepEqual(
+        answers.map(({ id, status, body, isWhole }) => [id, status, body.length, isWhole]),
+        [["a", 200, 700_000, true], ["b", 200, 600_000, true], ["c", 200, 4, true]],
+      );
+    });
+  });
+
   test.test("a response without a length takes those behind it with it", async () => {
     await withCaller(3, async (vm, caller) => {
       setBehaviour(vm, (id, request, response) => {
@@ -193,7 +326,7 @@
       let ended = 0;
       setBehaviour(vm, (id, request, response) => {
         if (id === "a") {
-          answerUnframed(request, LONG_BODY.subarray(0, 600_000), false);
+          answerUnframed(request, LONG_BODY, false);
         } else {
           response.once("close", () => ended++);
           setTimeout(() => harness.answerSuccess(request, response), 4_000);
