Answer what waits behind a slow request before a stop cuts it off

Cause: at the end of the grace period the listener destroyed all connections, whatever was owed on them.

Now, 0.4 s before the end of the grace period (0.3 s before this change), each request that still runs gets a response of the VM: 504, or 503 if it was not passed on. What waits behind it follows in order, and the last response announces the end. The process begins to end 0.2 s later. A long response that is being read when requests wait behind it is cut off as well.

--- a/packages/proxy/src/caller_connection.ts
+++ b/packages/proxy/src/caller_connection.ts
@@ -16,6 +16,9 @@
  * buffered whole as well, within the memory that `AheadBudget` allows. Beyond that, at most three
  * requests of a connection are at risk.
  *
+ * Before the process ends, each request that still runs gets a response of this VM, so that the
+ * responses behind it, which wait for their turn, are sent as well.
+ *
  * A connection ends in two steps. This VM ends its own side, then reads and drops what the caller
  * still sends until the caller has ended its side. A connection that is closed with unread bytes is
  * reset, and a reset drops the part of the last response that has not been delivered.
@@ -115,6 +118,8 @@
   dropRest(): void;
   /** Responds that the rest of the request cannot be read. */
   reject(): void;
+  /** Responds at once if there is no response yet, since the process is about to end. */
+  cutOff(): void;
   /** Ends the handling, since nobody receives the response. Later calls have no effect. */
   cancel(): void;
 }
@@ -336,6 +341,18 @@
     }, FIRST_REQUEST_MILLISECONDS);
   }
 
+  /**
+   * Lets every request that is handled have its response now, since the process is about to end. Once
+   * the listener is closed, the last of them announces the end of the connection.
+   */
+  cutOff(): void {
+    if (this.#state === "handling") {
+      this.#queue.slice(0, this.#running).forEach((exchange) => exchange.cutOff());
+    } else if (this.#state === "idle" || this.#state === "discarding") {
+      this.#linger();
+    }
+  }
+
   /** Called when the connection has closed, for whatever reason. */
   onClosed(): void {
     if (this.#state === "closed") {
--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -37,6 +37,9 @@
   #hasTurn = true;
   #isDropped = false;
   #held: HeldAnswer | undefined;
+  /** Gives up a long response that is read at its turn, before it has begun. */
+  #stopBuffering: (() => void) | undefined;
+  #isCutOff = false;
   /** The memory for the response of a request that was started ahead. */
   #reservation: budgets.AheadReservation | undefined;
   #delimiting: connections.Delimiting = "framed";
@@ -147,6 +150,10 @@
       clearTimeout(timer);
       if (rest.destroyed) {
         this.#refuseUnsent(endsAt);
+      } else if (this.#isCutOff && this.#connection.hasRunningBehind) {
+        answer.discard();
+        this.#isDecided = false;
+        this.refuse({ status: 504, reason: "stopping" });
       } else if (this.#connection.hasRunningBehind) {
         this.#bufferRest(answer, rest, endsAt, mayBuffer);
       } else {
@@ -195,11 +202,16 @@
       this.finish("caller_left", 0);
     };
     const stop = () => {
+      this.#stopBuffering = undefined;
       clearTimeout(timer);
       rest.off("data", onData);
       rest.off("close", onRestClosed);
       this.#response.off("close", onCallerClosed);
     };
+    this.#stopBuffering = () => {
+      stop();
+      answer.discard();
+    };
     rest.on("data", onData);
     rest.once("close", onRestClosed);
     this.#response.once("close", onCallerClosed);
@@ -299,6 +311,19 @@
     this.finish(refusal.reason, refusal.status);
   }
 
+  /**
+   * Sends a response of the proxy itself in place of one that is not decided or has not arrived whole,
+   * since the process is about to end and other responses may wait behind it.
+   */
+  cutOff(refusal: refusals.Refusal): void {
+    this.#isCutOff = true;
+    if (this.#stopBuffering !== undefined) {
+      this.#stopBuffering();
+      this.#isDecided = false;
+    }
+    this.refuse(refusal);
+  }
+
   /** Ends a request whose handling has failed unexpectedly; it may have run. */
   fail(): void {
     if (!this.#response.headersSent) {
--- a/packages/proxy/src/http_connection.ts
+++ b/packages/proxy/src/http_connection.ts
@@ -134,6 +134,10 @@
     this.#handler.onInvalidRequest();
   }
 
+  cutOff(): void {
+    this.#handler.cutOff();
+  }
+
   cancel(): void {
     if (this.#isStarted) {
       this.#handler.onCallerClosed();
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -28,8 +28,12 @@
  */
 const BALANCER_LAG_MILLISECONDS = 2_800;
 
-/** Part of the grace period that remains when the last requests are cut off. */
-const EXIT_MARGIN_MILLISECONDS = 300;
+/**
+ * Part of the grace period that remains when the last requests are cut off. Their callers get what
+ * is left to send on their connections until the process begins to end.
+ */
+const CUT_OFF_MARGIN_MILLISECONDS = 400;
+const EXIT_MARGIN_MILLISECONDS = 200;
 
 const DRAIN_POLL_MILLISECONDS = 50;
 
@@ -134,17 +138,25 @@
   async drain(): Promise<void> {
     this.#stop.isStopping = true;
     const startedAt = kernel.getMonotonicMilliseconds();
-    const endsAt = startedAt + this.#options.bounds.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
-    this.#stop.cutOffAt = endsAt;
+    const graceEndsAt = startedAt + this.#options.bounds.graceMilliseconds;
+    this.#stop.cutOffAt = graceEndsAt - CUT_OFF_MARGIN_MILLISECONDS;
     await kernel.sleep(BALANCER_LAG_MILLISECONDS);
     this.#stop.isClosing = true;
     this.#server.close();
     this.#connections.forEach((connection) => connection.endIfIdle());
+    await this.#waitForConnections(this.#stop.cutOffAt);
+    const open = [...this.#connections.values()];
+    const running = open.filter(({ isBusy }) => isBusy).length;
+    this.#options.logger.write(kernel.LogMessages.drained, { running });
+    open.forEach((connection) => connection.cutOff());
+    await this.#waitForConnections(graceEndsAt - EXIT_MARGIN_MILLISECONDS);
+  }
+
+  /** Waits until all connections have closed, but no longer than until a monotonic time. */
+  async #waitForConnections(endsAt: number): Promise<void> {
     while (this.#connections.size > 0 && kernel.getMonotonicMilliseconds() < endsAt) {
       await kernel.sleep(DRAIN_POLL_MILLISECONDS);
     }
-    const running = [...this.#connections.values()].filter(({ isBusy }) => isBusy).length;
-    this.#options.logger.write(kernel.LogMessages.drained, { running });
   }
 
   async stop(): Promise<void> {
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -149,6 +149,26 @@
     }
   }
 
+  /**
+   * Responds at once, since the process is about to end, unless a response is decided. A request that
+   * was passed on may have run.
+   */
+  cutOff(): void {
+    const wasDecided = this.#finalAnswer.isDecided;
+    this.#finalAnswer.cutOff(
+      this.#hasAttempted ? { status: 504, reason: "stopping" } : {
+        status: 503,
+        reason: "stopping",
+        retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.stopping,
+      },
+    );
+    if (!wasDecided) {
+      // The caller has not left.
+      this.#hasExpired = true;
+      this.#caller.abort("cancelled");
+    }
+  }
+
   /** Called when the rest of the request cannot be read. */
   onInvalidRequest(): void {
     this.#finalAnswer.refuse({ status: 400, reason: "invalid_request" });
@@ -189,7 +209,7 @@
       await startGate.wait();
       this.#trace.add("held_at_start", { informed: this.#context.store.current !== undefined });
       if (this.#caller.signal.aborted) {
-        this.#finalAnswer.finish("caller_left", 0);
+        this.#finish();
         return;
       }
     }
@@ -202,7 +222,7 @@
     }
     if (this.#caller.signal.aborted) {
       this.#returnRate(accepted);
-      this.#finalAnswer.finish("caller_left", 0);
+      this.#finish();
       return;
     }
     if (accepted.endsAt <= kernel.getMonotonicMilliseconds()) {
@@ -214,13 +234,17 @@
     const limit = this.#context.store.current?.declarations.limits.bodyBytes ?? 0;
     const read = await bodies.readBody(this.#request, limit);
     if (read.kind === "aborted") {
-      this.#finalAnswer.finish("caller_left", 0);
+      this.#finish();
       return;
     }
     if (read.kind === "too_large") {
       this.#finalAnswer.refuse({ status: 413, reason: "body_too_large" });
       return;
     }
+    if (this.#finalAnswer.isDecided) {
+      this.#returnRate(accepted);
+      return;
+    }
     read.body.tooLarge?.addEventListener("abort", () => this.#refuseLongBody(), { once: true });
     const quarantine = this.#evidence.findRefusal(accepted, read.body);
     if (quarantine !== undefined) {
@@ -235,6 +259,13 @@
     await this.#serve(accepted, read.body);
   }
 
+  /** Ends a request without a response whose caller has left, unless it has been cut off. */
+  #finish(): void {
+    if (!this.#finalAnswer.isDecided) {
+      this.#finalAnswer.finish("caller_left", 0);
+    }
+  }
+
   /** Whether the request is likely to end before a stop of this VM cuts it off. */
   #mayEndBeforeStop({ route }: types.AcceptedRequest): boolean {
     const { stop, tracker } = this.#context;
--- a/packages/proxy/test/caller_connection_test.ts
+++ b/packages/proxy/test/caller_connection_test.ts
@@ -59,6 +59,7 @@
   isDropped = false;
   isRejected = false;
   isCancelled = false;
+  isCutOff = false;
   isAnswered = false;
   /** Whether its response may be sent. */
   hasTurn = false;
@@ -124,6 +125,11 @@
     this.isRejected = true;
   }
 
+  cutOff(): void {
+    assert.ok(this.isStarted, "only what is handled is owed a response");
+    this.isCutOff = true;
+  }
+
   cancel(): void {
     this.isCancelled = true;
   }
@@ -271,6 +277,18 @@
     world.stop.isClosing = true;
     world.connection.endIfIdle();
   },
+  cutOff: (world) => {
+    EVENTS["closeListener"]?.(world, undefined as never);
+    world.connection.cutOff();
+    if (world.isClosed || world.transport.ended !== "open") {
+      return;
+    }
+    assert.ok(world.unanswered.every(({ isCutOff }) => isCutOff), "one waits for its target");
+    while (world.running !== undefined && world.transport.ended === "open") {
+      world.answer(false);
+    }
+    assert.notEqual(world.transport.ended, "open", "the connection stays open");
+  },
   leave: (world) => {
     world.transport.isEndedByCaller = true;
     world.close();
@@ -481,6 +499,25 @@
     assert.equal(budget.longBytes, 0);
   });
 
+  test.test("a response that waits is dropped at a stop, since one before it still runs", () => {
+    const world = new World();
+    [1, 2, 3].forEach(() => world.read(true, true));
+    // Read behind them, and never passed on.
+    world.read(true);
+    world.stop.isStopping = true;
+    world.stop.isClosing = true;
+    world.connection.endIfIdle();
+    world.connection.cutOff();
+    assert.deepEqual(world.exchanges.map(({ isCutOff }) => isCutOff), [true, true, true, false]);
+    [1, 2, 3].forEach(() => {
+      assert.equal(world.transport.ended, "open");
+      world.answer(false);
+    });
+    assert.equal(world.transport.ended, "half");
+    world.close();
+    assert.deepEqual(world.ends[0]?.unanswered, [{ id: "3", isPassedOn: false }]);
+  });
+
   test.test("an end is announced while requests run ahead, and takes them with it", () => {
     const world = new World();
     [1, 2, 3].forEach(() => world.read(true, true));
--- a/packages/proxy/test/requests_ahead_test.ts
+++ b/packages/proxy/test/requests_ahead_test.ts
@@ -430,6 +430,60 @@
     });
   });
 
+  test.test("a stop drops a response that waits, since the one before it takes too long", async () => {
+    await withCaller(3, async (vm, caller) => {
+      setBehaviour(vm, (id, request, response) => {
+        // Longer than the grace period.
+        const milliseconds = id === "a" ? 6_000 : 100;
+        setTimeout(() => harness.answerSuccess(request, response), milliseconds);
+      });
+      caller.send(encodeReads(["a", "b", "c"]));
+      await harness.waitFor(() => listArrived(vm).length === 3, "they are passed on");
+      const startedAt = performance.now();
+      const stopped = vm.stop();
+      await harness.waitFor(() => caller.hasEnded, "the connection ends", 10_000);
+      const milliseconds = performance.now() - startedAt;
+      assert.ok(milliseconds < harness.BOUNDS.graceMilliseconds, `${milliseconds} ms`);
+      assert.equal(caller.isReset, false, "a reset may drop what is on its way");
+      assert.deepEqual(
+        caller.listAnswers().map(({ id, status, isWhole, endsConnection }) => [
+          id,
+          status,
+          isWhole,
+          endsConnection,
+        ]),
+        [["a", 504, true, false], ["b", 200, true, false], ["c", 200, true, true]],
+      );
+      await stopped;
+    });
+  });
+
+  test.test("a stop drops a response behind a long one whose rest does not come", async () => {
+    await withCaller(3, async (vm, caller) => {
+      setBehaviour(vm, (id, request, response) => {
+        if (id === "b") {
+          response.writeHead(200, {
+            ...harness.createAnswerHeaders(request),
+            "Content-Length": 400_000,
+          });
+          response.write(LONG_BODY.subarray(0, 200_000));
+          return;
+        }
+        const milliseconds = id === "a" ? WORK_MILLISECONDS : 100;
+        setTimeout(() => harness.answerSuccess(request, response), milliseconds);
+      });
+      caller.send(encodeReads(["a", "b", "c"]));
+      await harness.waitFor(() => listArrived(vm).length === 3, "they are passed on");
+      const stopped = vm.stop();
+      await harness.waitFor(() => caller.hasEnded, "the connection ends", 10_000);
+      assert.deepEqual(
+        caller.listAnswers().map(({ id, status, isWhole }) => [id, status, isWhole]),
+        [["a", 200, true], ["b", 504, true], ["c", 200, true]],
+      );
+      await stopped;
+    });
+  });
+
   for (const isDecided of [false, true]) {
     const when = isDecided ? "whose responses wait" : "that still run";
     test.test(`a stop loses requests ahead ${when}`, async () => {
