Gateway: the copy of a refusal makes a write run twice, or be reported as not run

Callers of the product's own interface could get 503 with `hemlockwalk-run: no` for a write that had run on two targets.

Here targets name no requests, so a refusal by the configured signal is believed wherever it arrives, and connections were kept after one. A target that repeats it where the next response is due is believed again.

Now no connection is used again after a refusal. The price is a connection for each request that a target sheds.

A copy of a success still goes to the next caller on such a connection, since nothing names it.

--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -104,7 +104,9 @@
     );
     const callResult = callResults.getCallResult(run.ready, result, connection.reused);
     lease.release(run.createOutcome(callResult, result.headMilliseconds));
-    targetConnections.release(connection, result.connectionUsable);
+    // The target may repeat its refusal where the response to the next request is due.
+    const isUsable = result.connectionUsable && result.end !== "not_run_signal";
+    targetConnections.release(connection, isUsable);
     run.targetMilliseconds += result.targetMilliseconds;
     return result;
   }
