--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -514,6 +514,9 @@
     target: "The target.",
     reason: "Why there is no complete response.",
     fingerprint: "Fingerprint of the request, the same for each repetition of it.",
+    port: "Own port of the connection, like the next ones of a response that is not the request's.",
+    earlier: "Requests that were sent on the connection before.",
+    repeated: "Whether this request was among them.",
   },
   retried: { retryLevel: "Share of the service's retry budget that was left." },
   hedged: {
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -54,7 +54,7 @@
 export function createAnswerHeaders(answer: http.IncomingMessage): string[] {
   return filterHeaders(
     answer.rawHeaders,
-    new Set(listConnectionHeaders(answer.headers.connection)),
+    new Set([REFUSAL_HEADER, ...listConnectionHeaders(answer.headers.connection)]),
   );
 }
 
--- a/packages/proxy/src/hedged_call.ts
+++ b/packages/proxy/src/hedged_call.ts
@@ -77,7 +77,7 @@
 
 /** Whether a result ends the request without regard to the other attempt. */
 function isReturned(result: calls.CallResult): boolean {
-  return result.kind === "answered" && result.answer.status < 500;
+  return calls.isConclusive(result);
 }
 
 /** What the decision about a second attempt depends on in the handling of the request. */
--- a/packages/proxy/src/refusals.ts
+++ b/packages/proxy/src/refusals.ts
@@ -40,7 +40,7 @@
 
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** A final response of the proxy. Statuses 429 and 503 mean that the request has not run. */
+/** A final response of the proxy. Statuses 408, 421, 429 and 503 mean that the request has not run. */
 export interface Refusal {
   readonly status: number;
   readonly reason: types.RefusalReason;
--- a/packages/proxy/src/request_context.ts
+++ b/packages/proxy/src/request_context.ts
@@ -35,7 +35,7 @@
     readonly requests: { inc(labels: { outcome: string }): void };
     /** Requests that another VM has passed on. */
     readonly served: { inc(labels: { outcome: string }): void };
-    /** Refusals of targets, by what tells to which attempt they belong. */
+    /** Refusals of targets, by what tells to which attempt they belong, believed or not. */
     readonly targetRefusals: {
       inc(labels: { reason: string; attribution: "named" | "unnamed" | "repeated" }): void;
     };
--- a/packages/proxy/src/request_evidence.ts
+++ b/packages/proxy/src/request_evidence.ts
@@ -10,7 +10,7 @@
 import type * as refusals from "./refusals.ts";
 import type * as contexts from "./request_context.ts";
 import * as fingerprints from "./request_fingerprint.ts";
-import type * as log from "./request_log.ts";
+import * as log from "./request_log.ts";
 import type * as calls from "./target_call.ts";
 import type * as types from "./types.ts";
 
@@ -70,11 +70,16 @@
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
     target: declarations.TargetEntry,
-    reason: calls.FailureReason,
+    { reason, connection }: Extract<calls.CallResult, { kind: "failed" }>,
     isGivenUp: boolean,
   ): void {
     const fingerprint = this.#getFingerprint(accepted, body);
-    this.#trace.add("failed", { target: target.id, reason, fingerprint });
+    this.#trace.add("failed", {
+      target: target.id,
+      reason,
+      fingerprint,
+      ...(connection === undefined ? {} : log.describeConnection(connection)),
+    });
     // After a response that cannot be read, the target still runs.
     const hasResponded = reason === "spoilt" || reason === "foreign" || reason === "unattributed";
     if (!isGivenUp && !hasResponded) {
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -407,7 +407,7 @@
     if (result.kind === "not_run" && (!result.hasArrived || result.reason === "other_target")) {
       this.#returnTargetRate(placed);
     }
-    if (overdue.isOverdue() && result.kind === "answered" && result.answer.status < 500) {
+    if (overdue.isOverdue() && calls.isConclusive(result)) {
       tracker.recordOutcome(target.id, "late", startedAt);
     }
     this.#recordResult(accepted, body, target, result, startedAt);
@@ -595,7 +595,7 @@
     }
     switch (result.kind) {
       case "answered": {
-        const isError = result.answer.status >= 500;
+        const isError = calls.isFailure(result.answer);
         this.#mayHaveRun = true;
         tracker.recordOutcome(target, isError ? "error" : "success", startedAt);
         if (!isError) {
@@ -632,6 +632,10 @@
         if (result.reason === "foreign") {
           this.#context.counters.foreignResponses.inc({});
         }
+        if (result.reason === "unattributed") {
+          const attribution = result.connection?.isRepetition === true ? "repeated" : "unnamed";
+          this.#context.counters.targetRefusals.inc({ reason: result.reason, attribution });
+        }
         if (result.reason !== "cancelled") {
           tracker.recordOutcome(
             target,
@@ -643,7 +647,7 @@
           accepted,
           body,
           entry,
-          result.reason,
+          result,
           result.reason === "cancelled" && !this.#hasExpired,
         );
         return;
@@ -659,15 +663,15 @@
   ): boolean {
     const { route, service } = accepted;
     const { budgets, tracker } = this.#context;
-    const isSuccess = result.kind === "answered" && result.answer.status < 500;
-    if (isSuccess || this.#caller.signal.aborted || !body.isBuffered) {
+    if (calls.isConclusive(result) || this.#caller.signal.aborted || !body.isBuffered) {
       return false;
     }
     if (this.#evidence.findRefusal(accepted, body) !== undefined) {
       return false;
     }
     if (result.kind === "refused_by_peer") {
-      return forwarding.mayServeElsewhere(result.refusal) && this.#peers.mayTryAnother;
+      return (route.isIdempotent || !this.#mayHaveRun) &&
+        forwarding.mayServeElsewhere(result.refusal) && this.#peers.mayTryAnother;
     }
     const isSafeToRetry = route.isIdempotent || (result.kind === "not_run" && !this.#mayHaveRun);
     const attempts = Math.max(this.#tried.size, this.#arrivals);
@@ -701,7 +705,7 @@
         );
         return;
       case "answered":
-        if (refusals.isNotRunStatus(result.answer.status)) {
+        if (!accepted.route.isIdempotent && refusals.isNotRunStatus(result.answer.status)) {
           // The status would tell the caller what the target has not said.
           result.answer.discard();
           this.#finalAnswer.refuse({ status: 502, reason: "target_failed" });
@@ -808,8 +812,6 @@
   return refusal === undefined ? {} : {
     status: refusal.status,
     named: refusal.isNamed,
-    port: refusal.connection.getPort(),
-    earlier: refusal.connection.earlierRequests,
-    repeated: refusal.connection.isRepetition,
+    ...log.describeConnection(refusal.connection),
   };
 }
--- a/packages/proxy/src/request_log.ts
+++ b/packages/proxy/src/request_log.ts
@@ -8,6 +8,7 @@
 
 import * as kernel from "@hemlockwalk/kernel";
 import * as refusals from "./refusals.ts";
+import type * as connections from "./target_connections.ts";
 
 /**
  * Lines per second for failed and for other requests. They limit the cost of a flood of requests.
@@ -40,6 +41,15 @@
     | undefined;
 };
 
+/** The inputs of a step that say on which connection a response came. */
+export function describeConnection(connection: connections.ConnectionUse) {
+  return {
+    port: connection.getPort(),
+    earlier: connection.earlierRequests,
+    repeated: connection.isRepetition,
+  };
+}
+
 /** Collects the decisions on one request. */
 export class RequestTrace {
   readonly id: string;
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -18,6 +18,9 @@
 const MIN_STATUS = 200;
 const MAX_STATUS = 599;
 
+/** Lowest status of a refusal. */
+const MIN_ERROR_STATUS = 400;
+
 /** Most bytes, and longest time, for which the body of an unused response is read. */
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARD_MILLISECONDS = 500;
@@ -74,7 +77,12 @@
     readonly refusal?: TargetRefusal;
   }
   /** The target may have run the request. */
-  | { readonly kind: "failed"; readonly reason: FailureReason }
+  | {
+    readonly kind: "failed";
+    readonly reason: FailureReason;
+    /** The connection of a response that does not belong to the attempt. */
+    readonly connection?: targetConnections.ConnectionUse | undefined;
+  }
   /** The VM that the request was passed on to has refused it. */
   | { readonly kind: "refused_by_peer"; readonly refusal: refusals.Refusal };
 
@@ -126,6 +134,19 @@
 const UNREACHABLE: CallResult = { kind: "not_run", reason: "unreachable", hasArrived: false };
 const WITHDRAWN: CallResult = { kind: "not_run", reason: "withdrawn", hasArrived: false };
 
+/** Whether a result is a response that ends its request, whatever another attempt would bring. */
+export function isConclusive(result: CallResult): boolean {
+  return result.kind === "answered" && !isFailure(result.answer);
+}
+
+/**
+ * Whether a response is an error of the target, or has a status that promises that the request has
+ * not run, although the target has not said so.
+ */
+export function isFailure({ status }: Pick<TargetAnswer, "status">): boolean {
+  return status >= 500 || refusals.isNotRunStatus(status);
+}
+
 /** Gives up the answer of an attempt that is not forwarded, if there is one. */
 export function discardAnswer(result: CallResult | undefined): void {
   if (result?.kind === "answered") {
@@ -179,6 +200,11 @@
       });
     });
     this.#outgoing.once("response", (incoming) => this.#handleResponse(incoming));
+    // No request asks for another protocol.
+    this.#outgoing.once("upgrade", (_incoming, socket) => {
+      socket.destroy();
+      this.#fail("spoilt");
+    });
     this.#outgoing.on("error", (error: NodeJS.ErrnoException) => {
       this.#fail(error.code?.startsWith("HPE_") === true ? "spoilt" : "reset");
       // The runtime would take a reset for the end of a response without a length.
@@ -220,9 +246,15 @@
       return;
     }
     const refusal = incoming.headers[headers.REFUSAL_HEADER];
-    const isRefusedByPeer = destination.kind === "peer" && typeof refusal === "string";
+    const isSigned = incoming.headers[profile.signature] !== undefined;
+    // A response that a target has created is none of the VM that forwards it.
+    const isRefusedByPeer = destination.kind === "peer" && typeof refusal === "string" && !isSigned;
     const isRefused = incoming.headers[profile.notRun] !== undefined || status === 421;
     const connection = kernel.getDefined(this.#connection, "A response comes over a connection.");
+    if (isRefused && status < MIN_ERROR_STATUS) {
+      this.#fail("spoilt");
+      return;
+    }
     if ((isRefusedByPeer || isRefused) && !isOwnResponse(echoed, connection)) {
       this.#fail("unattributed");
       return;
@@ -248,7 +280,6 @@
       });
       return;
     }
-    const isSigned = incoming.headers[profile.signature] !== undefined;
     const isMismatched = echoed !== request.id || (status >= 200 && status < 300 && !isSigned);
     if (isMismatched) {
       this.#fail("spoilt");
@@ -402,7 +433,13 @@
     if (!isConnected && reason !== "cancelled") {
       this.#settle(UNREACHABLE);
     } else {
-      this.#settle({ kind: "failed", reason });
+      this.#settle({
+        kind: "failed",
+        reason,
+        ...(reason === "foreign" || reason === "unattributed"
+          ? { connection: this.#connection }
+          : {}),
+      });
     }
     this.#outgoing.destroy();
   }
--- a/packages/proxy/src/target_connections.ts
+++ b/packages/proxy/src/target_connections.ts
@@ -12,6 +12,7 @@
  * request was tried before.
  */
 
+import * as crypto from "node:crypto";
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as kernel from "@hemlockwalk/kernel";
@@ -30,10 +31,13 @@
 
 /**
  * Most requests that are sent on one connection, which limits the memory for their identifiers.
- * Few enough to take some kilobytes, and enough that a new connection for each is of no account.
+ * At 64 bytes each, they take 16 KiB.
  */
 const MAX_REQUESTS_PER_CONNECTION = 256;
 
+/** Identifiers of up to this length are remembered as they are, longer ones as a digest. */
+const MAX_KEY_LENGTH = 64;
+
 /** Share of a target's announced idle timeout after which its connection is no longer used. */
 const SHARE_OF_ANNOUNCED_IDLE_TIME = 0.5;
 
@@ -48,7 +52,7 @@
 }
 
 /** What the choice of a connection depends on in a request. */
-export type OutgoingRequest = Pick<types.AcceptedRequest, "id"> & {
+export type ConnectionCriteria = Pick<types.AcceptedRequest, "id"> & {
   readonly route: Pick<types.AcceptedRoute, "isIdempotent">;
 };
 
@@ -82,9 +86,10 @@
   }
 
   /** Closes idle connections to a target that must not be used for a request. */
-  closeUnusable(host: string, port: number, request: OutgoingRequest): void {
+  closeUnusable(host: string, port: number, request: ConnectionCriteria): void {
     const name = this.#getPoolName(host, port);
     const { freeSockets } = this as unknown as AgentInternals;
+    const key = createRequestKey(request.id);
     const now = kernel.getMonotonicMilliseconds();
     for (const socket of [...(freeSockets[name] ?? [])]) {
       const idle = this.#idle.get(socket);
@@ -94,7 +99,7 @@
       );
       // Bytes that arrived on an idle connection do not belong to any request.
       const isUsable = idle !== undefined && now - idle.idleSince <= limit &&
-        socket.readableLength === 0 && this.#requests.get(socket)?.has(request.id) !== true;
+        socket.readableLength === 0 && this.#requests.get(socket)?.has(key) !== true;
       if (!isUsable) {
         socket.destroy();
         freeSockets[name] = freeSockets[name]?.filter((other) => other !== socket);
@@ -127,13 +132,14 @@
 
   /** Records that a request is sent on a connection. */
   recordRequest(socket: net.Socket, requestId: string): ConnectionUse {
+    const key = createRequestKey(requestId);
     const earlier = this.#requests.get(socket) ?? new Set();
     const use = {
       getPort: () => socket.localPort,
       earlierRequests: earlier.size,
-      isRepetition: earlier.has(requestId),
+      isRepetition: earlier.has(key),
     };
-    this.#requests.set(socket, earlier.add(requestId));
+    this.#requests.set(socket, earlier.add(key));
     return use;
   }
 
@@ -172,3 +178,10 @@
     socket.removeAllListeners("timeout");
   }
 }
+
+/** What is remembered of a request, of bounded length. */
+function createRequestKey(requestId: string): string {
+  return requestId.length <= MAX_KEY_LENGTH
+    ? requestId
+    : crypto.createHash("sha256").update(requestId).digest("base64");
+}
