Discard an earlier response only once another attempt is made

A request whose target has answered with a long error is placed again. If the VM is about to stop, it gets the earlier response after all, but that had been discarded before the look at the stop, which closes its connection after 64 KiB or 500 ms. The caller got the beginning of the error alone.

late_response_test "a long error is cut off when its VM stops before another attempt" failed on the code before (385,847 of 4,000,000 bytes, 1 of 1 run) and passes now. An error of 400,000 bytes passed before as well: its rest arrives before the connection is closed.

--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -263,7 +263,6 @@
           this.#answerUnplaced(accepted, result, quarantine);
           return;
         }
-        calls.discardAnswer(result);
         if (!this.#mayEndBeforeStop(accepted)) {
           this.#dropPlacement(placed);
           this.#context.queues.get(accepted.service).advance();
@@ -275,6 +274,7 @@
           });
           return;
         }
+        calls.discardAnswer(result);
         result = await this.#callPlaced(accepted, body, placed);
       } while (!this.#finalAnswer.isDecided && this.#mayRetry(accepted, body, result));
       if (!this.#finalAnswer.isDecided && result !== undefined && !this.#caller.signal.aborted) {
--- a/packages/proxy/test/late_response_test.ts
+++ b/packages/proxy/test/late_response_test.ts
@@ -13,6 +13,12 @@
 
 const { PROFILE } = harness;
 
+/** Longer than what is buffered of a response, and than what is read of one that is not used. */
+const LONG_ERROR_BYTES = 4_000_000;
+
+/** Time for which a VM that stops accepts new connections. */
+const LISTENER_OPEN_MILLISECONDS = 2_800;
+
 /** The second copy of the rejection of an earlier request. */
 function createRejection(id: string): string {
   return `HTTP/1.1 503 Unavailable\r\n${PROFILE.requestId}: ${id}\r\n${PROFILE.notRun}: 1\r\n` +
@@ -137,4 +143,41 @@
       await harness.waitFor(() => isClosed, "the first connection is closed", 1_500);
     });
   });
+
+  test.test("a long error is cut off when its VM stops before another attempt", async () => {
+    await harness.withVm(
+      2,
+      async (vm) => {
+        vm.targets.forEach((target) => {
+          target.behaviour = (request, response) => {
+            setTimeout(() => {
+              response.writeHead(500, harness.createAnswerHeaders(request));
+              response.end("x".repeat(LONG_ERROR_BYTES));
+            }, LISTENER_OPEN_MILLISECONDS + 500);
+          };
+        });
+        const headers = { [harness.PROFILE.deadline]: "20000" };
+        const pending = vm.call({ method: "GET", path: "/reads/1", headers });
+        await harness.waitFor(() => vm.countRequests() === 1, "the request is passed on");
+        const stopped = vm.stop();
+        const answer = await pending;
+        await stopped;
+        assert.equal(vm.countRequests(), 1, "there is no time for another attempt");
+        assert.deepEqual(
+          [answer.status, answer.isComplete, answer.body.length],
+          [500, true, LONG_ERROR_BYTES],
+        );
+      },
+      harness.createDeclarations(1, {
+        routes: [harness.createRoute({
+          pathPrefix: "/reads/",
+          isIdempotent: true,
+          attempts: 2,
+          // The expected time of an attempt is longer than what is left until the end of the stop.
+          objectiveMilliseconds: 10_000,
+          timeoutMilliseconds: 20_000,
+        })],
+      }),
+    );
+  });
 });
