Refuse heads of which the runtime drops fields

Node.js hands over 1,000 fields of a head and drops those beyond without notice. A request whose Content-Length came later ran without its body, and a response was forwarded without the dropped fields.

A request of a caller with more than 990 fields gets 431 before anything of it is sent; ten are left for the fields that VMs add, since a target may well read no more than this runtime. One that another VM passes on gets 431 beyond 1,000, and a target's response beyond 990 counts as spoilt. A caller's request whose fields are not all known does not run ahead of its turn.

--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -40,6 +40,10 @@
   request: http.IncomingMessage,
 ): boolean {
   const { headers: fields } = request;
+  if (headers.hasTooManyFields(request, false)) {
+    // Not all of them are known.
+    return false;
+  }
   const hasBody = fields["transfer-encoding"] !== undefined ||
     (fields["content-length"] ?? "0") !== "0";
   // A caller of HTTP/1.0 cannot get a response in chunks, which keeps the connection open.
@@ -117,7 +121,9 @@
   if (request.headers.host === undefined && request.httpVersion === "1.1") {
     return { status: 400, reason: "invalid_request" };
   }
-  if (headers.countHeadBytes(request) > view.declarations.limits.headerBytes) {
+  const isTooLarge = headers.hasTooManyFields(request, false) ||
+    headers.countHeadBytes(request) > view.declarations.limits.headerBytes;
+  if (isTooLarge) {
     return { status: 431, reason: "head_too_large" };
   }
   const route = findRoute(view, request);
@@ -194,6 +200,9 @@
   trace: log.RequestTrace,
 ): types.AcceptedRequest | refusals.Refusal {
   const { forwardedRequests, profile, path, stop } = context;
+  if (headers.hasTooManyFields(request, true)) {
+    return { status: 431, reason: "head_too_large" };
+  }
   if (stop.isStopping) {
     // Other VMs do not know, and would keep it busy until it cuts off the last of their requests.
     const retryAfterSeconds = refusals.RETRY_AFTER_SECONDS.stopping;
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -20,6 +20,15 @@
 
 const KEY_HEADER = "authorization";
 
+/**
+ * Most fields of a head that the runtime hands over. It drops those beyond without notice, and a
+ * request without its Content-Length would run without its body.
+ */
+const MAX_READ_FIELDS = 1_000;
+
+/** Most fields that a VM adds to a head; a target may well read no more than this runtime does. */
+const MAX_ADDED_FIELDS = 10;
+
 /** Header with the decisions about a request that one VM passes on to another. */
 export const FORWARDED_HEADER = "hemlockwalk-forwarded";
 
@@ -89,6 +98,19 @@
   return bytes;
 }
 
+/**
+ * Whether a head has so many fields that some of them may not arrive at its receiver.
+ *
+ * @param isFromVm Whether another VM has sent it, which has added its own fields.
+ */
+export function hasTooManyFields(
+  { rawHeaders }: Pick<http.IncomingMessage, "rawHeaders">,
+  isFromVm: boolean,
+): boolean {
+  const max = isFromVm ? MAX_READ_FIELDS : MAX_READ_FIELDS - MAX_ADDED_FIELDS;
+  return rawHeaders.length / 2 > max;
+}
+
 function filterHeaders(raw: readonly string[], dropped: ReadonlySet<string>): string[] {
   const kept: string[] = [];
   for (let index = 0; index < raw.length; index += 2) {
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -183,7 +183,8 @@
     const status = incoming.statusCode ?? 0;
     this.#incoming = incoming;
     incoming.once("end", () => this.#closeUnlessSent());
-    if (status < MIN_STATUS || status > MAX_STATUS) {
+    const hasTooManyFields = headers.hasTooManyFields(incoming, destination.kind === "peer");
+    if (status < MIN_STATUS || status > MAX_STATUS || hasTooManyFields) {
       this.#fail("spoilt");
       return;
     }
