Test what callers receive over drawn callers, targets, stops and kills

The test puts the real HTTP server, caller's connection, final response and target call between raw callers and a raw target on loopback. It draws responses above and below the buffers, without a length, broken off at any byte, several open requests, slow readers, callers that leave, stops and kills. Checked: one response for each request, in order, with no byte of another; complete only if it is; no request that was read loses its response but behind one that broke off or an announced end, or when the VM is cut off. In npm run fuzz it is the part `answers`.

--- a/packages/proxy/test/raw_caller.ts
+++ b/packages/proxy/test/raw_caller.ts
@@ -59,7 +59,7 @@
   #hasEnded = false;
   #error: Error | undefined;
 
-  constructor(vm: harness.TestVm) {
+  constructor(vm: Pick<harness.TestVm, "host" | "port">) {
     this.#socket = net.connect({
       host: vm.host,
       port: vm.port,
--- a/scripts/fuzz.mjs
+++ b/scripts/fuzz.mjs
@@ -45,6 +45,11 @@
     test: "keeps to the bound and gets its rate over drawn faults",
     runs: 40,
   },
+  answers: {
+    file: "packages/proxy/dist/test/caller_answers_test.js",
+    test: "a drawn response looks complete too early, is another's or is lost",
+    runs: 20,
+  },
   cold: {
     file: "packages/proxy/dist/test/cold_targets_test.js",
     test: "a cold target gets more in a second than it can handle",
