--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -42,6 +42,10 @@
   request: http.IncomingMessage,
 ): declarations.DeclaredRoute | undefined {
   const { headers: fields } = request;
+  if (headers.hasTooManyFields(request, false)) {
+    // Not all of them are known.
+    return undefined;
+  }
   const hasBody = fields["transfer-encoding"] !== undefined ||
     (fields["content-length"] ?? "0") !== "0";
   // A caller of HTTP/1.0 cannot get a response in chunks, which keeps the connection open.
@@ -139,7 +143,9 @@
   if (request.headers.host === undefined && request.httpVersion === "1.1") {
     return { status: 400, reason: "invalid_request" };
   }
-  if (headers.countHeadBytes(request) > view.declarations.limits.headerBytes) {
+  const isTooLarge = headers.hasTooManyFields(request, false) ||
+    headers.countHeadBytes(request) > view.declarations.limits.headerBytes;
+  if (isTooLarge) {
     return { status: 431, reason: "head_too_large" };
   }
   const route = findRoute(view, request);
@@ -226,6 +232,9 @@
   trace: log.RequestTrace,
 ): types.AcceptedRequest | refusals.Refusal {
   const { forwardedRequests, profile, path, stop } = context;
+  if (headers.hasTooManyFields(request, true)) {
+    return { status: 431, reason: "head_too_large" };
+  }
   if (stop.isStopping) {
     // Other VMs do not know, and would keep it busy until it cuts off the last of their requests.
     return refusals.createStopping();
