The copy of a refusal on another connection ends an attempt that a target runs

Callers would see 503 for a request that runs, if a target sends the copy of its refusal on whichever connection the request comes back.

Cause: the connection tells two attempts apart only while a target keeps to it. A request that a VM sends to one address twice, under two identifiers of a target, meets the same process.

Now a handler remembers the addresses from which its request was refused, and a further refusal from one of them leaves it open whether the request has run. The price is 502 for a request that is truly refused twice at one address, which takes two identifiers of one service there.

--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -48,6 +48,8 @@
   readonly #caller = new AbortController();
   readonly #isForwarded: boolean;
   readonly #tried = new Set<model.TargetId>();
+  /** Addresses from which refusals have come. */
+  readonly #refusedAt = new Set<string>();
   readonly #placer: placers.RequestPlacer;
   readonly #peers: passingOn.PeerCalls;
   readonly #evidence: evidence.RequestEvidence;
@@ -385,6 +387,7 @@
         recordConnectTime: (milliseconds) =>
           tracker.reachability.recordConnected(target.id, milliseconds),
         isStillAccepted: () => tracker.accepts(target, placed.rateToken),
+        wasRefusedHere: this.#refusedAt.has(target.address),
         recordNotice: (notice) => this.#recordNotice(target, notice),
         recordLength: (bytes) => this.#recordLength(accepted, bytes),
         mayBuffer: (bytes) => this.#mayBuffer(accepted, bytes),
@@ -403,6 +406,9 @@
         heldBack.once("close", endCall);
       }
     }
+    if (result.kind === "not_run" && result.hasArrived) {
+      this.#refusedAt.add(target.address);
+    }
     // Another target at the address is the only one that responds without having got the request.
     if (result.kind === "not_run" && (!result.hasArrived || result.reason === "other_target")) {
       this.#returnTargetRate(placed);
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -104,6 +104,11 @@
   readonly recordConnectTime: (milliseconds: number) => void;
   /** Whether the target still accepts the request, asked once a new connection is open. */
   readonly isStillAccepted: () => boolean;
+  /**
+   * Whether a refusal of the same request has come from this address before. A further one may be its
+   * copy, on whichever connection it comes.
+   */
+  readonly wasRefusedHere?: boolean;
   /** Called before the attempt ends with what the target says of itself. */
   readonly recordNotice: (notice: TargetNotice) => void;
   /** Called with the length that the head of a response states. */
@@ -254,7 +259,8 @@
       this.#fail("spoilt");
       return;
     }
-    if ((isRefusedByPeer || isRefused) && !isOwnResponse(echoed, connection)) {
+    const isOwn = isOwnResponse(echoed, connection) && this.#options.wasRefusedHere !== true;
+    if ((isRefusedByPeer || isRefused) && !isOwn) {
       this.#fail("unattributed");
       return;
     }
--- a/packages/proxy/test/refused_and_ran_test.ts
+++ b/packages/proxy/test/refused_and_ran_test.ts
@@ -193,6 +193,21 @@
     });
   });
 
+  test.test("the copy of a refusal on another connection ends an attempt that a target runs", async () => {
+    await benches.withBench(async (bench) => {
+      const refusal = benches.createHead(503, { [PROFILE.notRun]: "1", "Content-Length": "0" });
+      bench.target.onData = ({ socket }) => socket.write(refusal);
+      assert.equal((await bench.run("POST")).kind, "not_run");
+      bench.changes = { wasRefusedHere: true };
+      const result = await bench.run("POST");
+      assert.equal(bench.target.arrivals.length, 2);
+      assert.deepEqual([result.kind, "reason" in result && result.reason], [
+        "failed",
+        "unattributed",
+      ]);
+    });
+  });
+
   test.test("the identifiers that a connection remembers grow without limit", async () => {
     await benches.withBench(async (bench) => {
       bench.target.onData = ({ socket, text }) => {
