Test: the end of a long response does not depend on the time

Its target ended the response 50 ms after it had begun. The target now ends it once the caller has received its beginning. What is checked is the same.

--- a/packages/proxy/test/late_response_test.ts
+++ b/packages/proxy/test/late_response_test.ts
@@ -84,14 +84,17 @@
       await harness.withVm(1, async (vm) => {
         const [target] = vm.targets;
         assert.ok(target !== undefined);
+        let end: () => void = assert.fail;
         target.behaviour = ({ socket, headers }) => {
           const id = String(headers[PROFILE.requestId]);
           socket.write(`HTTP/1.1 200 OK\r\n${PROFILE.requestId}: ${id}\r\n`);
           socket.write(`${PROFILE.signature}: signed\r\n\r\n${"x".repeat(400_000)}`);
-          setTimeout(() => isWhole ? socket.end() : socket.resetAndDestroy(), 50);
+          end = () => isWhole ? socket.end() : socket.resetAndDestroy();
         };
         const caller = new raw.RawCaller(vm);
         caller.send(raw.encodeRequest({ id: "request", method: "GET" }));
+        await harness.waitFor(() => caller.received.length > 0, "the response has begun");
+        end();
         const answers = await caller.readAnswers(1);
         // A caller is told by the last chunk, whatever ends the connection.
         assert.deepEqual(
