--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -145,10 +145,7 @@
     endsAt: number,
     mayBuffer: (bytes: number) => boolean,
   ): void {
-    const timer = setTimeout(
-      () => rest.destroy(),
-      Math.max(0, endsAt - kernel.getMonotonicMilliseconds()),
-    );
+    const timer = endReadingAt(rest, endsAt);
     const send = () => {
       clearTimeout(timer);
       if (rest.destroyed) {
@@ -177,10 +174,7 @@
     endsAt: number,
     mayBuffer: (bytes: number) => boolean,
   ): void {
-    const timer = setTimeout(
-      () => rest.destroy(),
-      Math.max(0, endsAt - kernel.getMonotonicMilliseconds()),
-    );
+    const timer = endReadingAt(rest, endsAt);
     let bytes = answer.chunks.reduce((sum, chunk) => sum + chunk.length, 0);
     const onData = (chunk: Buffer) => {
       answer.chunks.push(chunk);
@@ -257,10 +251,7 @@
         this.#response.end();
       }
     });
-    const timer = setTimeout(
-      () => rest.destroy(),
-      Math.max(0, endsAt - kernel.getMonotonicMilliseconds()),
-    );
+    const timer = endReadingAt(rest, endsAt);
     // A target that sends without end is not read for longer than its caller waits.
     this.#response.once("close", () => {
       clearTimeout(timer);
@@ -377,3 +368,9 @@
     this.#context.log.write(this.#trace, outcome, status);
   }
 }
+
+/** Starts a timer that ends the reading of a response at a monotonic time in milliseconds. */
+function endReadingAt(rest: http.IncomingMessage, endsAt: number): NodeJS.Timeout {
+  const milliseconds = Math.max(0, endsAt - kernel.getMonotonicMilliseconds());
+  return setTimeout(() => rest.destroy(), milliseconds);
+}
