Gateway: a cut response looked complete to a caller of HTTP/1.0

What callers saw: a target's response in chunks went to a caller of HTTP/1.0 as it arrived, delimited by the end of its connection. That end also comes when the VM is killed or stops, so the first part looked complete. A response to a repeated request, sent from the store, had no length either.

It refuses responses without a length, but the runtime takes the chunks of others off for a caller that does not know them.

Now such a response waits for its end, up to 256 KB, and is sent with its length; a longer one is refused as answer_unframed, and one that is cut gets 502. A stored response has a length.

Replaced check: "that are truncated reset a caller that reads until the close" required a reset after the first half. Now the caller gets 502, with its length, and nothing of the half.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -13,6 +13,18 @@
 /** A body up to this size that arrives in one chunk is written together with the headers. */
 const MAXIMUM_SINGLE_WRITE_BYTES = 16 * 1_024;
 
+/** Largest response of unknown length that a caller of HTTP/1.0 can get. */
+const MAXIMUM_UNSENT_BYTES = 256 * 1_024;
+
+/** A response that is sent as a whole, once its length is known. */
+interface UnsentAnswer {
+  readonly status: number;
+  readonly statusText: string;
+  readonly headers: readonly string[];
+  readonly chunks: Buffer[];
+  bytes: number;
+}
+
 /** Streams one response to the caller and can record a copy. */
 export class CallerAnswer {
   readonly #response: http.ServerResponse;
@@ -23,6 +35,9 @@
   #wroteBody = false;
   /** The response's content length; undefined for a chunked body. */
   #contentLength: number | undefined;
+  /** A response of unknown length to a caller of HTTP/1.0, who does not know chunks. */
+  #unsent: UnsentAnswer | undefined;
+  #hasBegun = false;
 
   /**
    * @param response The response to the caller.
@@ -43,8 +58,14 @@
     return this.#recorder?.getAnswer();
   }
 
+  /** Whether bytes of the response may have gone to the caller. */
+  get hasBegun(): boolean {
+    return this.#hasBegun;
+  }
+
   /**
-   * Sends status and headers.
+   * Sends status and headers. Those of a response of unknown length to a caller of HTTP/1.0 wait for
+   * its end: the close of the connection would delimit it, and also comes where the response is cut.
    *
    * @param resume Called when the caller's connection can accept more data after `write` was false.
    */
@@ -63,6 +84,13 @@
     if (this.#isClosing() || !response.shouldKeepAlive) {
       kept.push("connection", "close");
     }
+    const { method, httpVersion } = response.req;
+    const hasBody = method !== "HEAD" && status !== 204 && status !== 304;
+    if (httpVersion === "1.0" && hasBody && this.#contentLength === undefined) {
+      this.#unsent = { status, statusText, headers: kept, chunks: [], bytes: 0 };
+      return;
+    }
+    this.#hasBegun = true;
     response.writeHead(status, statusText, kept);
     this.#resume = resume;
     // Waits one tick so that a short body goes out in the same write as the headers.
@@ -73,8 +101,20 @@
     });
   }
 
-  /** Sends a chunk of the body; false if the caller must drain its connection before the next. */
-  write(chunk: Buffer): boolean {
+  /**
+   * Sends a chunk of the body.
+   *
+   * @returns False if the caller must drain its connection before the next one; undefined if the
+   *   response cannot be sent, since its length is unknown and it is too long to be buffered.
+   */
+  write(chunk: Buffer): boolean | undefined {
+    if (this.#unsent !== undefined) {
+      // The HTTP client owns the buffer and may reuse it.
+      this.#unsent.chunks.push(Buffer.from(chunk));
+      this.#unsent.bytes += chunk.length;
+      this.#recorder?.write(chunk);
+      return this.#unsent.bytes <= MAXIMUM_UNSENT_BYTES ? true : undefined;
+    }
     const isFirst = !this.#wroteBody;
     this.#wroteBody = true;
     this.#recorder?.write(chunk);
@@ -96,6 +136,13 @@
   finish(rawTrailers: readonly (string | Buffer)[]): void {
     this.#wroteBody = true;
     this.#recorder?.finish();
+    if (this.#unsent !== undefined) {
+      const { status, statusText, headers: kept, chunks, bytes } = this.#unsent;
+      this.#hasBegun = true;
+      this.#response.writeHead(status, statusText, [...kept, "content-length", String(bytes)]);
+      this.#response.end(Buffer.concat(chunks));
+      return;
+    }
     if (this.#response.writableEnded) {
       return;
     }
@@ -109,9 +156,13 @@
   /** Sends a stored response. */
   replay(answer: claims.StoredAnswer): void {
     const kept = [...answer.headers];
+    if (!kept.includes("content-length") && answer.status !== 204 && answer.status !== 304) {
+      kept.push("content-length", String(answer.body.length));
+    }
     if (this.#isClosing()) {
       kept.push("connection", "close");
     }
+    this.#hasBegun = true;
     this.#response.writeHead(answer.status, kept);
     this.#response.end(answer.body);
   }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -26,7 +26,7 @@
   | "not_run_signal"
   /** The target sent an error response that was discarded because the request is retried. */
   | "server_error"
-  /** The response has no defined length, so that a truncated one could not be detected. */
+  /** The response has no length that the caller could know, so it could not detect a truncation. */
   | "unframed"
   /** No connection could be opened, or it was closed before the first byte was sent. */
   | "connect_failed"
@@ -148,7 +148,12 @@
 
   onData(chunk: Buffer): boolean {
     if (this.#decision === "pass") {
-      return this.#request.answer.write(chunk);
+      const takesMore = this.#request.answer.write(chunk);
+      if (takesMore === undefined) {
+        this.#decision = "unframed";
+        this.#abort?.();
+      }
+      return takesMore ?? true;
     }
     this.#discardedBytes += chunk.length;
     if (this.#discardedBytes > MAXIMUM_DISCARDED_BYTES) {
@@ -210,7 +215,7 @@
     this.#resolve({
       end,
       sent: this.#sentMilliseconds !== undefined,
-      answerBegan: this.#status !== undefined && this.#decision === "pass",
+      answerBegan: this.#request.answer.hasBegun,
       status: this.#status,
       connectionUsable,
       headMilliseconds: (this.#headMilliseconds ?? now) - this.#startedMilliseconds,
