Metrics and explanations of placements have a length

A reader of HTTP/1.0 got both pages up to the end of the connection, which also comes when the process is killed, so a part of a page looked complete.

--- a/packages/proxy/src/explanation_listener.ts
+++ b/packages/proxy/src/explanation_listener.ts
@@ -156,6 +156,10 @@
 }
 
 function respond(response: http.ServerResponse, status: number, document: unknown): void {
-  response.writeHead(status, { "Content-Type": "application/json" });
-  response.end(JSON.stringify(document));
+  const body = JSON.stringify(document);
+  response.writeHead(status, {
+    "Content-Type": "application/json",
+    "Content-Length": Buffer.byteLength(body),
+  });
+  response.end(body);
 }
