Stop: requests that arrived while the VM stood still got no answer

What callers saw: a VM stands still within its stop, and requests reach it meanwhile, on connections that they have kept and on new ones. When it goes on, it ends these connections without an answer.

Cause: expired timers run before input. The listener closed, and connections were ended as idle, before anything was read of what had arrived.

Now a stop waits 0.1 s after such a standstill before the listener closes.

The same order is mended in the gateway, which has no test of it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -99,7 +99,7 @@
    */
   async drain(): Promise<void> {
     this.#requestHandler?.startClosing();
-    await kernel.sleep(this.#settings.drainLagMilliseconds);
+    await kernel.sleepAndHandleInput(this.#settings.drainLagMilliseconds);
     await this.#listener.close();
   }
 
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -41,6 +41,29 @@
   });
 }
 
+/** Delay of a timer from which the process is taken to have stood still. */
+const STANDSTILL_MILLISECONDS = 250;
+
+/** Time to accept the connections, and read the data, that arrived during a standstill. */
+const PENDING_INPUT_MILLISECONDS = 100;
+
+/**
+ * Waits for the given time and, if the process has stood still, until input has been handled that
+ * arrived meanwhile.
+ *
+ * Expired timers run before input. What a caller has sent would otherwise be taken for something
+ * that it has not sent.
+ *
+ * @param milliseconds How long to wait.
+ */
+export async function sleepAndHandleInput(milliseconds: number): Promise<void> {
+  const endsAt = getMonotonicMilliseconds() + milliseconds;
+  await sleep(milliseconds);
+  if (getMonotonicMilliseconds() - endsAt >= STANDSTILL_MILLISECONDS) {
+    await sleep(PENDING_INPUT_MILLISECONDS);
+  }
+}
+
 export interface StoppableTimer {
   stop(): void;
 }
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -144,7 +144,7 @@
     const startedAt = kernel.getMonotonicMilliseconds();
     const graceEndsAt = startedAt + this.#options.bounds.graceMilliseconds;
     this.#stop.cutOffAt = graceEndsAt - CUT_OFF_MARGIN_MILLISECONDS;
-    await kernel.sleep(BALANCER_LAG_MILLISECONDS);
+    await kernel.sleepAndHandleInput(BALANCER_LAG_MILLISECONDS);
     this.#stop.isClosing = true;
     this.#server.close();
     this.#connections.forEach((connection) => connection.endIfIdle());
