A VM that starts does not rely on the list of one that stood still

What callers saw: three VMs that read the store stand still for 2.6 s, all others are killed and a target is removed. The others start when the first go on, and send requests to the target for up to 2.4 s, though the store answers.

Cause: a VM that knows nothing takes whatever list there is, and then does not read the store. Those that stood still hold removals back for 2.3 s, since they take their standstill for an outage of the store, and their list still has the target. A VM that starts within half a second has dropped the target before it counts as being in touch; one that needs two seconds has not.

Now a whole list says whether it is current: its VM has read the store or taken a current list, hears of responses of the store, holds nothing back and has not stood still for three seconds. A VM that starts and has no current list reads the store itself. A fleet in which nobody stood still makes no further call.

Weighed and tried: not to tell of the store's responses while removals are held back.

--- a/packages/declarations/src/target_list.ts
+++ b/packages/declarations/src/target_list.ts
@@ -14,6 +14,11 @@
   readonly mark: coverage.ListMark | undefined;
   /** Whether the changes are the whole copy. */
   readonly isWhole: boolean;
+  /**
+   * Whether the VM that sends a whole copy has it from a recent read of the store, and has followed
+   * the changes since. Undefined from earlier versions of the program.
+   */
+  readonly isCurrent?: boolean | undefined;
   readonly changes: readonly types.TargetChange[];
 }
 
--- a/packages/proxy/src/publisher.ts
+++ b/packages/proxy/src/publisher.ts
@@ -40,6 +40,8 @@
   readonly #heldLists: declarations.TargetList[] = [];
   /** Whole copies of other VMs whose withdrawals of orders are held back. */
   readonly #heldEvacuations: declarations.EvacuationList[] = [];
+  #hasCurrentList = false;
+  #isListCurrent: () => boolean = () => this.#hasCurrentList;
   #evacuationsReportedAt = Number.NEGATIVE_INFINITY;
   #hasUnreportedEvacuations = false;
 
@@ -102,7 +104,11 @@
           return mark === undefined ? other !== 0 : directory.isBehind(mark);
         },
       },
-      createSnapshot: () => exchange.encodeList(declarations.createWholeList(directory)),
+      createSnapshot: () =>
+        exchange.encodeList({
+          ...declarations.createWholeList(directory),
+          isCurrent: this.#isListCurrent(),
+        }),
       receive: (payload) => this.#applyList(exchange.decodeList(payload)),
     });
     vmMesh.addReplicatedState(FACTS_STATE, {
@@ -129,6 +135,19 @@
       !this.#mesh.isAwaitingSnapshot(EVACUATIONS_STATE);
   }
 
+  /**
+   * Whether this VM has read the list of targets from the store, or has taken it from a VM whose list
+   * was current. A VM that stood still may pass on targets that have been removed.
+   */
+  get hasCurrentList(): boolean {
+    return this.#hasCurrentList;
+  }
+
+  /** Sets what decides whether this VM tells others that its list is current. */
+  onListSent(isListCurrent: () => boolean): void {
+    this.#isListCurrent = isListCurrent;
+  }
+
   /** Whether this VM has no declarations yet. */
   get isEmpty(): boolean {
     return this.#store.current === undefined;
@@ -157,6 +176,7 @@
     if (completeAsOf !== undefined) {
       this.#directory.confirm(completeAsOf);
     }
+    this.#hasCurrentList ||= listAsOf !== undefined;
     if (applied.length > 0) {
       const list = { mark: this.#directory.mark, isWhole: false, changes: applied };
       this.#mesh.publish(TARGETS_STATE, exchange.encodeList(list));
@@ -334,6 +354,7 @@
 
   /** Applies a list of another VM; returns whether any of it was new. */
   #applyList(list: declarations.TargetList): boolean {
+    this.#hasCurrentList ||= list.isWhole && list.isCurrent !== false;
     const hasApplied = declarations.mergeChanges(
       list,
       this.#directory,
--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -30,7 +30,7 @@
 
 /**
  * A VM that replaces another already has waiting callers: it reads after this delay unless a peer
- * has sent it the declarations.
+ * has sent it the declarations and a current list of targets.
  */
 const RESTART_DELAY_MILLISECONDS = 60;
 
@@ -41,6 +41,11 @@
 const MAX_SNAPSHOT_WAIT_MILLISECONDS = 800;
 const SNAPSHOT_POLL_MILLISECONDS = 20;
 
+/**
+ * Time after a standstill in which this VM may not have heard of all removals, or holds them back.
+ */
+const RETURN_MILLISECONDS = 3_000;
+
 const MIN_BACKOFF_MILLISECONDS = 200;
 const MAX_BACKOFF_MILLISECONDS = 1_500;
 
@@ -92,6 +97,7 @@
     this.#publisher = options.publisher;
     this.#readers = new storeReaders.StoreReaders(options.mesh, options.logger);
     this.#logger = options.logger;
+    options.publisher.onListSent(() => this.#isListCurrent());
     options.mesh.onStoreResponse((at, previousAt) => this.#recordOutage(at, previousAt));
     this.#restores = options.metrics.createCounter(
       "hemlockwalk_store_restores_total",
@@ -135,7 +141,7 @@
     if (!this.#isFirstStart) {
       await kernel.sleep(RESTART_DELAY_MILLISECONDS, signal);
       await this.#waitForSnapshots();
-      if (this.#publisher.isEmpty) {
+      if (this.#publisher.isEmpty || !this.#publisher.hasCurrentList) {
         await this.#readOnce();
       }
       return;
@@ -160,6 +166,14 @@
     }
   }
 
+  /** Whether a VM that takes this VM's list need not read the store itself. */
+  #isListCurrent(): boolean {
+    const { hasCurrentList, removalHold } = this.#publisher;
+    const sinceResume = kernel.getMonotonicMilliseconds() - this.#pauses.lastResumeMilliseconds;
+    return (hasCurrentList || this.#isFirstStart) && this.#readers.isConfirmed &&
+      !removalHold.isActive && sinceResume > RETURN_MILLISECONDS;
+  }
+
   #recordReason(reason: storeReaders.ReadingReason): void {
     if (reason !== this.#reason) {
       this.#reason = reason;
--- a/packages/proxy/src/store_readers.ts
+++ b/packages/proxy/src/store_readers.ts
@@ -97,6 +97,12 @@
       Math.max(this.#mesh.lastStoreResponseAt, this.#startedAt);
   }
 
+  /** Whether some VM has had a response of the store lately. */
+  get isConfirmed(): boolean {
+    const age = kernel.getMonotonicMilliseconds() - this.#mesh.lastStoreResponseAt;
+    return age <= STALE_MILLISECONDS + this.#mesh.propagationMilliseconds;
+  }
+
   /** Whether this VM is to read now, and why. */
   chooseReason(): ReadingReason {
     this.#reason = this.#decide();
--- a/packages/proxy/src/target_exchange.ts
+++ b/packages/proxy/src/target_exchange.ts
@@ -34,6 +34,8 @@
 interface HeadMessage extends ChangeMessage {
   readonly mark: MarkMessage;
   readonly isWhole: boolean;
+  /** Earlier versions of the program do not send it. */
+  readonly isCurrent?: boolean;
 }
 
 export function encodeMark({ digest, asOf, latest }: declarations.ListMark): unknown {
@@ -51,9 +53,14 @@
     : undefined;
 }
 
-export function encodeList({ mark, isWhole, changes }: declarations.TargetList): unknown {
+export function encodeList(list: declarations.TargetList): unknown {
+  const { mark, isWhole, isCurrent, changes } = list;
   const encoded = changes.map(encodeChange);
-  return mark === undefined ? encoded : [encodeHead(mark, isWhole), ...encoded];
+  if (mark === undefined) {
+    return encoded;
+  }
+  const head = encodeHead(mark, isWhole);
+  return [isCurrent === undefined ? head : { ...head, isCurrent }, ...encoded];
 }
 
 export function decodeList(message: unknown): declarations.TargetList {
@@ -62,6 +69,7 @@
   return {
     mark: decodeMark(head?.mark),
     isWhole: head?.isWhole === true,
+    isCurrent: head?.isCurrent,
     // An earlier version may also send on a head as the change that it took it for.
     changes: elements.filter(({ id }) => id !== HEAD_ID).map(decodeChange),
   };
--- a/packages/proxy/test/removed_targets_test.ts
+++ b/packages/proxy/test/removed_targets_test.ts
@@ -97,6 +97,16 @@
     this.publisher.publishTargets([...changes, ...removals], asOf, asOf);
   }
 
+  get version(): number | undefined {
+    return this.declared.current?.declarations.version;
+  }
+
+  /** Reads the whole store and returns a target of it. */
+  readTarget(content: Content, id: model.TargetId): declarations.TargetEntry {
+    this.read(content);
+    return this.directory.find(id) ?? assert.fail();
+  }
+
   /** Compares the digests of another VM and takes its snapshots, as over a new link. */
   hear(other: TestVm): void {
     for (const [name, state] of this.#states) {
@@ -187,6 +197,44 @@
   });
 });
 
+test.describe("a VM that is in contact again, beside one that has started,", () => {
+  test.test("brings back a version, and with it a withdrawn key", () => {
+    const [cutOff, reading, started] = ["cut-off", "reading", "started"].map((name) =>
+      new TestVm(name)
+    );
+    assert.ok(cutOff !== undefined && reading !== undefined && started !== undefined);
+    cutOff.read(BEFORE);
+    started.hear(cutOff);
+    assert.equal(started.version, BEFORE.version, "there is no other");
+    reading.read(AFTER);
+    started.hear(reading);
+    for (const vm of [started, reading]) {
+      vm.hear(cutOff);
+      assert.equal(vm.version, AFTER.version);
+    }
+  });
+
+  test.test("brings back a rate that its target states no more", () => {
+    const [cutOff, other, started] = ["cut-off", "other", "started"].map((name) =>
+      new TestVm(name)
+    );
+    assert.ok(cutOff !== undefined && other !== undefined && started !== undefined);
+    const target = cutOff.readTarget(BEFORE, GONE);
+    cutOff.publisher.publishRate(target, 10);
+    other.read(BEFORE);
+    other.hear(cutOff);
+    assert.equal(other.directory.findRate(GONE), 10);
+    other.publisher.publishRate(target, undefined);
+    started.hear(cutOff);
+    assert.equal(started.directory.findRate(GONE), 10, "nobody has told otherwise");
+    started.hear(other);
+    for (const vm of [started, other]) {
+      vm.hear(cutOff);
+      assert.equal(vm.directory.findRate(GONE) ?? undefined, undefined);
+    }
+  });
+});
+
 test.describe("a VM that has seen the store return", () => {
   test.test("drops a target that has yet to register again, by the list of a VM that started", async () => {
     await withClock(async (clock) => {
