The time before a VM's first response of the store is no outage

What callers saw: a VM that is slow to start, or to hear of the store, kept removed targets in use for another 2.3 s: it took the two seconds without a response since its start for an outage of the store, and held the first removals back.

Now such a VM holds back removals only if one of its calls has failed. One that has heard of the store before does as it did.

--- a/packages/proxy/src/store_follower.ts
+++ b/packages/proxy/src/store_follower.ts
@@ -87,6 +87,8 @@
   #reason: storeReaders.ReadingReason = "none";
   #isAvailable = true;
   #failures = 0;
+  /** Whether a call has failed since the start. */
+  #hasFailed = false;
   #heldRemovals: declarations.TargetChange[] = [];
   #heldWithdrawals: declarations.EvacuationChange[] = [];
 
@@ -320,8 +322,14 @@
     return [...this.#heldRemovals.splice(0), ...outdated];
   }
 
-  /** Every VM notes the end of an outage, whichever VM has had the first response. */
+  /**
+   * Every VM notes the end of an outage, whichever VM has had the first response. A VM that has just
+   * started and has not called the store in vain cannot tell an outage from the time before.
+   */
   #recordOutage(at: number, previousAt: number): void {
+    if (previousAt < this.#startedAt && !this.#hasFailed) {
+      return;
+    }
     const silentSince = Math.max(previousAt, this.#startedAt);
     if (at - silentSince > OUTAGE_MILLISECONDS) {
       const hasStoodStill = this.#pauses.lastResumeMilliseconds > silentSince;
@@ -347,6 +355,7 @@
       return;
     }
     this.#failures++;
+    this.#hasFailed = true;
     this.#readers.recordFailure();
     if (this.#isAvailable) {
       this.#isAvailable = false;
