Retries of all VMs keep to their budget by construction

Cause, found in a sum and not shown to be theirs: each VM counted what the others had taken. It hears that after 0.6 s, notices a loss of contact after up to 2.6 s, and could take one token for 32 VMs of the fleet that nobody had confirmed, so that the sum of these grew with the square of the fleet. Each part of a fleet that was out of contact kept the whole burst.

Now nothing is counted across VMs. A request earns its part of a token where it is accepted, tokens move to a pool at the relay and back, and each is spent once. What may be saved up is lent to one pool at a time, by leases that end for the holder first. A retry that finds no token waits for the relay's answer, for 50 ms at most. Reports carry no counts of requests and retries any more.

--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -126,6 +126,7 @@
   readonly #table: members.MemberTable;
   readonly #sections = new Map<string, types.ReportSection>();
   readonly #states = new Map<string, types.ReplicatedState>();
+  readonly #exchanges = new Map<string, types.RelayExchange>();
   readonly #links = new Set<links.Link>();
   readonly #requests: requests.SnapshotRequests;
   #server: http.Server | undefined;
@@ -254,6 +255,11 @@
     return this.#lastStoreResponseAt;
   }
 
+  /** Whether the seeds name another VM. */
+  get hasOtherSeeds(): boolean {
+    return this.#options.listSeeds().some((seed) => seed !== this.self.address);
+  }
+
   /** Whether there is an open link to another VM. */
   get isLinked(): boolean {
     return [...this.#links].some((link) => link.isOpen && link.peer !== undefined);
@@ -304,6 +310,27 @@
     this.#states.set(name, state);
   }
 
+  addRelayExchange(name: string, exchange: types.RelayExchange): void {
+    this.#exchanges.set(name, exchange);
+  }
+
+  /**
+   * The relay through which this VM hears the others; undefined while it relays itself or has no
+   * link to one.
+   */
+  get upstreamRelay(): types.MemberIdentity | undefined {
+    return this.#findUpstreamLink()?.peer;
+  }
+
+  /** Sends a request to the relay, if there is one. */
+  sendToRelay(exchange: string, payload: unknown): void {
+    this.#findUpstreamLink()?.send(links.encode({ kind: "relay_request", exchange, payload }));
+  }
+
+  #findUpstreamLink(): links.Link | undefined {
+    return this.#isRelay ? undefined : this.#listUpstreamLinks()[0];
+  }
+
   /** Sets what handles the requests that other VMs pass on to this one. */
   onRequest(listener: http.RequestListener): void {
     this.#requestListener = listener;
@@ -415,6 +442,14 @@
       case "role":
         link.role = message.role;
         return;
+      case "relay_request":
+        this.#answerRelayRequest(message.exchange, message.payload, link);
+        return;
+      case "relay_response":
+        if (link.peer !== undefined) {
+          this.#exchanges.get(message.exchange)?.receiveResponse(link.peer, message.payload);
+        }
+        return;
       case "reports":
         this.#receiveReports(message, link);
         return;
@@ -610,6 +645,15 @@
     return !(from?.role === "bridge" && to.role === "bridge");
   }
 
+  #answerRelayRequest(exchange: string, request: unknown, link: links.Link): void {
+    const payload = link.peer === undefined || this.#isLeaving
+      ? undefined
+      : this.#exchanges.get(exchange)?.receiveRequest(link.peer, request);
+    if (payload !== undefined) {
+      link.send(links.encode({ kind: "relay_response", exchange, payload }));
+    }
+  }
+
   #receiveReports(
     message: Extract<types.LinkMessage, { kind: "reports" }>,
     link: links.Link,
--- a/packages/mesh/src/types.ts
+++ b/packages/mesh/src/types.ts
@@ -74,6 +74,17 @@
   receive(payload: unknown): boolean;
 }
 
+/**
+ * Requests of a VM to the relay through which it hears the others, and the responses. They reach no
+ * other VM, and a request may have no response. Payloads of another VM have not been checked.
+ */
+export interface RelayExchange {
+  /** Handles a request of a VM as its relay; returns the response, or undefined for none. */
+  receiveRequest(from: MemberIdentity, payload: unknown): unknown;
+  /** Handles the response of a relay. */
+  receiveResponse(from: MemberIdentity, payload: unknown): void;
+}
+
 /**
  * Called with the monotonic times of a response of the store and of the one before, in milliseconds;
  * negative infinity if there was none before.
@@ -96,6 +107,12 @@
   /** Requests snapshots of replicated states. */
   | { readonly kind: "request"; readonly feeds: readonly string[] }
   | { readonly kind: "role"; readonly role: LinkRole }
+  /** A request to the relay and its response. Earlier versions of the program ignore them. */
+  | {
+    readonly kind: "relay_request" | "relay_response";
+    readonly exchange: string;
+    readonly payload: unknown;
+  }
   | {
     readonly kind: "reports";
     /** Reports as encoded by their VMs; relays forward the bytes. */
--- a/packages/placement/src/mod.ts
+++ b/packages/placement/src/mod.ts
@@ -1,6 +1,6 @@
 /**
  * Placement decisions over plain values: health estimates of targets, choice of a target, request
- * queues, shared token buckets, rates of targets and requests under which targets end.
+ * queues, shared token buckets, tokens for retries, rates of targets and requests under which targets end.
  */
 
 export * from "./choice_explanation.ts";
@@ -17,6 +17,8 @@
 export * from "./processing_times.ts";
 export * from "./rate_pressure.ts";
 export * from "./request_queue.ts";
+export * from "./retry_allowance.ts";
+export * from "./retry_pool.ts";
 export * from "./return_times.ts";
 export * from "./shared_bucket.ts";
 export * from "./target_pauses.ts";
--- a/packages/proxy/src/budgets.ts
+++ b/packages/proxy/src/budgets.ts
@@ -7,6 +7,7 @@
 import type * as mesh from "@hemlockwalk/mesh";
 import type * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
+import * as fleetRetries from "./fleet_retries.ts";
 import type * as types from "./types.ts";
 
 const REFILL_INTERVAL_MILLISECONDS = 100;
@@ -21,19 +22,13 @@
 const MAX_CONFIRMATION_WAIT_MILLISECONDS = 150;
 const CONFIRMATION_POLL_MILLISECONDS = 10;
 
-/**
- * Share of the retry slack that may be spent at once; the rest covers retries of other VMs that are
- * not yet reported.
- */
-const SHARE_OF_RETRY_SLACK = 0.6;
-
 /**
  * Share of the tolerated excess that is used; the rest covers requests admitted by other VMs that
  * are not yet reported.
  */
 const SHARE_OF_RATE_EXCESS = 0.4;
 
-/** VMs that were known within this time still keep their share of the retries and of target rates. */
+/** VMs that were known within this time still keep their share of target rates. */
 const EXPECTED_FOR_MILLISECONDS = 20_000;
 
 /**
@@ -56,7 +51,8 @@
   /** Time since the start of the VM that sends them, in milliseconds. */
   readonly age: number;
   readonly rates: Record<string, number>;
-  readonly retries: Record<string, number>;
+  /** Always empty. Earlier versions of the program read levels of the budgets of retries here. */
+  readonly retries: Record<string, never>;
   /**
    * VMs of the data centres that are out of contact with the VM that sends them. Earlier versions of
    * the program do not send it.
@@ -64,18 +60,16 @@
   readonly unreachable?: readonly placement.MissingVm[];
 }
 
-/** Counters as sent to other VMs. */
-interface CounterReport<T> {
+/** Counters of the rates as sent to other VMs. */
+interface BucketReport {
   /** Time since the start of the VM that sends them, in milliseconds. */
   readonly age: number;
-  readonly counters: Record<string, T>;
+  /** Tokens taken and requested, and requested by class of priority if known. */
+  readonly counters: Readonly<
+    Record<string, readonly [taken: number, requested: number, ...requestedByClass: number[]]>
+  >;
 }
 
-/** Tokens taken and requested, and requested by class of priority if known. */
-type BucketReport = CounterReport<
-  readonly [taken: number, requested: number, ...requestedByClass: number[]]
->;
-
 /** What a request would get of its workspace's rate. */
 export interface RatePreview {
   readonly isAdmitted: boolean;
@@ -103,15 +97,9 @@
   readonly #isFirstStart: boolean;
   readonly #logger: kernel.ComponentLogger;
   readonly #rates = new Map<string, placement.SharedBucket>();
-  readonly #retries = new Map<string, placement.SharedBucket>();
+  readonly #retries: fleetRetries.FleetRetries;
   readonly #returnTimes = new Map<string, placement.ReturnTimes>();
   readonly #rateCounter: RateCounter | undefined;
-  readonly #requests = new Map<string, number>();
-  readonly #requestsReported = new Map<string, number>();
-  readonly #requestsByVm = new Map<
-    string,
-    { incarnation: string; counts: Map<string, number> }
-  >();
   readonly #startedAt = kernel.getMonotonicMilliseconds();
   /** The VMs that keep a share of the rates, which is not forgotten while they may be running. */
   readonly #fleet: placement.ExpectedFleet;
@@ -146,15 +134,15 @@
       receive: (from, payload) =>
         this.#receiveBuckets(from, payload, (workspace) => this.#getRateBucket(workspace)),
     });
-    vmMesh.addSection("retries", {
-      collect: (sequence) => this.#collectBuckets(this.#retries, sequence),
-      receive: (from, payload) =>
-        this.#receiveBuckets(from, payload, (service) => this.#getRetryBucket(service)),
-    });
-    vmMesh.addSection("requests", {
-      collect: () => this.#collectRequests(),
-      receive: (from, payload) => this.#receiveRequests(from, payload),
-    });
+    this.#retries = new fleetRetries.FleetRetries(
+      vmMesh,
+      bounds,
+      () => this.#countExpectedVms(),
+      // Before anything that is dated: a standstill may not have been noticed yet.
+      () => void this.isCatchingUp,
+      isFirstStart,
+      metrics,
+    );
     vmMesh.addReplicatedState("levels", {
       createSnapshot: () => this.#createLevels(),
       receive: (payload) => this.#adoptLevels(payload as LevelTables),
@@ -318,13 +306,17 @@
 
   /** Counts a caller's request, which adds to the service's retry budget. */
   countRequest(service: model.ServiceId): void {
-    this.#requests.set(service, (this.#requests.get(service) ?? 0) + 1);
-    this.#addRetryTokens(service, 1);
+    this.#retries.countRequest(service);
   }
 
-  /** Takes a retry from a service's budget; never while it is not known what the others took. */
+  /** Takes a retry from a service's budget; never right after this VM has stood still. */
   takeRetry(service: model.ServiceId): boolean {
-    return !this.isCatchingUp && this.#takeFrom(this.#getRetryBucket(service), true) === "taken";
+    return !this.isCatchingUp && this.#retries.take(service);
+  }
+
+  /** The same, with a moment's wait for a retry that other VMs have left. */
+  takeRetryOrWait(service: model.ServiceId): boolean | Promise<boolean> {
+    return !this.isCatchingUp && this.#retries.takeOrWait(service);
   }
 
   /** Share of the VMs known within the recent past that are in contact, from 0 to 1. */
@@ -335,14 +327,12 @@
 
   /** Share of a service's retry budget that is left, from 0 to 1. */
   getRetryLevel(service: model.ServiceId): number {
-    return Math.max(0, this.#getRetryBucket(service).level / this.#getRetryBurst());
+    return this.#retries.getLevel(service);
   }
 
-  /** The same after one more request of the service was counted, on a copy of the bucket. */
+  /** The same after one more request of the service was counted. */
   previewRetryLevel(service: model.ServiceId): number {
-    const bucket = (this.#retries.get(service) ?? this.#createRetryBucket()).copy();
-    bucket.refill(this.#bounds.retryRatio, this.#getPresence());
-    return Math.max(0, bucket.level / this.#getRetryBurst());
+    return this.#retries.previewLevel(service);
   }
 
   #takeFrom(
@@ -363,13 +353,12 @@
   }
 
   #createLevels(): LevelTables {
-    const list = (buckets: ReadonlyMap<string, placement.SharedBucket>) =>
-      Object.fromEntries([...buckets].map(([name, bucket]) => [name, bucket.level]));
+    const rates = [...this.#rates].map(([name, bucket]) => [name, bucket.level] as const);
     return {
       // What the others took while this VM stood still is not in its levels yet.
       age: this.isCatchingUp ? 0 : this.#getLifetime(),
-      rates: list(this.#rates),
-      retries: list(this.#retries),
+      rates: Object.fromEntries(rates),
+      retries: {},
       unreachable: this.#fleet.listUnreachable(),
     };
   }
@@ -388,9 +377,6 @@
       for (const [workspace, level] of Object.entries(levels.rates)) {
         this.#getRateBucket(workspace)?.adoptLevel(level);
       }
-      for (const [service, level] of Object.entries(levels.retries)) {
-        this.#getRetryBucket(service).adoptLevel(level);
-      }
     }
     return false;
   }
@@ -430,30 +416,6 @@
     return perWindow * rateExcess + rateSlack;
   }
 
-  #getRetryBurst(): number {
-    return Math.max(1, this.#bounds.retrySlack * SHARE_OF_RETRY_SLACK);
-  }
-
-  #getRetryBucket(service: string): placement.SharedBucket {
-    let bucket = this.#retries.get(service);
-    if (bucket === undefined) {
-      bucket = this.#createRetryBucket();
-      this.#retries.set(service, bucket);
-    }
-    return bucket;
-  }
-
-  #createRetryBucket(): placement.SharedBucket {
-    const burst = this.#getRetryBurst();
-    const bucket = new placement.SharedBucket(burst, this.#isFirstStart ? burst : 0);
-    bucket.refill(0, this.#getPresence());
-    return bucket;
-  }
-
-  #addRetryTokens(service: string, requests: number): void {
-    this.#getRetryBucket(service).refill(requests * this.#bounds.retryRatio, this.#getPresence());
-  }
-
   #updateRateLimits(view: declarations.DeclarationView): void {
     for (const workspace of view.declarations.workspaces) {
       if (workspace.ratePerSecond === undefined) {
@@ -474,6 +436,7 @@
     if (elapsed > REFILL_INTERVAL_MILLISECONDS + STANDSTILL_MILLISECONDS) {
       this.#stoodStillUntil = now;
       this.#catchesUpUntil = now + this.#mesh.propagationMilliseconds;
+      this.#retries.clear();
       this.#logger.write(kernel.LogMessages.standstill, { milliseconds: Math.round(elapsed) });
     }
     this.#refilledAt = now;
@@ -488,6 +451,7 @@
       const declared = this.#store.current?.getWorkspaceById(workspace as model.WorkspaceId);
       bucket.refill((declared?.ratePerSecond ?? 0) * seconds, presence);
     }
+    this.#retries.advance();
   }
 
   #recordSize(now: number): void {
@@ -521,6 +485,12 @@
     return { ...presence, expected };
   }
 
+  /** Size of the fleet with VMs out of contact; undefined before the first contact with another. */
+  #countExpectedVms(): number | undefined {
+    const known = Math.max(this.#mesh.size, this.#fleet.size);
+    return known === 1 && this.#mesh.hasOtherSeeds ? undefined : known;
+  }
+
   get #isSizeUnknown(): boolean {
     return this.#mesh.size === 1 && this.#getLifetime() < ALONE_AFTER_MILLISECONDS;
   }
@@ -570,40 +540,10 @@
         counters[name] = [collected.taken, collected.requested, ...byClass];
       }
     }
-    return this.#createCounterReport(counters);
-  }
-
-  #createCounterReport<T>(counters: Record<string, T>): CounterReport<T> | undefined {
     return Object.keys(counters).length === 0
       ? undefined
       : { age: Math.round(this.#getLifetime()), counters };
   }
-
-  #collectRequests(): CounterReport<number> | undefined {
-    const counts: Record<string, number> = {};
-    for (const [service, count] of this.#requests) {
-      if (this.#requestsReported.get(service) !== count) {
-        counts[service] = count;
-        this.#requestsReported.set(service, count);
-      }
-    }
-    return this.#createCounterReport(counts);
-  }
-
-  #receiveRequests(from: mesh.MemberIdentity, payload: unknown): void {
-    const { age, counters } = payload as CounterReport<number>;
-    let previous = this.#requestsByVm.get(from.vm);
-    if (previous?.incarnation !== from.incarnation) {
-      previous = { incarnation: from.incarnation, counts: new Map() };
-      this.#requestsByVm.set(from.vm, previous);
-    }
-    for (const [service, count] of Object.entries(counters)) {
-      const before = previous.counts.get(service);
-      const added = before === undefined ? count * this.#getTrackedShare(age) : count - before;
-      this.#addRetryTokens(service, Math.max(0, added));
-      previous.counts.set(service, count);
-    }
-  }
 }
 
 function roundToTenth(value: number): number {
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -308,7 +308,7 @@
         }
         calls.discardAnswer(result);
         result = await this.#callPlaced(accepted, body, placed);
-      } while (!this.#finalAnswer.isDecided && this.#mayRetry(accepted, body, result));
+      } while (!this.#finalAnswer.isDecided && await this.#mayRetry(accepted, body, result));
       if (!this.#finalAnswer.isDecided && result !== undefined && !this.#caller.signal.aborted) {
         this.#answer(accepted, result);
       } else {
@@ -662,11 +662,11 @@
     }
   }
 
-  #mayRetry(
+  async #mayRetry(
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
     result: calls.CallResult,
-  ): boolean {
+  ): Promise<boolean> {
     const { route, service } = accepted;
     const { budgets, tracker } = this.#context;
     if (calls.isConclusive(result) || this.#caller.signal.aborted || !body.isBuffered) {
@@ -694,11 +694,11 @@
       return false;
     }
     const countsAsAttempt = !(result.kind === "not_run" && !result.hasArrived);
-    const isAllowed = !countsAsAttempt || budgets.takeRetry(service);
+    const isAllowed = !countsAsAttempt || await budgets.takeRetryOrWait(service);
     this.#trace.add(isAllowed ? "retried" : "no_retry_left", {
       retryLevel: Number(budgets.getRetryLevel(service).toFixed(2)),
     });
-    return isAllowed;
+    return isAllowed && !this.#finalAnswer.isDecided && !this.#caller.signal.aborted;
   }
 
   #answer(accepted: types.AcceptedRequest, result: calls.CallResult): void {
--- a/packages/proxy/test/budgets_test.ts
+++ b/packages/proxy/test/budgets_test.ts
@@ -46,6 +46,8 @@
 
   readonly states = new Map<string, mesh.ReplicatedState>();
 
+  addRelayExchange(): void {}
+
   addReplicatedState(name: string, state: mesh.ReplicatedState): void {
     this.states.set(name, state);
   }
--- a/packages/proxy/test/rate_partition_test.ts
+++ b/packages/proxy/test/rate_partition_test.ts
@@ -72,6 +72,8 @@
     this.sections.set(name, section);
   }
 
+  addRelayExchange(): void {}
+
   addReplicatedState(name: string, state: mesh.ReplicatedState): void {
     this.states.set(name, state);
   }
