Tests: requests to the relay, and messages of another shape

The exchange between a VM and its relay over real links: a request reaches the relay and no other VM, a relay has none of its own, and one that leaves answers nothing. A message of another shape is not taken for a request or a response.

The comment on SharedBucket named the retries, which no longer use it.

--- a/packages/mesh/test/mesh_test.ts
+++ b/packages/mesh/test/mesh_test.ts
@@ -135,6 +135,38 @@
     });
   });
 
+  test.test("a request to the relay reaches another VM, or a relay that leaves answers", async () => {
+    await withFleet(async (fleet) => {
+      const [relay, asking, other] = fleet;
+      assert.ok(relay !== undefined && asking !== undefined && other !== undefined);
+      const requests: string[] = [];
+      const responses: string[] = [];
+      for (const { mesh: vmMesh } of fleet) {
+        vmMesh.addRelayExchange("words", {
+          receiveRequest: (from, payload) => {
+            requests.push(`${from.vm} to ${vmMesh.self.vm}: ${String(payload)}`);
+            return "response";
+          },
+          receiveResponse: (from, payload) => responses.push(`${from.vm}: ${String(payload)}`),
+        });
+      }
+      await waitFor(
+        () => [asking, other].every((vm) => vm.mesh.upstreamRelay?.vm === relay.mesh.self.vm),
+        "both hear the others through the first VM",
+      );
+      assert.equal(relay.mesh.upstreamRelay, undefined);
+      asking.mesh.sendToRelay("words", "request");
+      relay.mesh.sendToRelay("words", "no relay");
+      await waitFor(() => responses.length > 0, "the response");
+      assert.deepEqual(requests, ["vm-1 to vm-0: request"]);
+      assert.deepEqual(responses, ["vm-0: response"]);
+      relay.mesh.drain();
+      asking.mesh.sendToRelay("words", "late");
+      await expectReport(asking, [other], "after the late request");
+      assert.equal(requests.some((text) => text.startsWith("vm-1 to vm-0: late")), false);
+    });
+  });
+
   test.test("bridges between data centres are compressed, subscriptions are not", async () => {
     await withFleet(async (fleet) => {
       const listRoles = (role: types.LinkRole) =>
--- a/packages/placement/src/shared_bucket.ts
+++ b/packages/placement/src/shared_bucket.ts
@@ -1,9 +1,9 @@
 /**
  * A token bucket that all VMs draw on, without a central owner.
  *
- * Designed for a workspace far beyond its rate whose requests are spread unevenly over all VMs, and
- * for the retries of all VMs against one budget. Each VM reports to the others how many tokens it
- * has taken, less those returned, and how many were requested of it, both counted since its start.
+ * Designed for a workspace far beyond its rate whose requests are spread unevenly over all VMs. Each
+ * VM reports to the others how many tokens it has taken, less those returned, and how many were
+ * requested of it, both counted since its start.
  * While the level is high, tokens are taken at once. Once it is low, each VM keeps to its share of
  * the refill, in proportion to demand, so that tokens which the others take but have not yet
  * reported cannot add up. VMs that were recently known but are not in contact keep their share.
--- a/packages/placement/test/retry_budget_test.ts
+++ b/packages/placement/test/retry_budget_test.ts
@@ -465,7 +465,7 @@
   }
 });
 
-test.test("a holder that stood still grants tokens against leases that have ended", async () => {
+test.test("a holder that stood still grants tokens against leases that have ended", () => {
   const clock = new testing.TestClock();
   try {
     const pool = new placement.RetryPool(() => 0);
@@ -532,3 +532,21 @@
     });
   });
 });
+
+test.test("a message of another shape is taken for a request or a response", () => {
+  const request = { sequence: 1, echo: 5, capacity: 1, earned: {}, held: {}, wanted: {} };
+  const response = { sequence: 1, stamp: 5, granted: { desk: 1 }, filled: { desk: 0.5 } };
+  assert.ok(
+    placement.isTokenRequest(request) && placement.isTokenRequest({ ...request, echo: null }),
+  );
+  assert.ok(placement.isTokenResponse(response));
+  const broken: unknown[] = [null, undefined, 7, "text", [], {}];
+  for (const earned of [null, 3, { desk: "1" }, { desk: -1 }, { desk: Number.NaN }]) {
+    broken.push({ ...request, earned }, { ...response, granted: earned });
+  }
+  broken.push({ ...request, echo: "5" }, { ...request, capacity: Infinity });
+  for (const message of broken) {
+    assert.equal(placement.isTokenRequest(message), false, JSON.stringify(message));
+    assert.equal(placement.isTokenResponse(message), false, JSON.stringify(message));
+  }
+});
