--- a/packages/placement/test/retry_budget_test.ts
+++ b/packages/placement/test/retry_budget_test.ts
@@ -390,13 +390,16 @@
   const deployments = [
     { vms: 32, dataCentres: 4, slack: 56, requestsPerVm: 2.6 },
     { vms: 96, dataCentres: 4, slack: 168, requestsPerVm: 5 },
+    // Pools of five or six VMs.
+    { vms: 32, dataCentres: 6 },
     { vms: 292, dataCentres: 6 },
     { vms: 1_000, dataCentres: 6 },
   ];
   for (const deployment of deployments) {
-    const { vms } = deployment;
+    const { vms, dataCentres } = deployment;
+    const fleet = `${vms} VMs in ${dataCentres} data centres`;
     for (const wantedShare of [0.05, 0.1, 0.15, 0.4]) {
-      test.test(`to ${vms} VMs, ${wantedShare * 100} of 100 requests wanting one`, async () => {
+      test.test(`to ${fleet}, ${wantedShare * 100} of 100 requests wanting one`, async () => {
         const result = await simulate({
           ...deployment,
           seconds: 30,
