Test: the bench of callers' connections handles the server's errors as the listener does

The product's listener has a handler for the server's errors; the bench of this test had none, so the runtime wrote a 400 by itself in the place of the response that was due. No caller of a VM loses by it: what is owed is the first response alone, since no request behind it counts as read.

The check stays as it is. The handler of the listener is now a function of the binding that both use. A new test shows on a whole VM that a request of HTTP/1.0, or with `Connection: close`, keeps its response when others follow it, at a stop and otherwise.

--- a/packages/proxy/src/http_connection.ts
+++ b/packages/proxy/src/http_connection.ts
@@ -8,6 +8,7 @@
 
 import type * as http from "node:http";
 import * as net from "node:net";
+import type * as stream from "node:stream";
 import type * as budgets from "./ahead_budget.ts";
 import type * as connections from "./caller_connection.ts";
 import type * as handlers from "./request_handler.ts";
@@ -142,7 +143,7 @@
 }
 
 /** Code of the error when the caller does not send a head in time. */
-export const TIMEOUT_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
+const TIMEOUT_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
 
 /** Status lines of the responses to what is no request that this server handles. */
 const INVALID_INPUT_STATUSES: Readonly<Record<string, string>> = {
@@ -151,18 +152,41 @@
 };
 
 /** Code of the error when the caller ends its side within a request. */
-export const CALLER_ENDED_CODE = "HPE_INVALID_EOF_STATE";
+const CALLER_ENDED_CODE = "HPE_INVALID_EOF_STATE";
 
 /** Whether an error of the server concerns what the caller has sent, not the connection itself. */
-export function isInputError(code: string | undefined): boolean {
+function isInputError(code: string | undefined): boolean {
   return code !== undefined && (code.startsWith("HPE_") || code in INVALID_INPUT_STATUSES);
 }
 
 /** Creates the response to bytes that are no request, by the code of the parser's error. */
-export function createInvalidInputResponse(code: string | undefined): string {
+function createInvalidInputResponse(code: string | undefined): string {
   return createEmptyResponse(INVALID_INPUT_STATUSES[code ?? ""] ?? "400 Bad Request");
 }
 
+/**
+ * Handles an error of the server on a connection: of what the caller has sent, or of the connection.
+ * Without a handler, the server would respond by itself before the responses that are owed.
+ */
+export function handleClientError(
+  error: NodeJS.ErrnoException,
+  socket: stream.Duplex,
+  connection: connections.CallerConnection | undefined,
+): void {
+  // The server takes a connection for a slow head from its beginning on, but nothing of a head was
+  // sent: it is idle.
+  if (error.code === TIMEOUT_CODE && connection?.isUnused === true) {
+    return;
+  }
+  if (connection === undefined || !isInputError(error.code)) {
+    socket.destroy();
+  } else if (error.code === CALLER_ENDED_CODE) {
+    socket.end();
+  } else {
+    connection.onInvalidInput(createInvalidInputResponse(error.code));
+  }
+}
+
 /** Creates the response to a request to become a tunnel. */
 export function createTunnelResponse(): string {
   return createEmptyResponse("501 Not Implemented");
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -108,7 +108,10 @@
       "checkExpectation",
       (request, response) => this.#handle(request, response, false),
     );
-    this.#server.on("clientError", (error, socket) => this.#onClientError(error, socket));
+    this.#server.on(
+      "clientError",
+      (error, socket) => bindings.handleClientError(error, socket, this.#findConnection(socket)),
+    );
     this.#server.on(
       "connect",
       (request) =>
@@ -213,6 +216,10 @@
     }
   }
 
+  #findConnection(socket: stream.Duplex): connections.CallerConnection | undefined {
+    return this.#connections.get(socket as net.Socket);
+  }
+
   /** Starts to track a connection. */
   #track(socket: net.Socket): connections.CallerConnection {
     const transport = new bindings.SocketTransport(socket);
@@ -230,22 +237,6 @@
     });
     return connection;
   }
-
-  #onClientError(error: NodeJS.ErrnoException, socket: stream.Duplex): void {
-    const connection = this.#connections.get(socket as net.Socket);
-    // The server takes a connection for a slow head from its beginning on, but nothing of a head was
-    // sent: it is idle.
-    if (error.code === bindings.TIMEOUT_CODE && connection?.isUnused === true) {
-      return;
-    }
-    if (connection === undefined || !bindings.isInputError(error.code)) {
-      socket.destroy();
-    } else if (error.code === bindings.CALLER_ENDED_CODE) {
-      socket.end();
-    } else {
-      connection.onInvalidInput(bindings.createInvalidInputResponse(error.code));
-    }
-  }
 }
 
 /** Responds to readiness checks of the load balancer. */
--- a/packages/proxy/test/answer_bench.ts
+++ b/packages/proxy/test/answer_bench.ts
@@ -214,6 +214,9 @@
     this.#target.onData = (arrival) => this.#respond(arrival);
     this.#server.on("connection", (socket) => this.#track(socket));
     this.#server.on("request", (request, response) => this.#handle(request, response));
+    this.#server.on("clientError", (error, socket) => {
+      bindings.handleClientError(error, socket, this.#connections.get(socket as net.Socket));
+    });
   }
 
   get port(): number {
--- a/packages/proxy/test/lost_requests_test.ts
+++ b/packages/proxy/test/lost_requests_test.ts
@@ -94,6 +94,39 @@
     });
   });
 
+  for (
+    const [what, ending] of [
+      ["of HTTP/1.0", { version: "1.0" }],
+      ["that ends its connection", { headers: ["Connection: close"] }],
+    ] as const
+  ) {
+    for (const isStopping of [false, true]) {
+      const when = isStopping ? "at a stop" : "at any time";
+      test.test(`a request behind one ${what} gets a response before it, ${when}`, async () => {
+        await harness.withVm(1, async (vm) => {
+          vm.targets.forEach((target) => target.behaviour = answerSlowly);
+          const caller = new raw.RawCaller(vm);
+          caller.send(
+            raw.encodeRequest({ id: "first", ...ending }) + raw.encodeRequest({ id: "behind" }),
+          );
+          await kernel.sleep(WORK_MILLISECONDS / 4);
+          // Data behind a request that ends its connection is an error for some parsers only.
+          caller.send(raw.encodeRequest({ id: "later" }));
+          const stopped = isStopping ? vm.stop() : Promise.resolve();
+          const answers = await caller.readAnswers(3);
+          assert.deepEqual(
+            answers.map(({ id, status, isWhole }) => [id, status, isWhole]),
+            [["first", 200, true]],
+          );
+          assert.equal(caller.isReset, false);
+          assert.deepEqual(listArrived(vm), ["first"]);
+          caller.close();
+          await stopped;
+        });
+      });
+    }
+  }
+
   test.test("bytes that are no request take the responses before them with them", async () => {
     await harness.withVm(1, async (vm) => {
       const [target] = vm.targets;
