The gateway passes on no status that no final response has

A target's answer with the status 600 or 999 reached the caller of the product's own gateway as an answer, whatever its length. Cause: the HTTP client of the gateway hands such statuses over, and only those below 200 were treated apart. They are now refused with 502 `answer_malformed`; a request that may be repeated is sent again as after a reset. What a final status is stands in the kernel.

Held already, and kept with their tests: 000, 001, 099 and 199 at the gateway, where the client ends such a call with an error that costs one attempt and not the process (502 or 504); 000 to 999 of a target, for POST and GET, and of a VM that a request was passed on to (502); 000, 001, 099, 199, 600 and 999 in the health check, which counts as failed.

--- a/packages/gateway/src/call_results.ts
+++ b/packages/gateway/src/call_results.ts
@@ -28,6 +28,7 @@
       return reused ? "cancelled" : "reset";
     case "attempt_timeout":
       return "timeout";
+    case "malformed":
     case "unframed":
       return "server_error";
     case "ended":
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -26,6 +26,8 @@
   | "not_run_signal"
   /** The target sent an error response that was discarded because the request is retried. */
   | "server_error"
+  /** The response has a status that no final response has. */
+  | "malformed"
   /** The response has no length that the caller could know, so it could not detect a truncation. */
   | "unframed"
   /** No connection could be opened, or it was closed before the first byte was sent. */
@@ -44,7 +46,7 @@
   | "body_failed";
 
 /** How a response is handled, decided by its status and headers. */
-export type HeadDecision = "pass" | "not_run_signal" | "server_error" | "unframed";
+export type HeadDecision = "pass" | "not_run_signal" | "server_error" | "malformed" | "unframed";
 
 /** The result of one attempt. */
 export interface AttemptResult {
@@ -131,7 +133,7 @@
     statusText: string,
   ): boolean {
     // Informational responses concern only this connection.
-    if (status < 200) {
+    if (status >= 100 && status < 200) {
       return true;
     }
     clearTimeout(this.#headTimer);
@@ -140,7 +142,7 @@
     this.#decision = this.#request.decideOnHead(status, rawHeaders);
     if (this.#decision === "pass") {
       this.#request.answer.begin(status, statusText, rawHeaders, resume);
-    } else if (this.#decision === "unframed") {
+    } else if (this.#decision === "malformed" || this.#decision === "unframed") {
       this.#abort?.();
     }
     return true;
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -141,6 +141,9 @@
     rawHeaders: readonly Buffer[],
   ): exchanges.HeadDecision {
     const { accepted } = run.ready;
+    if (!kernel.isFinalStatus(status)) {
+      return "malformed";
+    }
     if (!headers.isAnswerFramed(accepted.head.method, status, rawHeaders)) {
       return "unframed";
     }
@@ -184,6 +187,8 @@
         return this.#finishFailed(run, result, callResults.createBodyRefusal(run, result.error));
       case "truncated":
         return this.#finishFailed(run, result, run.createRefusal(refusals.Refusals.targetReset));
+      case "malformed":
+        return this.#retryOrFinish(run, "reset", false, refusals.Refusals.answerMalformed);
       case "unframed":
         return run.finish(run.createRefusal(refusals.Refusals.answerUnframed));
       case "not_run_signal":
--- a/packages/gateway/src/refusals.ts
+++ b/packages/gateway/src/refusals.ts
@@ -62,6 +62,11 @@
   connectFailed: createRow("connect_failed", 502, "No connection to a target could be opened."),
   targetShed: createRow("target_shed", 503, "The target said that it did not run the request."),
   targetReset: createRow("target_reset", 502, "The target ended the connection without an answer."),
+  answerMalformed: createRow(
+    "answer_malformed",
+    502,
+    "The target's answer has a status that no answer has.",
+  ),
   answerUnframed: createRow(
     "answer_unframed",
     502,
