A head or trailers whose fields have no proper names are refused, whatever the parser accepts

With Node.js 20.19.0, a target's response with a field like `X Part`, `Content Length` or one without a name cost its caller a 500 for each request: the parser of that runtime hands the field on, and writing the head to the caller fails. Nothing was tried again, and the target was not blamed. A request with such a field was taken as one without it, and what was meant as its body as the next request. Trailers with such names ended a response or a request as a whole one. With 20.20.2 the parser refuses them.

Cause: what a head must be was left to the parser, and parsers differ.

The tests let the runtime hand over such names under another one that every parser accepts, so that they do not depend on its version, and send them as they are too.

--- a/packages/gateway/test/requests_test.ts
+++ b/packages/gateway/test/requests_test.ts
@@ -117,6 +117,16 @@
     "upgrade_not_supported",
   ],
   ["another expectation", `GET /fines HTTP/1.1\r\n${HEAD}Expect: x\r\n\r\n`, "expectation_failed"],
+  [
+    "a blank in a header's name",
+    `GET /fines HTTP/1.1\r\n${HEAD}X Part: 1\r\n\r\n`,
+    "malformed_request",
+  ],
+  [
+    "a header without a name",
+    `GET /fines HTTP/1.1\r\n${HEAD}: 1\r\n\r\n`,
+    "malformed_request",
+  ],
   [
     "two keys",
     `GET /fines HTTP/1.1\r\n${HEAD}Hemlockwalk-Key: ${harness.OTHER_KEY}\r\n\r\n`,
--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./bounded_output.ts";
 export * from "./clock.ts";
 export * from "./hash.ts";
+export * from "./http_fields.ts";
 export * from "./http_status.ts";
 export * from "./kernel.ts";
 export * from "./listening.ts";
--- a/packages/kernel/src/testing/mod.ts
+++ b/packages/kernel/src/testing/mod.ts
@@ -7,6 +7,7 @@
 import * as testing from "node:test";
 
 export { claimPort, claimUnusedAddress, hasEndedInOrder, waitFor } from "./loopback.ts";
+export { renameFields } from "./lenient_parser.ts";
 export { getRandomRuns, type RandomRuns } from "./random_runs.ts";
 
 const FLUSH_ROUNDS = 4;
--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -390,6 +390,10 @@
     // errors would then be thrown instead of ending the start.
     const webSockets = new ws.WebSocketServer({ noServer: true, perMessageDeflate: COMPRESSION });
     this.#server.on("upgrade", (request, socket, head) => {
+      if (!kernel.hasFieldNames(request.rawHeaders)) {
+        socket.destroy();
+        return;
+      }
       webSockets.handleUpgrade(request, socket, head, (opened) => this.#accept(opened));
     });
     await kernel.listen(this.#server, this.self.address);
@@ -946,6 +950,11 @@
       handshakeTimeout: DIAL_TIMEOUT_MILLISECONDS,
     });
     const link = new links.Link(socket, this, address);
+    socket.once("upgrade", ({ rawHeaders }) => {
+      if (!kernel.hasFieldNames(rawHeaders)) {
+        link.close();
+      }
+    });
     socket.once("open", () => this.#sendHello(link));
     this.#links.add(link);
   }
--- a/packages/proxy/src/body.ts
+++ b/packages/proxy/src/body.ts
@@ -5,6 +5,7 @@
 
 import type * as crypto from "node:crypto";
 import type * as http from "node:http";
+import * as kernel from "@hemlockwalk/kernel";
 
 /** Bodies up to this size are buffered. */
 const MAX_BUFFERED_BODY_BYTES = 262_144;
@@ -132,6 +133,10 @@
   }
 
   readonly #onEnd = (): void => {
+    if (!kernel.hasFieldNames(this.#rest.rawTrailers)) {
+      this.#onClose();
+      return;
+    }
     this.#rest.off("close", this.#onClose);
     this.#outgoing.off("unpipe", this.#onClose);
     this.#isComplete = true;
--- a/packages/proxy/src/caller_connection.ts
+++ b/packages/proxy/src/caller_connection.ts
@@ -272,6 +272,16 @@
     }
   }
 
+  /** Called instead when its end shows that it is malformed, and where it ends is uncertain. */
+  onMalformedEnd(exchange: ConnectionExchange): void {
+    if (this.#state === "discarding" && this.#discarded === exchange) {
+      this.#linger();
+    } else if (this.#state === "handling" && this.#queue[0] === exchange) {
+      this.#mustEnd = true;
+      exchange.reject();
+    }
+  }
+
   /**
    * Called when a response that has begun cannot be completed. Its caller notices, since the response
    * lacks its end. The connection is not reset, which would drop responses before it that have not
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -201,7 +201,13 @@
         connection.onResponseSent();
       }
     });
-    request.once("end", () => connection.onRequestRead(exchange));
+    request.once("end", () => {
+      if (kernel.hasFieldNames(request.rawTrailers)) {
+        connection.onRequestRead(exchange);
+      } else {
+        connection.onMalformedEnd(exchange);
+      }
+    });
     connection.add(exchange);
   }
 
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -47,6 +47,7 @@
   readonly #trace: log.RequestTrace;
   readonly #caller = new AbortController();
   readonly #isForwarded: boolean;
+  readonly #hasFieldNames: boolean;
   readonly #tried = new Set<model.TargetId>();
   /** Addresses from which refusals have come. */
   readonly #refusedAt = new Set<string>();
@@ -80,6 +81,7 @@
     const id = request.headers[context.profile.requestId];
     this.#trace = new log.RequestTrace(typeof id === "string" ? id : "");
     this.#isForwarded = isForwarded;
+    this.#hasFieldNames = kernel.hasFieldNames(request.rawHeaders);
     const { signal } = this.#caller;
     this.#placer = new placers.RequestPlacer(context, this.#trace, this.#tried, signal);
     this.#peers = new passingOn.PeerCalls(
@@ -125,8 +127,9 @@
   /** Finds the route of a request that may run ahead. */
   #findRouteAhead(): declarations.DeclaredRoute | undefined {
     const { store, startGate } = this.#context;
-    // At the end of the connection that the caller requests, nothing behind may have begun.
-    if (this.#isForwarded || !startGate.isOpen || !this.#response.shouldKeepAlive) {
+    // At the end of the connection, nothing behind may have begun.
+    const mayEnd = !this.#response.shouldKeepAlive || !this.#hasFieldNames;
+    if (this.#isForwarded || !startGate.isOpen || mayEnd) {
       return undefined;
     }
     if (store.current !== this.#aheadView) {
@@ -201,6 +204,12 @@
         milliseconds: Math.round(kernel.getMonotonicMilliseconds() - this.#trace.arrivedAt),
       });
     }
+    if (!this.#hasFieldNames) {
+      // Where its body ends is uncertain, and so is what follows on the connection.
+      this.#connection.requireEnd();
+      this.#finalAnswer.refuse({ status: 400, reason: "invalid_request" });
+      return;
+    }
     const { startGate } = this.#context;
     if (!startGate.isOpen) {
       await startGate.wait();
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -15,10 +15,6 @@
 /** Responses up to this size are buffered completely before they are forwarded to the caller. */
 export const MAX_BUFFERED_ANSWER_BYTES = 262_144;
 
-/** Statuses of final responses. */
-const MIN_STATUS = 200;
-const MAX_STATUS = 599;
-
 /** Lowest status of a refusal. */
 const MIN_ERROR_STATUS = 400;
 
@@ -246,8 +242,9 @@
     const status = incoming.statusCode ?? 0;
     this.#incoming = incoming;
     incoming.once("end", () => this.#closeUnlessSent());
-    const hasTooManyFields = headers.hasTooManyFields(incoming, destination.kind === "peer");
-    if (status < MIN_STATUS || status > MAX_STATUS || hasTooManyFields) {
+    const isReadable = kernel.hasFieldNames(incoming.rawHeaders) &&
+      !headers.hasTooManyFields(incoming, destination.kind === "peer");
+    if (!kernel.isFinalStatus(status) || !isReadable) {
       this.#fail("spoilt");
       return;
     }
@@ -363,10 +360,12 @@
         this.#settle(createAnswer(incoming));
       }
     };
-    incoming.once("end", () => isWhole = incoming.complete);
+    incoming.once("end", () => {
+      isWhole = incoming.complete && kernel.hasFieldNames(incoming.rawTrailers);
+    });
     const onEnd = () => {
       if (!isWhole) {
-        this.#fail("cut_short");
+        this.#fail(incoming.complete ? "spoilt" : "cut_short");
         return;
       }
       this.#keepConnection(incoming);
--- a/packages/proxy/test/caller_connection_test.ts
+++ b/packages/proxy/test/caller_connection_test.ts
@@ -185,6 +185,22 @@
     }
   }
 
+  /** Reads the rest of a request, whose trailers are malformed. */
+  readMalformedRest(): void {
+    const exchange = this.exchanges.at(-1);
+    if (exchange === undefined || exchange.isRead || this.isClosed) {
+      return;
+    }
+    this.transport.bytesRead += 100;
+    exchange.isRead = true;
+    const mustRefuse = this.running === exchange && this.transport.ended === "open";
+    this.connection.onMalformedEnd(exchange);
+    assert.equal(exchange.isRejected, mustRefuse, "a request that is handled is refused, no other");
+    if (mustRefuse) {
+      assert.equal(this.connection.decideEnd(), true, "what is behind it is read as requests");
+    }
+  }
+
   answer(): void {
     const exchange = this.running;
     if (exchange === undefined || this.transport.ended !== "open") {
@@ -256,6 +272,7 @@
   bufferLong: (world) => world.bufferLong(),
   readHead: (world) => world.read(false),
   readRest: (world) => world.readRest(),
+  readMalformedRest: (world) => world.readMalformedRest(),
   answer: (world) => world.answer(),
   beginAnswer: (world) => world.beginAnswer(),
   breakOff: (world) => world.breakOff(),
