Attempts that the VM itself ends are counted and traced, with the time left

A step `given_up` names the target or the VM, the reason (silent, deadline, caller_left, cut_off, outlasted, invalid_request), how long the attempt ran, what was left, and whether the VM had been asked to stop; hemlockwalk_attempts_given_up_total counts them by reason. The step is recorded when the attempt is ended, so that it stands in the trace of a request that ends with it: requests are therefore ended before their response is written, not after it. What is given up, and when, is unchanged. The new test of traces fails without the step.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -518,6 +518,15 @@
     earlier: "Requests that were sent on the connection before.",
     repeated: "Whether this request was among them.",
   },
+  given_up: {
+    target: "The target that may have been at work.",
+    vm: "The VM that the request was passed on to, in place of a target.",
+    reason:
+      "`silent`, `deadline`, `caller_left`, `cut_off` (by a stop), `outlasted` (another attempt had a response) or `invalid_request`.",
+    ran: "Milliseconds for which the attempt ran.",
+    left: "Milliseconds that were left for the response.",
+    stopping: "Whether this VM had been asked to stop.",
+  },
   retried: { retryLevel: "Share of the service's retry budget that was left." },
   hedged: {
     target: "The second target, while the first one still runs the request.",
--- a/packages/proxy/src/hedged_call.ts
+++ b/packages/proxy/src/hedged_call.ts
@@ -6,6 +6,7 @@
 import * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
+import type * as givenUp from "./given_up.ts";
 import type * as contexts from "./request_context.ts";
 import type * as log from "./request_log.ts";
 import type * as placers from "./request_placer.ts";
@@ -304,7 +305,7 @@
       result,
       cancel: () => {
         isCancelled = true;
-        controller.abort("cancelled");
+        controller.abort("outlasted" satisfies givenUp.GivingUpReason);
       },
     };
   }
--- a/packages/proxy/src/proxy_vm.ts
+++ b/packages/proxy/src/proxy_vm.ts
@@ -207,6 +207,11 @@
             "Refusals of targets, by what tells to which attempt they belong.",
             ["reason", "attribution"],
           ),
+          attemptsGivenUp: metrics.createCounter(
+            "hemlockwalk_attempts_given_up_total",
+            "Attempts that the VM has ended while their target or another VM may have been at work.",
+            ["reason"],
+          ),
           foreignResponses: metrics.createCounter(
             "hemlockwalk_foreign_responses_total",
             "Responses of targets that name another request than the one that they arrived for.",
--- a/packages/proxy/src/request_context.ts
+++ b/packages/proxy/src/request_context.ts
@@ -5,6 +5,7 @@
 import type * as declarations from "@hemlockwalk/declarations";
 import type * as budgets from "./budgets.ts";
 import type * as crashes from "./crash_monitor.ts";
+import type * as givenUp from "./given_up.ts";
 import type * as forwarded from "./forwarded_requests.ts";
 import type * as hedges from "./hedges.ts";
 import type * as log from "./request_log.ts";
@@ -41,6 +42,8 @@
     };
     /** Responses of targets that name another request than the one that they arrived for. */
     readonly foreignResponses: { inc(labels: Record<string, never>): void };
+    /** Attempts that this VM has ended while they ran. */
+    readonly attemptsGivenUp: { inc(labels: { reason: givenUp.GivingUpReason }): void };
   };
   readonly latency: { record(milliseconds: number): void };
   /** Records that an incarnation of a target has said that it leaves. */
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -12,6 +12,7 @@
 import type * as connections from "./caller_connection.ts";
 import * as answers from "./final_answer.ts";
 import * as forwarding from "./forwarding.ts";
+import * as givenUp from "./given_up.ts";
 import * as hedgedCalls from "./hedged_call.ts";
 import * as passingOn from "./passing_on.ts";
 import * as refusals from "./refusals.ts";
@@ -145,7 +146,7 @@
   onCallerClosed(): void {
     this.#finalAnswer.drop();
     if (!this.#finalAnswer.isDecided) {
-      this.#caller.abort("cancelled");
+      this.#abort("caller_left");
     }
   }
 
@@ -154,7 +155,11 @@
    * was passed on may have run.
    */
   cutOff(): void {
-    const wasDecided = this.#finalAnswer.isDecided;
+    if (!this.#finalAnswer.isDecided) {
+      // The caller has not left.
+      this.#hasExpired = true;
+      this.#abort("cut_off");
+    }
     this.#finalAnswer.cutOff(
       this.#hasAttempted ? { status: 504, reason: "stopping" } : {
         status: 503,
@@ -162,17 +167,12 @@
         retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.stopping,
       },
     );
-    if (!wasDecided) {
-      // The caller has not left.
-      this.#hasExpired = true;
-      this.#caller.abort("cancelled");
-    }
   }
 
   /** Called when the rest of the request cannot be read. */
   onInvalidRequest(): void {
+    this.#abort("invalid_request");
     this.#finalAnswer.refuse({ status: 400, reason: "invalid_request" });
-    this.#caller.abort("cancelled");
   }
 
   /** Ends the request after an unexpected error. */
@@ -267,6 +267,11 @@
     await this.#serve(isLate ? { ...accepted, isLate } : accepted, read.body);
   }
 
+  /** Ends what is under way for the request. */
+  #abort(reason: givenUp.GivingUpReason): void {
+    this.#caller.abort(reason);
+  }
+
   /** Ends a request without a response whose caller has left, unless it has been cut off. */
   #finish(): void {
     if (!this.#finalAnswer.isDecided) {
@@ -373,7 +378,8 @@
       "A candidate is in the directory.",
     );
     this.#tried.add(target.id);
-    const { attempt, release } = this.#startAttempt(accepted, body, controller);
+    const place = { target: target.id };
+    const { attempt, release } = this.#startAttempt(accepted, body, place, controller);
     const silence = this.#startSilenceTimer(accepted, attempt);
     const startedAt = kernel.getMonotonicMilliseconds();
     const stopSurvivalTimer = this.#startSurvivalTimer(target.id, startedAt);
@@ -468,18 +474,29 @@
   #startAttempt(
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
+    place: givenUp.AttemptPlace,
     attempt = new AbortController(),
   ) {
+    const unwatch = givenUp.watchAttempt(
+      this.#context,
+      this.#trace,
+      accepted,
+      place,
+      attempt.signal,
+    );
     const onAbort = () => {
       // A request that must not run twice is not cancelled: its caller may later ask for the
       // outcome.
       const canRun = this.#hasAttempted && body.tooLarge?.aborted !== true;
       if (accepted.route.isIdempotent || !canRun) {
-        attempt.abort("cancelled");
+        attempt.abort(this.#caller.signal.reason);
       }
     };
     this.#caller.signal.addEventListener("abort", onAbort, { once: true });
-    const release = () => this.#caller.signal.removeEventListener("abort", onAbort);
+    const release = () => {
+      unwatch();
+      this.#caller.signal.removeEventListener("abort", onAbort);
+    };
     return { attempt, release };
   }
 
@@ -499,7 +516,7 @@
     body: bodies.RequestBody,
     peer: peers.ServingPeer,
   ): Promise<calls.CallResult> {
-    const { attempt, release } = this.#startAttempt(accepted, body);
+    const { attempt, release } = this.#startAttempt(accepted, body, { vm: peer.vm });
     this.#hasAttempted = true;
     const attempts = accepted.route.attempts - this.#arrivals;
     const result = await this.#peers.call(accepted, attempts, body, peer, attempt.signal)
@@ -787,16 +804,16 @@
       return;
     }
     this.#hasExpired = true;
+    this.#abort("deadline");
     this.#finalAnswer.refuse(
       this.#hasAttempted ? { status: 504, reason: "timeout" } : unplaced.createExpiredRefusal(),
     );
-    this.#caller.abort("cancelled");
   }
 
   /** Ends a request whose body exceeded the limit after its beginning was sent. */
   #refuseLongBody(): void {
+    this.#abort("invalid_request");
     this.#finalAnswer.refuse({ status: 413, reason: "body_too_large" });
-    this.#caller.abort("cancelled");
   }
 
   /** Gives up a placement without an attempt. */
--- a/packages/proxy/test/placement_explanation_test.ts
+++ b/packages/proxy/test/placement_explanation_test.ts
@@ -245,6 +245,7 @@
         served: { inc: () => {} },
         targetRefusals: { inc: () => {} },
         foreignResponses: { inc: () => {} },
+        attemptsGivenUp: { inc: () => {} },
       },
       latency: { record: () => {} },
       recordLeaving: () => {},
--- a/packages/proxy/test/request_trace_test.ts
+++ b/packages/proxy/test/request_trace_test.ts
@@ -42,6 +42,39 @@
     }, declared);
   });
 
+  test.it("of a request whose attempt the VM ended contain why, and the time that was left", async () => {
+    await harness.withVm(1, async (vm) => {
+      const [target] = vm.targets;
+      assert.ok(target !== undefined);
+      target.behaviour = () => undefined;
+      const caller = new AbortController();
+      const left = callWithId(vm, "left", {
+        path: "/reads/1",
+        method: "GET",
+        signal: caller.signal,
+      });
+      await harness.waitFor(() => target.requests.length === 1, "the request is passed on");
+      caller.abort();
+      await left;
+      const headers = { [harness.PROFILE.deadline]: "300" };
+      const late = await callWithId(vm, "late", { path: "/reads/1", method: "GET", headers });
+      assert.equal(late.status, 504);
+      await harness.waitFor(
+        () => ["left", "late"].every((id) => vm.log.some(({ request }) => request === id)),
+        "both traces",
+      );
+      for (const [id, reason] of [["left", "caller_left"], ["late", "deadline"]] as const) {
+        const step = vm.getTrace(id).steps.find(({ step }) => step === "given_up");
+        assert.equal(step?.["reason"], reason);
+        assert.equal(step?.["target"], target.id);
+        assert.equal(step?.["stopping"], false);
+        assert.equal(Number(step?.["left"]) > 1, id === "left", JSON.stringify(step));
+        const labels = { reason };
+        assert.equal(await vm.readCounter("hemlockwalk_attempts_given_up_total", labels), 1);
+      }
+    });
+  });
+
   test.it("of a request with an unknown key or route contain the version in force", async () => {
     await harness.withVm(1, async (vm) => {
       const key = "key-that-nobody-has";
