Attempts are never given up for their slowness; further ones run beside them

Now a further attempt is placed beside those that run, after all of that is known to be there; the first response that ends the request is returned and only then are the others cancelled. What one fails with is held meanwhile, and goes to the caller if its time is over. Running attempts count against the route's attempts, each takes its token before it starts, and one that reached no target leaves its token to the next. A silent attempt on a lost path gets one at another VM beside it. So neither what comes next nor who knows of a stop matters to an attempt at work.

A check of hedging_test.ts asked for the old order, in which the first attempt is given up before the second begins. It asks now for the new one, step by step, and for a single further attempt.

--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -518,16 +518,27 @@
     earlier: "Requests that were sent on the connection before.",
     repeated: "Whether this request was among them.",
   },
+  silent: {
+    target: "The target that has not responded, and is waited for.",
+    after: "Milliseconds since the start of the attempt.",
+  },
   given_up: {
     target: "The target that may have been at work.",
     vm: "The VM that the request was passed on to, in place of a target.",
     reason:
-      "`silent`, `deadline`, `caller_left`, `cut_off` (by a stop), `outlasted` (another attempt had a response) or `invalid_request`.",
+      "`deadline`, `caller_left`, `cut_off` (by a stop), `outlasted` (another attempt had a response) or `invalid_request`.",
     ran: "Milliseconds for which the attempt ran.",
     left: "Milliseconds that were left for the response.",
     stopping: "Whether this VM had been asked to stop.",
   },
-  retried: { retryLevel: "Share of the service's retry budget that was left." },
+  retried: {
+    retryLevel: "Share of the service's retry budget that was left.",
+    running: "Attempts that still run and go on; absent if there are none.",
+  },
+  not_retried_yet: {
+    reason: "Why no further target is tried at present while others run the request.",
+    running: "Attempts that run.",
+  },
   hedged: {
     target: "The second target, while the first one still runs the request.",
     after: "Milliseconds since the start of the first attempt.",
--- a/packages/proxy/src/given_up.ts
+++ b/packages/proxy/src/given_up.ts
@@ -13,8 +13,6 @@
 
 /** Why an attempt that ran was ended. The names appear in metrics and traces. */
 export type GivingUpReason =
-  /** There was no response within some mean processing times. */
-  | "silent"
   /** The request's time was over. */
   | "deadline"
   | "caller_left"
--- a/packages/proxy/src/hedged_call.ts
+++ b/packages/proxy/src/hedged_call.ts
@@ -6,6 +6,7 @@
 import * as kernel from "@hemlockwalk/kernel";
 import type * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
+import type * as races from "./attempt_race.ts";
 import type * as givenUp from "./given_up.ts";
 import type * as contexts from "./request_context.ts";
 import type * as log from "./request_log.ts";
@@ -13,13 +14,6 @@
 import * as calls from "./target_call.ts";
 import type * as types from "./types.ts";
 
-/** An attempt that has been started. */
-export interface RunningAttempt {
-  readonly result: Promise<calls.CallResult>;
-  /** Ends the attempt, so that its result comes without delay. No effect once it has ended. */
-  readonly cancel: () => void;
-}
-
 /** How a request was served by one or two attempts. */
 export interface RaceResult {
   readonly result: calls.CallResult;
@@ -34,8 +28,8 @@
  * of a target is returned only if the other attempt fails too.
  */
 export async function raceAttempts(
-  first: RunningAttempt,
-  second: RunningAttempt,
+  first: races.RunningAttempt,
+  second: races.RunningAttempt,
 ): Promise<RaceResult> {
   const ended = [first, second].map((attempt) =>
     attempt.result.then((result) => ({ attempt, result }))
@@ -50,7 +44,7 @@
     throw error;
   }
   const other = earlier.attempt === first ? second : first;
-  const getName = (attempt: RunningAttempt) => attempt === first ? "first" : "second";
+  const getName = (attempt: races.RunningAttempt) => attempt === first ? "first" : "second";
   if (isReturned(earlier.result)) {
     other.cancel();
     const otherResult = await other.result;
@@ -178,6 +172,8 @@
     placed: placers.PlacedTarget,
     attempt: AbortController,
   ) => Promise<calls.CallResult>;
+  /** Cancels both attempts, since another attempt of the request has a response. */
+  readonly signal: AbortSignal;
 }
 
 /** Sends a request to a target and, if that takes unusually long, to a second one. */
@@ -226,7 +222,7 @@
   }
 
   /** Starts the second attempt when it is due; undefined if there is none. */
-  #waitForSecond(first: RunningAttempt): Promise<RunningAttempt | undefined> {
+  #waitForSecond(first: races.RunningAttempt): Promise<races.RunningAttempt | undefined> {
     return new Promise((resolve) => {
       let timer: kernel.StoppableTimer | undefined;
       const wait = (milliseconds: number) => {
@@ -254,7 +250,7 @@
   }
 
   /** Starts the second attempt, or returns why it is withheld. */
-  #startSecond(): RunningAttempt | placement.HedgeObstacle {
+  #startSecond(): races.RunningAttempt | placement.HedgeObstacle {
     const { context, trace, accepted, tried, getSituation } = this.#options;
     const { hedges, budgets, tracker } = context;
     const { service } = accepted;
@@ -292,7 +288,7 @@
     return this.#start({ target: candidate.id, rateToken });
   }
 
-  #start(placed: placers.PlacedTarget): RunningAttempt {
+  #start(placed: placers.PlacedTarget): races.RunningAttempt {
     const controller = new AbortController();
     const startedAt = kernel.getMonotonicMilliseconds();
     let isCancelled = false;
@@ -301,13 +297,12 @@
       this.#recordTime(placed.target, ended, milliseconds, isCancelled);
       return ended;
     });
-    return {
-      result,
-      cancel: () => {
-        isCancelled = true;
-        controller.abort("outlasted" satisfies givenUp.GivingUpReason);
-      },
+    const cancel = () => {
+      isCancelled = true;
+      controller.abort("outlasted" satisfies givenUp.GivingUpReason);
     };
+    this.#options.signal.addEventListener("abort", cancel, { once: true });
+    return { result, cancel };
   }
 
   #recordTime(
--- a/packages/proxy/src/mod.ts
+++ b/packages/proxy/src/mod.ts
@@ -3,11 +3,14 @@
  */
 
 export * from "./ahead_budget.ts";
+export * from "./attempt_count.ts";
+export * from "./attempt_race.ts";
 export * from "./budgets.ts";
 export * from "./caller_connection.ts";
 export * from "./connection_record.ts";
 export * from "./crash_exchange.ts";
 export * from "./explanation_listener.ts";
+export * from "./further_attempt.ts";
 export * from "./hedged_call.ts";
 export * from "./listener.ts";
 export * from "./path_monitor.ts";
--- a/packages/proxy/src/request_evidence.ts
+++ b/packages/proxy/src/request_evidence.ts
@@ -55,6 +55,13 @@
     return { status: 503, reason: "quarantined", retryAfterSeconds };
   }
 
+  /** Whether the request is not sent to targets at present. */
+  isRefused(accepted: types.AcceptedRequest, body: bodies.RequestBody): boolean {
+    const { crashes } = this.#context;
+    return !crashes.isIdle &&
+      crashes.findQuarantine(this.#getFingerprint(accepted, body)) !== undefined;
+  }
+
   /** Whether a target has ended under the request since it last succeeded. */
   haveTargetsEnded(accepted: types.AcceptedRequest, body: bodies.RequestBody): boolean {
     const { crashes } = this.#context;
@@ -87,6 +94,17 @@
     }
   }
 
+  /** Records that a target has not responded for some time, for which it may have ended. */
+  recordSilence(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+    target: declarations.TargetEntry,
+    afterMilliseconds: number,
+  ): void {
+    this.#trace.add("silent", { target: target.id, after: Math.round(afterMilliseconds) });
+    this.#context.crashes.recordBreak(target, this.#getFingerprint(accepted, body));
+  }
+
   /** Records that a target has answered successfully. */
   recordSuccess(
     accepted: types.AcceptedRequest,
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -1,5 +1,8 @@
 /**
  * Handles one request from admission to its final response: placement, attempts and retries.
+ *
+ * An attempt that runs ends without a result only at the request's deadline, at the cut-off of a
+ * stop, when its caller has left, or when another attempt has a response (see `attempt_race.ts`).
  */
 
 import type * as http from "node:http";
@@ -8,10 +11,13 @@
 import type * as model from "@hemlockwalk/model";
 import * as admission from "./admission.ts";
 import * as aheadBudgets from "./ahead_budget.ts";
+import * as counts from "./attempt_count.ts";
+import * as races from "./attempt_race.ts";
 import * as bodies from "./body.ts";
 import type * as connections from "./caller_connection.ts";
 import * as answers from "./final_answer.ts";
 import * as forwarding from "./forwarding.ts";
+import * as further from "./further_attempt.ts";
 import * as givenUp from "./given_up.ts";
 import * as hedgedCalls from "./hedged_call.ts";
 import * as passingOn from "./passing_on.ts";
@@ -26,18 +32,9 @@
 import type * as types from "./types.ts";
 import * as unplaced from "./unplaced_refusal.ts";
 
-/**
- * An idempotent request may be retried after its target has not responded for this many mean
- * processing times.
- */
-const SILENT_AFTER_MEAN_TIMES = 4;
-
 /** Failing targets mostly return errors within this time. */
 const SURVIVAL_MILLISECONDS = 60;
 
-/** A retry needs at least this share of a mean processing time before the request's deadline. */
-const MIN_RETRY_TIME_IN_MEAN_TIMES = 0.6;
-
 /** Handles one request until it has ended. */
 export class RequestHandler {
   readonly #context: contexts.RequestContext;
@@ -55,8 +52,13 @@
   readonly #placer: placers.RequestPlacer;
   readonly #peers: passingOn.PeerCalls;
   readonly #evidence: evidence.RequestEvidence;
-  /** Targets that have received the request, as far as known. */
-  #arrivals = 0;
+  readonly #count = new counts.AttemptCount();
+  /** The attempts that run now, if there is a target among them. */
+  #race: races.AttemptRace | undefined;
+  /** Sends what an attempt has failed with while others run; returns whether it was a response. */
+  #sendHeld: () => boolean = () => false;
+  /** Why no further attempt was started last; each reason in turn is traced once. */
+  #obstacle: further.FurtherObstacle | undefined;
   #hasAttempted = false;
   #mayHaveRun = false;
   /** Whether the time for the response has run out. */
@@ -159,6 +161,7 @@
       // The caller has not left.
       this.#hasExpired = true;
       this.#abort("cut_off");
+      this.#sendHeld();
     }
     this.#finalAnswer.cutOff(
       this.#hasAttempted ? { status: 504, reason: "stopping" } : {
@@ -321,7 +324,7 @@
           return;
         }
         calls.discardAnswer(result);
-        result = await this.#callPlaced(accepted, body, placed);
+        result = await this.#callTargets(accepted, body, placed);
       } while (!this.#finalAnswer.isDecided && await this.#mayRetry(accepted, body, result));
       if (!this.#finalAnswer.isDecided && result !== undefined && !this.#caller.signal.aborted) {
         this.#answer(accepted, result);
@@ -337,15 +340,116 @@
     }
   }
 
-  /** Sends the request to its target and, where hedging is on, to a second one if that is slow. */
+  /** Sends the request to its target, and to further ones while there is no response. */
+  async #callTargets(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+    placed: placers.PlacedTarget,
+  ): Promise<calls.CallResult> {
+    const race: races.AttemptRace = new races.AttemptRace({
+      startFurther: () => this.#startFurther(accepted, body, race.running),
+      getRepeatDelay: () => further.getRepeatDelay(this.#getMean(accepted)),
+    });
+    this.#race = race;
+    this.#sendHeld = () => {
+      const held = race.takeHeld();
+      const isWhole = held?.kind === "answered" && held.answer.rest === undefined;
+      if (isWhole) {
+        this.#answer(accepted, held);
+      } else {
+        calls.discardAnswer(held);
+      }
+      return isWhole;
+    };
+    const result = await race.run(this.#start(accepted, body, placed));
+    this.#race = undefined;
+    this.#sendHeld = () => false;
+    return result;
+  }
+
+  /**
+   * Starts an attempt beside those that run, if there is leave for one now.
+   *
+   * @param running Attempts that run.
+   */
+  #startFurther(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+    running: number,
+  ): races.RunningAttempt | undefined {
+    if (this.#finalAnswer.isDecided || this.#caller.signal.aborted) {
+      return undefined;
+    }
+    const { budgets } = this.#context;
+    const { route, service } = accepted;
+    let obstacle = further.findFurtherObstacle({
+      isBuffered: body.isBuffered,
+      isQuarantined: this.#evidence.isRefused(accepted, body),
+      attemptsLeft: route.attempts - this.#count.used,
+      leftMilliseconds: accepted.endsAt - kernel.getMonotonicMilliseconds(),
+      meanProcessingMilliseconds: this.#getMean(accepted),
+    });
+    const start = obstacle === undefined ? this.#chooseFurther(accepted, body) : undefined;
+    if (start === undefined) {
+      obstacle ??= "no_target";
+    } else if (!this.#count.takeUnspent() && !budgets.takeRetry(service)) {
+      obstacle = "no_retry_left";
+    }
+    if (start === undefined || obstacle !== undefined) {
+      if (obstacle !== this.#obstacle) {
+        this.#obstacle = obstacle;
+        this.#trace.add("not_retried_yet", { reason: obstacle, running });
+      }
+      return undefined;
+    }
+    this.#obstacle = undefined;
+    const retryLevel = Number(budgets.getRetryLevel(service).toFixed(2));
+    this.#trace.add("retried", { retryLevel, running });
+    return start();
+  }
+
+  /** Chooses where a further attempt goes, and returns what starts it; takes nothing for it. */
+  #chooseFurther(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+  ): (() => races.RunningAttempt) | undefined {
+    const peer = this.#mayPassOn(accepted, body) && this.#peers.mayTryAnother
+      ? this.#peers.choose(accepted)
+      : undefined;
+    if (peer !== undefined) {
+      return () => startCancellable((attempt) => this.#passOn(accepted, body, peer, attempt));
+    }
+    const chosen = this.#placer.chooseNow(accepted);
+    return chosen && (() => this.#start(accepted, body, this.#placer.placeAt(chosen)));
+  }
+
+  #getMean({ route }: types.AcceptedRequest): number {
+    const { processingTimes } = this.#context.tracker;
+    return processingTimes.getRouteMean(route.id, route.objectiveMilliseconds);
+  }
+
+  #start(
+    accepted: types.AcceptedRequest,
+    body: bodies.RequestBody,
+    placed: placers.PlacedTarget,
+  ): races.RunningAttempt {
+    return startCancellable((attempt) => this.#callPlaced(accepted, body, placed, attempt));
+  }
+
+  /** Sends the request to a target and, where hedging is on, to a second one if that is slow. */
   #callPlaced(
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
     placed: placers.PlacedTarget,
+    controller: AbortController,
   ): Promise<calls.CallResult> {
     const mayBeHedged = !this.#hasAttempted &&
       hedgedCalls.mayBeHedged(this.#context.hedges, accepted);
-    return !mayBeHedged ? this.#call(accepted, body, placed) : hedgedCalls.callHedged({
+    if (!mayBeHedged) {
+      return this.#call(accepted, body, placed, controller);
+    }
+    return hedgedCalls.callHedged({
+      signal: controller.signal,
       context: this.#context,
       trace: this.#trace,
       accepted,
@@ -353,7 +457,7 @@
       getSituation: () => ({
         isPassedOn: this.#isForwarded,
         isBuffered: body.isBuffered,
-        attemptsLeft: accepted.route.attempts - this.#tried.size,
+        attemptsLeft: accepted.route.attempts - this.#count.used,
         isQuarantined: this.#evidence.findRefusal(accepted, body) !== undefined,
         haveTargetsEnded: this.#evidence.haveTargetsEnded(accepted, body),
       }),
@@ -370,7 +474,7 @@
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
     placed: placers.PlacedTarget,
-    controller = new AbortController(),
+    controller: AbortController,
   ): Promise<calls.CallResult> {
     const { tracker, profile, connections: targetConnections } = this.#context;
     const target = kernel.getDefined(
@@ -378,10 +482,12 @@
       "A candidate is in the directory.",
     );
     this.#tried.add(target.id);
+    this.#count.begin();
     const place = { target: target.id };
     const { attempt, release } = this.#startAttempt(accepted, body, place, controller);
-    const silence = this.#startSilenceTimer(accepted, attempt);
     const startedAt = kernel.getMonotonicMilliseconds();
+    const deadline = this.#startDeadlineTimer(accepted, attempt);
+    const silence = this.#startSilenceTimer(accepted, body, target, startedAt);
     const stopSurvivalTimer = this.#startSurvivalTimer(target.id, startedAt);
     const overdue = this.#startOverdueTimer(target.id, accepted.route, body, startedAt);
     this.#hasAttempted = true;
@@ -410,6 +516,7 @@
       });
       heldBack = this.#findHeldBack(result);
     } finally {
+      deadline.stop();
       silence.stop();
       stopSurvivalTimer();
       overdue.stop();
@@ -505,7 +612,7 @@
     return passingOn.mayPassOn({
       isIsolated: this.#context.path.isIsolated,
       isForwarded: this.#isForwarded,
-      attemptsLeft: accepted.route.attempts - this.#arrivals,
+      attemptsLeft: accepted.route.attempts - this.#count.used,
       canBeSent: body.isBuffered || !this.#hasAttempted,
       mayBegin: limits.mayBegin(this.#context, accepted),
     });
@@ -515,19 +622,26 @@
     accepted: types.AcceptedRequest,
     body: bodies.RequestBody,
     peer: peers.ServingPeer,
+    controller = new AbortController(),
   ): Promise<calls.CallResult> {
-    const { attempt, release } = this.#startAttempt(accepted, body, { vm: peer.vm });
+    const { attempt, release } = this.#startAttempt(accepted, body, { vm: peer.vm }, controller);
     this.#hasAttempted = true;
-    const attempts = accepted.route.attempts - this.#arrivals;
+    const attempts = accepted.route.attempts - this.#count.used;
+    this.#count.begin(attempts);
     const result = await this.#peers.call(accepted, attempts, body, peer, attempt.signal)
       .finally(release);
     this.#mayHaveRun ||= passingOn.mayHaveRun(result);
     if (result.kind !== "not_run") {
       this.#trace.recordArrival();
     }
-    if (result.kind === "answered" || result.kind === "failed") {
-      // The other VM may have used all of them.
-      this.#arrivals += attempts;
+    // The other VM may have used all of them.
+    const hasServed = result.kind === "answered" || result.kind === "failed";
+    this.#count.end(hasServed ? attempts : 0, attempts);
+    const isUnspent = result.kind === "refused_by_peer"
+      ? forwarding.mayServeElsewhere(result.refusal)
+      : result.kind === "not_run" && !result.hasArrived;
+    if (isUnspent) {
+      this.#count.addUnspent();
     }
     return result;
   }
@@ -588,26 +702,37 @@
     return { stop: () => timer.stop(), isOverdue: () => isOverdue };
   }
 
+  /** Ends an attempt when the request's time is over, also one that its caller's end leaves. */
+  #startDeadlineTimer(
+    { endsAt }: types.AcceptedRequest,
+    attempt: AbortController,
+  ): kernel.StoppableTimer {
+    const left = Math.max(0, endsAt - kernel.getMonotonicMilliseconds());
+    return kernel.startInputTimer(() => attempt.abort("silent"), left);
+  }
+
+  /**
+   * Notices that a target has not responded for some mean processing times, if another one may get
+   * the request. The attempt goes on.
+   */
   #startSilenceTimer(
     accepted: types.AcceptedRequest,
-    attempt: AbortController,
+    body: bodies.RequestBody,
+    target: declarations.TargetEntry,
+    startedAt: number,
   ): kernel.StoppableTimer {
     const { route } = accepted;
-    const now = kernel.getMonotonicMilliseconds();
-    const mean = this.#context.tracker.processingTimes.getRouteMean(
-      route.id,
-      route.objectiveMilliseconds,
-    );
-    const isLast = !route.isIdempotent || this.#tried.size >= route.attempts;
-    const left = accepted.endsAt - now;
-    const timeout = isLast ? left : Math.min(left, mean * SILENT_AFTER_MEAN_TIMES);
+    const delay = further.getSilenceDelay(this.#getMean(accepted));
+    const isLast = !route.isIdempotent || this.#count.used >= route.attempts;
+    if (isLast || startedAt + delay >= accepted.endsAt) {
+      return { stop: () => undefined };
+    }
     return kernel.startInputTimer(() => {
-      // A retry may not end before the stop, while this attempt is under way.
-      const keepsWaiting = timeout < left && this.#context.stop.isStopping;
-      if (!keepsWaiting) {
-        attempt.abort("silent");
-      }
-    }, Math.max(0, timeout));
+      this.#context.tracker.recordOutcome(target.id, "silent", startedAt);
+      const after = kernel.getMonotonicMilliseconds() - startedAt;
+      this.#evidence.recordSilence(accepted, body, target, after);
+      this.#race?.requestFurther();
+    }, delay);
   }
 
   #recordResult(
@@ -621,9 +746,12 @@
     const { tracker } = this.#context;
     const { route } = accepted;
     const target = entry.id;
-    if (result.kind !== "not_run" || result.hasArrived) {
-      this.#arrivals++;
+    const hasArrived = result.kind !== "not_run" || result.hasArrived;
+    this.#count.end(hasArrived ? 1 : 0);
+    if (hasArrived) {
       this.#trace.recordArrival();
+    } else {
+      this.#count.addUnspent();
     }
     switch (result.kind) {
       case "answered": {
@@ -694,7 +822,7 @@
     result: calls.CallResult,
   ): Promise<boolean> {
     const { route, service } = accepted;
-    const { budgets, tracker } = this.#context;
+    const { budgets } = this.#context;
     if (calls.isConclusive(result) || this.#caller.signal.aborted || !body.isBuffered) {
       return false;
     }
@@ -703,24 +831,18 @@
     }
     if (result.kind === "refused_by_peer") {
       return (route.isIdempotent || !this.#mayHaveRun) &&
-        forwarding.mayServeElsewhere(result.refusal) && this.#peers.mayTryAnother;
+        forwarding.mayServeElsewhere(result.refusal) && this.#peers.mayTryAnother &&
+        this.#count.takeUnspent();
     }
     const isSafeToRetry = route.isIdempotent || (result.kind === "not_run" && !this.#mayHaveRun);
-    const attempts = Math.max(this.#tried.size, this.#arrivals);
-    if (!isSafeToRetry || attempts >= route.attempts) {
-      // A target that did not receive the request does not count towards the attempts.
-      const isUncounted = isSafeToRetry && result.kind === "not_run" && !result.hasArrived;
-      if (!isUncounted) {
-        return false;
-      }
+    if (!isSafeToRetry || this.#count.used >= route.attempts) {
+      return false;
     }
-    const mean = tracker.processingTimes.getRouteMean(route.id, route.objectiveMilliseconds);
     const left = accepted.endsAt - kernel.getMonotonicMilliseconds();
-    if (left < mean * MIN_RETRY_TIME_IN_MEAN_TIMES) {
+    if (left < this.#getMean(accepted) * further.MIN_TIME_IN_MEAN_TIMES) {
       return false;
     }
-    const countsAsAttempt = !(result.kind === "not_run" && !result.hasArrived);
-    const isAllowed = !countsAsAttempt || await budgets.takeRetryOrWait(service);
+    const isAllowed = this.#count.takeUnspent() || await budgets.takeRetryOrWait(service);
     this.#trace.add(isAllowed ? "retried" : "no_retry_left", {
       retryLevel: Number(budgets.getRetryLevel(service).toFixed(2)),
     });
@@ -795,7 +917,7 @@
     reason: types.RefusalReason,
   ): refusals.Refusal {
     // The VM that passed the request on would try another one for a reason of this VM alone.
-    const hasUsedAttempts = this.#isForwarded && this.#arrivals > 0;
+    const hasUsedAttempts = this.#isForwarded && this.#count.received > 0;
     return unplaced.createUnplacedRefusal(this.#context, accepted, reason, hasUsedAttempts);
   }
 
@@ -805,9 +927,11 @@
     }
     this.#hasExpired = true;
     this.#abort("deadline");
-    this.#finalAnswer.refuse(
-      this.#hasAttempted ? { status: 504, reason: "timeout" } : unplaced.createExpiredRefusal(),
-    );
+    if (!this.#sendHeld()) {
+      this.#finalAnswer.refuse(
+        this.#hasAttempted ? { status: 504, reason: "timeout" } : unplaced.createExpiredRefusal(),
+      );
+    }
   }
 
   /** Ends a request whose body exceeded the limit after its beginning was sent. */
@@ -834,6 +958,17 @@
   }
 }
 
+/** Starts an attempt that another one may outlast. */
+function startCancellable(
+  start: (attempt: AbortController) => Promise<calls.CallResult>,
+): races.RunningAttempt {
+  const attempt = new AbortController();
+  return {
+    result: start(attempt),
+    cancel: () => attempt.abort("outlasted" satisfies givenUp.GivingUpReason),
+  };
+}
+
 /** How it is known to which attempt a target's refusal belongs. */
 function getAttribution({ connection, isNamed }: calls.TargetRefusal) {
   return connection.isRepetition ? "repeated" : isNamed ? "named" : "unnamed";
--- a/packages/proxy/src/request_placer.ts
+++ b/packages/proxy/src/request_placer.ts
@@ -53,8 +53,11 @@
   readonly decided: Decision | undefined;
 }
 
+/** A target that was chosen, before anything is taken for it. */
+export type ChosenTarget = Extract<placement.Choice, { kind: "chosen" }>;
+
 type Decision =
-  | Extract<placement.Choice, { kind: "chosen" }>
+  | ChosenTarget
   | Extract<Placement, { kind: "refused" }>;
 
 /** What a placer uses. */
@@ -98,26 +101,62 @@
       : Promise.resolve(this.#carryOut(decided));
   }
 
-  /** Decides about a request that arrives or is to be retried now. Takes nothing for it. */
-  plan(accepted: types.AcceptedRequest): PlacementPlan {
-    const { route, service } = accepted;
-    const mean = this.#context.tracker.processingTimes.getRouteMean(
-      route.id,
-      route.objectiveMilliseconds,
-    );
-    const placementRequest: placement.PlacementRequest = {
+  /**
+   * Chooses a target for a further attempt beside those that run; undefined if none may get the
+   * request now. Takes nothing for it.
+   */
+  chooseNow(accepted: types.AcceptedRequest): ChosenTarget | undefined {
+    if (!limits.mayBegin(this.#context, accepted)) {
+      return undefined;
+    }
+    const choice = this.#choose(accepted, this.#createPlacementRequest(accepted));
+    return choice.kind === "chosen" ? choice : undefined;
+  }
+
+  /** Takes what an attempt at a chosen target needs. */
+  placeAt(choice: ChosenTarget): PlacedTarget {
+    const { candidate } = choice;
+    const rateToken = this.#context.tracker.takeRate(candidate.id);
+    // From here on, so that the next request in the queue does not get the same slot.
+    this.#context.tracker.beginCall(candidate.id);
+    this.#trace.add("placed", {
+      target: candidate.id,
+      load: candidate.load,
+      slots: candidate.slots,
+      sickness: Number(candidate.failureProbability.toFixed(3)),
+      evidenceAge: Math.round(Math.min(candidate.evidenceAgeMilliseconds, 1e6)),
+      lookAfter: choice.isProbe,
+      coldLeft: candidate.warmUpMilliseconds > 0
+        ? Math.round(candidate.warmUpMilliseconds)
+        : undefined,
+      confirmedAge: Math.round(kernel.getMonotonicMilliseconds() - this.#context.getConfirmedAt()),
+    });
+    return { target: candidate.id, rateToken };
+  }
+
+  #createPlacementRequest({ route, service }: types.AcceptedRequest): placement.PlacementRequest {
+    return {
       mayRetry: route.isIdempotent && this.#tried.size + 1 < route.attempts &&
         this.#context.budgets.getRetryLevel(service) > MIN_RETRY_LEVEL,
       objectiveMilliseconds: route.objectiveMilliseconds,
-      meanProcessingMilliseconds: mean,
+      meanProcessingMilliseconds: this.#context.tracker.processingTimes.getRouteMean(
+        route.id,
+        route.objectiveMilliseconds,
+      ),
       allowedOverflow: ALLOWED_OVERFLOW,
     };
+  }
+
+  /** Decides about a request that arrives or is to be retried now. Takes nothing for it. */
+  plan(accepted: types.AcceptedRequest): PlacementPlan {
+    const { route, service } = accepted;
+    const placementRequest = this.#createPlacementRequest(accepted);
     const now = kernel.getMonotonicMilliseconds();
     const waitUntil = Math.max(
       now,
       Math.min(
         accepted.arrivedAt + route.objectiveMilliseconds * MAX_WAIT_IN_OBJECTIVES,
-        accepted.endsAt - mean,
+        accepted.endsAt - placementRequest.meanProcessingMilliseconds,
       ),
     );
     // A request does not overtake those that wait already; the queue decides which one is next.
@@ -211,27 +250,7 @@
   }
 
   #carryOut(decision: Decision): Placement {
-    return decision.kind === "chosen" ? this.#createPlacement(decision) : decision;
-  }
-
-  #createPlacement(choice: Extract<placement.Choice, { kind: "chosen" }>): Placement {
-    const { candidate } = choice;
-    const rateToken = this.#context.tracker.takeRate(candidate.id);
-    // From here on, so that the next request in the queue does not get the same slot.
-    this.#context.tracker.beginCall(candidate.id);
-    this.#trace.add("placed", {
-      target: candidate.id,
-      load: candidate.load,
-      slots: candidate.slots,
-      sickness: Number(candidate.failureProbability.toFixed(3)),
-      evidenceAge: Math.round(Math.min(candidate.evidenceAgeMilliseconds, 1e6)),
-      lookAfter: choice.isProbe,
-      coldLeft: candidate.warmUpMilliseconds > 0
-        ? Math.round(candidate.warmUpMilliseconds)
-        : undefined,
-      confirmedAge: Math.round(kernel.getMonotonicMilliseconds() - this.#context.getConfirmedAt()),
-    });
-    return { kind: "placed", target: candidate.id, rateToken };
+    return decision.kind === "chosen" ? { kind: "placed", ...this.placeAt(decision) } : decision;
   }
 
   #wait(
--- a/packages/proxy/test/given_up_attempts_test.ts
+++ b/packages/proxy/test/given_up_attempts_test.ts
@@ -20,6 +20,9 @@
 /** Far longer than the route's requests usually take. */
 const WORK_MILLISECONDS = 1_200;
 
+/** Requests at the same time, which want more retries than there are. */
+const BURST = 120;
+
 /** Time for which a target works before it fails. */
 const FAILS_AFTER_MILLISECONDS = 300;
 
@@ -217,6 +220,58 @@
     });
   });
 
+  for (const isStopping of [false, true]) {
+    const when = isStopping ? "at the cut-off of a stop" : "at its deadline";
+    test.it(`loses the error of its second target to the VM's own, ${when}`, async () => {
+      await withTargets(2, async (vm) => {
+        const slow = new SlowRequest(vm, () => undefined, failLate);
+        const deadline = isStopping ? TIMEOUT_MILLISECONDS : 1_500;
+        const answer = slow.call({ headers: { [harness.PROFILE.deadline]: String(deadline) } });
+        await slow.waitForArrivals(2);
+        const stopped = isStopping ? vm.stop() : Promise.resolve();
+        const { status, body } = await answer;
+        assert.deepEqual([status, body], [500, "no"]);
+        assert.ok(slow.elapsed > 1_450, `the first attempt was given up: ${slow.elapsed} ms`);
+        await harness.waitFor(() => slow.brokenOff.length === 1, "the first attempt has ended");
+        await stopped;
+      });
+    });
+  }
+
+  test.it("is given up, or repeated beyond the budget, when no retry is left", async () => {
+    await withTargets(3, async (vm) => {
+      for (const target of vm.targets) {
+        vm.store.put(target.createChange(vm.store.revision + 1, { slots: 2 * BURST }));
+      }
+      await kernel.sleep(500);
+      const ids: string[] = [];
+      for (const target of vm.targets) {
+        target.behaviour = (request, response) => {
+          ids.push(String(request.headers[harness.PROFILE.requestId]));
+          answerSlowly(request, response, "");
+        };
+      }
+      const answers = await Promise.all(
+        Array.from({ length: BURST }, (_, index) =>
+          vm.call({
+            method: "GET",
+            path: "/reads/1",
+            headers: {
+              [harness.PROFILE.requestId]: `burst-${index}`,
+              [harness.PROFILE.deadline]: String(TIMEOUT_MILLISECONDS),
+            },
+          })),
+      );
+      assert.deepEqual(answers.filter(({ status }) => status !== 200), []);
+      const { retryRatio, retrySlack } = harness.BOUNDS;
+      const allowed = retrySlack + retryRatio * (BURST + WARM_UP_REQUESTS);
+      const repeated = ids.length - new Set(ids).size;
+      assert.ok(repeated > 0, "the budget has some");
+      assert.ok(repeated < 2 * BURST, "the budget has none left for some");
+      assert.ok(repeated <= allowed, `${repeated} retries, ${allowed} allowed`);
+    });
+  });
+
   test.it("stays at its targets after its caller has left", async () => {
     await withTargets(3, async (vm) => {
       const slow = new SlowRequest(vm, () => undefined);
--- a/packages/proxy/test/hedged_call_test.ts
+++ b/packages/proxy/test/hedged_call_test.ts
@@ -88,6 +88,8 @@
   failureProbability = 0.05;
   retryLevel = 1;
   hasRetry = true;
+  /** Aborted when another attempt of the request has a response. */
+  readonly outlasted = new AbortController();
   isStopping = false;
   waiting = 0;
   left = 10_000;
@@ -151,6 +153,7 @@
       },
       tried: this.tried,
       getSituation: () => this.situation,
+      signal: this.outlasted.signal,
       call: ({ target }: proxy.PlacedTarget, controller: AbortController) => {
         this.tried.add(target);
         const attempt = new FakeAttempt(target, controller);
@@ -309,6 +312,15 @@
     });
   });
 
+  test.it("stays at its targets after another attempt of the request has a response", async () => {
+    await withBoth(async (fixture) => {
+      fixture.outlasted.abort("outlasted");
+      await fixture.advance(1);
+      assert.ok(fixture.first.isCancelled && fixture.second.isCancelled);
+      assert.equal(fixture.outcome, "failed cancelled");
+    });
+  });
+
   test.it("starts a second attempt for a caller that has left, or stays after it", async () => {
     const leave = (fixture: Fixture) =>
       fixture.attempts.forEach((attempt) => {
--- a/packages/proxy/test/hedging_test.ts
+++ b/packages/proxy/test/hedging_test.ts
@@ -190,8 +190,13 @@
         assert.equal(answer.body, "soon response");
         await harness.waitFor(() => vm.log.some(({ request }) => request === "plain"), "a trace");
         const names = vm.getTrace("plain").steps.map(({ step }) => String(step));
-        // The first attempt is given up before the second one begins.
-        assert.ok(names.indexOf("failed") < names.indexOf("retried"), names.join());
+        // Without a hedge, the second attempt begins when the first counts as silent, and the first
+        // one goes on until the second has its response.
+        const order = ["placed", "silent", "retried", "answered", "given_up"];
+        const places = order.map((name) => names.indexOf(name));
+        assert.ok(!places.includes(-1), names.join());
+        assert.deepEqual(places, places.toSorted((one, other) => one - other), names.join());
+        assert.equal(names.filter((name) => name === "retried").length, 1);
         assert.ok(!names.some((name) => name.startsWith("hedge")), names.join());
         assert.equal(served.arrivals.length, 2);
         assert.equal(await vm.readCounter("hemlockwalk_hedges_total", { event: "sent" }), 0);
--- a/packages/proxy/test/placement_explanation_test.ts
+++ b/packages/proxy/test/placement_explanation_test.ts
@@ -757,6 +757,7 @@
           headers: [],
         },
         tried: new Set([outcome.target]),
+        signal: new AbortController().signal,
         getSituation: () => ({
           isPassedOn: false,
           isBuffered: true,
