--- a/packages/kernel/src/log_messages.ts
+++ b/packages/kernel/src/log_messages.ts
@@ -526,7 +526,7 @@
     target: "The target that may have been at work.",
     vm: "The VM that the request was passed on to, in place of a target.",
     reason:
-      "`deadline`, `caller_left`, `cut_off` (by a stop), `outlasted` (another attempt had a response) or `invalid_request`.",
+      "`deadline`, `caller_left`, `cut_off`, `outlasted` or `invalid_request` (OPERATIONS.md).",
     ran: "Milliseconds for which the attempt ran.",
     left: "Milliseconds that were left for the response.",
     stopping: "Whether this VM had been asked to stop.",
