What another VM may have sent to targets counts, whatever it answers

Callers' requests reached five targets in place of three: while a target ran a request, its VM lost its path and passed the request on to another VM, whose attempts broke off, and which answered 502; the attempts that were reserved for it were given back, so a second VM got them too.

Cause: only the results answered and failed counted as served there. Before attempts ran side by side, a 502 or 504 of that VM ended the request, so the count did not matter.

--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -635,8 +635,7 @@
       this.#trace.recordArrival();
     }
     // The other VM may have used all of them.
-    const hasServed = result.kind === "answered" || result.kind === "failed";
-    this.#count.end(hasServed ? attempts : 0, attempts);
+    this.#count.end(passingOn.mayHaveRun(result) ? attempts : 0, attempts);
     const isUnspent = result.kind === "refused_by_peer"
       ? forwarding.mayServeElsewhere(result.refusal)
       : result.kind === "not_run" && !result.hasArrived;
