Limits: a fair queue tells whether requests wait for a slot

A request that runs already may want a second slot for an attempt beside its first one. Such an attempt is not needed for certain, so it must not go ahead of requests that have no slot yet. The queue can now be asked, without entering it: entering with a deadline in the past would be counted as a refused request in `hemlockwalk_queue_requests_total`.

--- a/packages/limits/src/arrival_order_queue.ts
+++ b/packages/limits/src/arrival_order_queue.ts
@@ -35,6 +35,10 @@
     return this.#waitForSlot(queue, request);
   }
 
+  hasWaiting(service: model.ServiceId): boolean {
+    return (this.#waiting.get(service)?.length ?? 0) > 0;
+  }
+
   notifyCapacity(service: model.ServiceId): void {
     const queue = this.#getQueue(service);
     while (queue[0]?.tryStart()) {
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -44,6 +44,8 @@
   enter<Lease>(
     request: QueueRequest<Lease>,
   ): Promise<neverthrow.Result<Lease, errors.QueueRefusal>>;
+  /** Whether requests wait for a slot of a service. */
+  hasWaiting(service: model.ServiceId): boolean;
   /** Must be called when slots of a service may have become free. */
   notifyCapacity(service: model.ServiceId): void;
 }
--- a/packages/limits/src/weighted_fair_queue.ts
+++ b/packages/limits/src/weighted_fair_queue.ts
@@ -122,6 +122,10 @@
     return this.#waitForSlot(service, key, request);
   }
 
+  hasWaiting(service: model.ServiceId): boolean {
+    return (this.#services.get(service)?.waitingCount ?? 0) > 0;
+  }
+
   notifyCapacity(id: model.ServiceId): void {
     const service = this.#services.get(id);
     if (service === undefined) {
--- a/packages/limits/test/weighted_fair_queue_test.ts
+++ b/packages/limits/test/weighted_fair_queue_test.ts
@@ -110,6 +110,19 @@
     assert.ok((await waiting).isOk());
   });
 
+  test.it("hides from optional requests that others wait for a slot", async () => {
+    for (const waitingQueue of [queue, new limits.ArrivalOrderQueue()]) {
+      const slots = new ManualSlots();
+      assert.equal(waitingQueue.hasWaiting(SERVICE), false);
+      const waiting = slots.enter(waitingQueue, "a", kernel.getMonotonicMilliseconds() + 1_000);
+      assert.equal(waitingQueue.hasWaiting(SERVICE), true);
+      slots.free = 1;
+      waitingQueue.notifyCapacity(SERVICE);
+      assert.ok((await waiting).isOk());
+      assert.equal(waitingQueue.hasWaiting(SERVICE), false);
+    }
+  });
+
   test.it("refuses at once when the wait would pass the deadline, and says when to retry", async () => {
     const slots = new ManualSlots();
     const late = kernel.getMonotonicMilliseconds() + 60_000;
