Gateway: an error response was lost if its retry could not be placed

What callers saw: the VM's own refusal instead of the target's 502, 503 or 504. With two targets of one slot, the second one at work on a write, a read that the first one answered with 503 got `queue_timeout`, without the target's fields and body; where the retry was reset, it got 502 `target_reset`.

Cause: the response was discarded at its head, as soon as a retry was taken from the budget. Whether a slot became free within the half second that a retry waits, and whether the retry was answered, showed afterwards.

Now such a response is withheld, up to the 64 KiB that were read before too, and passed on with its trailers if the retry gets no slot, is not allowed any more or fails, as are all after it. The retry is taken from the budget when it is placed; at the head it is only asked for, and where none is possible, the response goes on from its head as before. A longer response is retried as before and not kept. The deadline, a withdrawn key and the caller's leave end a request as before.

Ruled out: pausing the connection until the retry has a slot. It would hold the slot of a target that has finished its work.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -16,6 +16,33 @@
 /** Largest response of unknown length that a caller of HTTP/1.0 can get. */
 const MAXIMUM_UNSENT_BYTES = 256 * 1_024;
 
+/** A copy of a target's response that has not gone to the caller. */
+export class WithheldAnswer {
+  readonly status: number;
+  readonly statusText: string;
+  readonly rawHeaders: readonly Buffer[];
+  readonly chunks: Buffer[] = [];
+  rawTrailers: readonly string[] = [];
+  /** Whether the response has ended. */
+  isComplete = false;
+
+  constructor(status: number, statusText: string, rawHeaders: readonly Buffer[]) {
+    this.status = status;
+    this.statusText = statusText;
+    // The HTTP client owns the buffers and may reuse them.
+    this.rawHeaders = rawHeaders.map((part) => Buffer.from(part));
+  }
+
+  write(chunk: Buffer): void {
+    this.chunks.push(Buffer.from(chunk));
+  }
+
+  finish(rawTrailers: readonly string[]): void {
+    this.rawTrailers = rawTrailers;
+    this.isComplete = true;
+  }
+}
+
 /** A response that is sent as a whole, once its length is known. */
 interface UnsentAnswer {
   readonly status: number;
@@ -153,6 +180,15 @@
     this.#response.end();
   }
 
+  /** Sends a response of a target that was withheld. */
+  pass(withheld: WithheldAnswer): void {
+    this.begin(withheld.status, withheld.statusText, withheld.rawHeaders, () => {});
+    for (const chunk of withheld.chunks) {
+      this.write(chunk);
+    }
+    this.finish(withheld.rawTrailers);
+  }
+
   /** Sends a stored response. */
   replay(answer: claims.StoredAnswer): void {
     const kept = [...answer.headers];
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -5,11 +5,14 @@
 import * as kernel from "@hemlockwalk/kernel";
 import type * as undici from "undici";
 import * as bodies from "./bodies.ts";
-import type * as answers from "./answers.ts";
+import * as answers from "./answers.ts";
 import type * as running from "./running_requests.ts";
 
-/** A discarded response is read up to this size, so that the connection can be reused. */
-const MAXIMUM_DISCARDED_BYTES = 64 * 1_024;
+/**
+ * A response that does not go to the caller at once is read up to this size, so that the connection
+ * can be reused and an error response can be passed on later.
+ */
+const MAXIMUM_WITHHELD_BYTES = 64 * 1_024;
 
 /** Error codes with which the HTTP client rejects a request before sending it. */
 const INVALID_REQUEST_CODES: ReadonlySet<string> = new Set([
@@ -24,7 +27,7 @@
   | "answered"
   /** The target sent its service's signal for requests that it did not run. */
   | "not_run_signal"
-  /** The target sent an error response that was discarded because the request is retried. */
+  /** The target sent an error response that was withheld because another attempt may succeed. */
   | "server_error"
   /** The response has a status that no final response has. */
   | "malformed"
@@ -63,6 +66,8 @@
   readonly headMilliseconds: number;
   /** Time from the first byte sent to the last byte received. */
   readonly targetMilliseconds: number;
+  /** The response of a `server_error`; undefined if it is incomplete or too long to be kept. */
+  readonly withheld: answers.WithheldAnswer | undefined;
   /** The cause of a failure; decides the refusal for `body_failed`. */
   readonly error: Error | undefined;
 }
@@ -100,7 +105,8 @@
   #headMilliseconds: number | undefined;
   #status: number | undefined;
   #decision: HeadDecision = "pass";
-  #discardedBytes = 0;
+  #withheldBytes = 0;
+  #withheld: answers.WithheldAnswer | undefined;
   #timedOut = false;
   #settled = false;
 
@@ -142,6 +148,8 @@
     this.#decision = this.#request.decideOnHead(status, rawHeaders);
     if (this.#decision === "pass") {
       this.#request.answer.begin(status, statusText, rawHeaders, resume);
+    } else if (this.#decision === "server_error") {
+      this.#withheld = new answers.WithheldAnswer(status, statusText, rawHeaders);
     } else if (this.#decision === "malformed" || this.#decision === "unframed") {
       this.#abort?.();
     }
@@ -157,9 +165,11 @@
       }
       return takesMore ?? true;
     }
-    this.#discardedBytes += chunk.length;
-    if (this.#discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+    this.#withheldBytes += chunk.length;
+    if (this.#withheldBytes > MAXIMUM_WITHHELD_BYTES) {
       this.#abort?.();
+    } else {
+      this.#withheld?.write(chunk);
     }
     return true;
   }
@@ -170,6 +180,7 @@
       this.#settle("answered", true);
       return;
     }
+    this.#withheld?.finish(rawTrailers ?? []);
     this.#settle(this.#decision, true);
   }
 
@@ -222,6 +233,7 @@
       connectionUsable,
       headMilliseconds: (this.#headMilliseconds ?? now) - this.#startedMilliseconds,
       targetMilliseconds: now - (this.#sentMilliseconds ?? now),
+      withheld: this.#withheld?.isComplete === true ? this.#withheld : undefined,
       error,
     });
   }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -57,7 +57,10 @@
       }
       const lease = await this.#enterQueue(run);
       if (lease.isErr()) {
-        return run.finish(callResults.createQueueRefusal(lease.error, run));
+        const refusal = callResults.createQueueRefusal(lease.error, run);
+        return lease.error.kind === "cancelled"
+          ? run.finish(refusal)
+          : finishUnanswered(run, refusal);
       }
       const result = await this.#attempt(run, lease.value);
       const next = this.#handleResult(run, result);
@@ -108,6 +111,7 @@
     const isUsable = result.connectionUsable && result.end !== "not_run_signal";
     targetConnections.release(connection, isUsable);
     run.targetMilliseconds += result.targetMilliseconds;
+    run.withheld = result.withheld ?? run.withheld;
     return result;
   }
 
@@ -157,8 +161,11 @@
     if (!accepted.idempotent || !retries.isRetriedStatus(status)) {
       return "pass";
     }
-    // The retry is reserved here because a response that is discarded can't be passed on later.
-    const noRetryReason = retries.takeRetry(run.createRetryConditions(false), run.budget);
+    // Where no other response can come, this one is passed on without delay.
+    const noRetryReason = retries.findNoRetryReasonWithBudget(
+      run.createRetryConditions(false),
+      run.budget,
+    );
     if (noRetryReason !== undefined) {
       this.#meters.notRetried.inc({ reason: noRetryReason });
       return "pass";
@@ -179,8 +186,8 @@
       case "answered":
         return run.finishAnswered();
       case "server_error":
-        this.#meters.retries.inc({ reason: result.end });
-        return "retry";
+        // The refusal is sent only if the response was not kept, being too long or incomplete.
+        return this.#retryOrFinish(run, result.end, false, refusals.Refusals.targetReset);
       case "ended":
         return this.#finishFailed(run, result, callResults.createEndRefusal(run));
       case "body_failed":
@@ -218,7 +225,7 @@
       return "retry";
     }
     this.#meters.notRetried.inc({ reason: noRetryReason });
-    return run.finish(run.createRefusal(row, RETRY_AFTER_MILLISECONDS));
+    return finishUnanswered(run, run.createRefusal(row, RETRY_AFTER_MILLISECONDS));
   }
 
   #finishFailed(
@@ -235,6 +242,18 @@
   }
 }
 
+/** Passes on a response that was withheld; without one, the request is refused. */
+function finishUnanswered(
+  run: runs.RequestRun,
+  refusal: refusals.Refusal,
+): runs.ForwardResult {
+  if (run.withheld === undefined) {
+    return run.finish(refusal);
+  }
+  run.ready.answer.pass(run.withheld);
+  return run.finishAnswered();
+}
+
 function getHeadTimeout(
   run: runs.RequestRun,
   connection: connections.TargetConnection,
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -47,6 +47,8 @@
   /** Whether an ended attempt may have run on its target. */
   mayHaveRun = false;
   targetMilliseconds = 0;
+  /** The latest complete error response, passed on if nothing better comes. */
+  withheld: answers.WithheldAnswer | undefined;
 
   constructor(ready: ReadyRequest, budget: retries.RetryBudget) {
     this.ready = ready;
--- a/packages/gateway/src/retries.ts
+++ b/packages/gateway/src/retries.ts
@@ -78,8 +78,13 @@
     this.#level = Math.min(BUDGET_CAPACITY, this.#level + BUDGET_PER_REQUEST);
   }
 
+  /** Whether a retry can be taken. */
+  get hasRetry(): boolean {
+    return this.#level >= 1;
+  }
+
   tryTakeRetry(): boolean {
-    if (this.#level < 1) {
+    if (!this.hasRetry) {
       return false;
     }
     this.#level--;
@@ -119,6 +124,14 @@
   return leftMilliseconds < SHORTEST_ATTEMPT_MILLISECONDS ? "deadline_near" : undefined;
 }
 
+/** Why the request can't be retried; undefined if it can. Takes nothing from the budget. */
+export function findNoRetryReasonWithBudget(
+  conditions: RetryConditions,
+  budget: RetryBudget,
+): NoRetryReason | undefined {
+  return findNoRetryReason(conditions) ?? (budget.hasRetry ? undefined : "budget_spent");
+}
+
 /** Takes a retry from the budget if one is allowed; otherwise returns the reason against it. */
 export function takeRetry(
   conditions: RetryConditions,
