Gateway: a target at work was given up before another attempt could run

What callers saw: the VM's own 504 although a target was at work and would have answered in time, also during the drain of a stopping VM. With two slow targets and 2 s for a request, the first was cut off after 1 s, and the second one was too slow for what was left. Where the second one refused, reset or accepted no connection, or sent a status that no response has, the caller got 503 or 502; with a spent budget 504 after 1 s; without a free slot 503 `queue_timeout`.

Cause: an attempt that was silent for half of the time left, or for 2 s on a connection that may be half-open, was aborted first. Whether a retry had a token, a target, a slot and time was asked afterwards. Nothing in that depends on the stop, but a stop waits for just these requests.

Now silence ends no attempt. After the same time as before, another one is placed beside it if an attempt, another target with a free slot, a retry of the budget, the body and the time allow it at once and no request waits for the service; otherwise the first goes on, and this is asked again after half of the time left. The first response that is passed on wins and only then the others are cancelled. A failed attempt ends only itself while others run; when all have failed, the retry logic is the former one. Requests that must not run twice get no attempt beside the first. An error response that may be retried waits for the attempts that run. The deadline, a withdrawn key, the caller's leave and a response without framing end the request and all its attempts.

The request's end reaches all exchanges through it. The response to the caller asserts that it begins once. The time on targets is the union of the attempts' times, since a sum would make `hemlockwalk_added_seconds` too small. A cancelled attempt that had been silent is still reported as the target's timeout, so that a hanging target is noticed.

Ruled out: asking first and then giving up (the second target may be slower or refuse), and never placing a second attempt (a half-open connection would cost the whole deadline).

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -5,6 +5,7 @@
 import type * as http from "node:http";
 import process from "node:process";
 import type * as claims from "@hemlockwalk/claims";
+import * as kernel from "@hemlockwalk/kernel";
 import * as headers from "./headers.ts";
 
 /** Largest response that is stored for a caller's repeat. */
@@ -102,6 +103,8 @@
     rawHeaders: readonly Buffer[],
     resume: () => void,
   ): void {
+    // Several attempts may run, and only the one that has won may respond.
+    kernel.assert(!this.#hasBegun && this.#unsent === undefined, "A response begins once.");
     const kept = headers.createAnswerHeaders(rawHeaders);
     this.#recorder?.begin(status, kept);
     this.#hasTrailers = kept.includes("trailer");
--- a/packages/gateway/src/call_results.ts
+++ b/packages/gateway/src/call_results.ts
@@ -4,6 +4,7 @@
 
 import type * as limits from "@hemlockwalk/limits";
 import type * as targets from "@hemlockwalk/targets";
+import type * as races from "./attempt_race.ts";
 import * as bodies from "./bodies.ts";
 import type * as exchanges from "./exchange.ts";
 import * as refusals from "./refusals.ts";
@@ -16,6 +17,7 @@
 export function getCallResult(
   ready: runs.ReadyRequest,
   result: exchanges.AttemptResult,
+  attempt: races.RacingAttempt,
   reused: boolean,
 ): targets.CallResult {
   switch (result.end) {
@@ -26,13 +28,11 @@
     case "reset":
       // A reused connection may have been closed for idleness, which is no failure of the target.
       return reused ? "cancelled" : "reset";
-    case "attempt_timeout":
-      return "timeout";
     case "malformed":
     case "unframed":
       return "server_error";
     case "ended":
-      return isTargetTimeout(ready, result) ? "timeout" : "cancelled";
+      return isTargetTimeout(ready, result, attempt) ? "timeout" : "cancelled";
     case "body_failed":
     case "invalid":
       return "cancelled";
@@ -41,7 +41,14 @@
   }
 }
 
-function isTargetTimeout(ready: runs.ReadyRequest, result: exchanges.AttemptResult): boolean {
+function isTargetTimeout(
+  ready: runs.ReadyRequest,
+  result: exchanges.AttemptResult,
+  attempt: races.RacingAttempt,
+): boolean {
+  if (attempt.hasLost) {
+    return attempt.isSilent && result.sent && result.status === undefined;
+  }
   return ready.running.endReason === "deadline" && result.status === undefined &&
     result.targetMilliseconds >= MINIMUM_TARGET_TIMEOUT_MILLISECONDS;
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -6,7 +6,7 @@
 import type * as undici from "undici";
 import * as bodies from "./bodies.ts";
 import * as answers from "./answers.ts";
-import type * as running from "./running_requests.ts";
+import type * as races from "./attempt_race.ts";
 
 /**
  * A response that does not go to the caller at once is read up to this size, so that the connection
@@ -39,9 +39,10 @@
   | "reset"
   /** The connection ended after a response began. */
   | "truncated"
-  /** No response began within the attempt's timeout. */
-  | "attempt_timeout"
-  /** The request was ended by a disconnect, a withdrawn key or its deadline; see its end reason. */
+  /**
+   * The attempt was cancelled: another one won, or the request was ended by a disconnect, a
+   * withdrawn key or its deadline (see its end reason).
+   */
   | "ended"
   /** The HTTP client rejected the request before it sent anything. */
   | "invalid"
@@ -76,11 +77,10 @@
 export interface AttemptRequest {
   readonly options: undici.Dispatcher.DispatchOptions;
   readonly answer: answers.CallerAnswer;
-  readonly running: running.RunningRequest;
+  /** Its cancellation ends the exchange. */
+  readonly attempt: races.RacingAttempt;
   /** Decides by status and headers whether the response goes to the caller. */
   readonly decideOnHead: (status: number, rawHeaders: readonly Buffer[]) => HeadDecision;
-  /** Limit for the wait for a response; undefined if only the request's deadline applies. */
-  readonly headTimeoutMilliseconds: number | undefined;
 }
 
 /** Runs one attempt and resolves when it has ended. */
@@ -99,7 +99,6 @@
   readonly #request: AttemptRequest;
   readonly #resolve: (result: AttemptResult) => void;
   readonly #startedMilliseconds = kernel.getMonotonicMilliseconds();
-  readonly #headTimer: NodeJS.Timeout | undefined;
   #abort: ((error?: Error) => void) | undefined;
   #sentMilliseconds: number | undefined;
   #headMilliseconds: number | undefined;
@@ -107,19 +106,12 @@
   #decision: HeadDecision = "pass";
   #withheldBytes = 0;
   #withheld: answers.WithheldAnswer | undefined;
-  #timedOut = false;
   #settled = false;
 
   constructor(request: AttemptRequest, resolve: (result: AttemptResult) => void) {
     this.#request = request;
     this.#resolve = resolve;
-    request.running.onEnd(() => this.#cancel());
-    if (request.headTimeoutMilliseconds !== undefined) {
-      this.#headTimer = setTimeout(() => {
-        this.#timedOut = true;
-        this.#cancel();
-      }, request.headTimeoutMilliseconds);
-    }
+    request.attempt.onCancel(() => this.#cancel());
   }
 
   onConnect(abort: (error?: Error) => void): void {
@@ -142,7 +134,6 @@
     if (status >= 100 && status < 200) {
       return true;
     }
-    clearTimeout(this.#headTimer);
     this.#headMilliseconds = kernel.getMonotonicMilliseconds();
     this.#status = status;
     this.#decision = this.#request.decideOnHead(status, rawHeaders);
@@ -194,11 +185,11 @@
       return;
     }
     // There is no connection yet. `onConnect` aborts the request once there is one.
-    this.#settle(this.#timedOut ? "connect_failed" : "ended", false);
+    this.#settle("ended", false);
   }
 
   #classify(error: Error): AttemptEnd {
-    if (this.#request.running.endReason !== undefined) {
+    if (this.#request.attempt.isCancelled) {
       return "ended";
     }
     if (error instanceof bodies.BodyError) {
@@ -207,9 +198,6 @@
     if (this.#decision !== "pass") {
       return this.#decision;
     }
-    if (this.#timedOut) {
-      return this.#sentMilliseconds === undefined ? "connect_failed" : "attempt_timeout";
-    }
     if (this.#sentMilliseconds === undefined) {
       const { code } = error as NodeJS.ErrnoException;
       return INVALID_REQUEST_CODES.has(code ?? "") ? "invalid" : "connect_failed";
@@ -222,8 +210,7 @@
       return;
     }
     this.#settled = true;
-    clearTimeout(this.#headTimer);
-    this.#request.running.onEnd(undefined);
+    this.#request.attempt.onCancel(undefined);
     const now = kernel.getMonotonicMilliseconds();
     this.#resolve({
       end,
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -1,5 +1,9 @@
 /**
  * Runs an admitted request: makes attempts until one is answered or no retry is allowed.
+ *
+ * A running attempt is never given up for its slowness. After a silence, another one is placed
+ * beside it if that is possible at once (see `AttemptRace`). The attempts after a failed one wait
+ * for a slot, since nothing runs then that the wait could delay.
  */
 
 import * as kernel from "@hemlockwalk/kernel";
@@ -8,6 +12,7 @@
 import type * as targets from "@hemlockwalk/targets";
 import type * as neverthrow from "neverthrow";
 import type * as undici from "undici";
+import * as races from "./attempt_race.ts";
 import * as callResults from "./call_results.ts";
 import * as connections from "./connections.ts";
 import * as exchanges from "./exchange.ts";
@@ -17,14 +22,23 @@
 import * as runs from "./request_run.ts";
 import * as retries from "./retries.ts";
 
-/** Share of the remaining time that an attempt may wait for a response if a retry is possible. */
-const ATTEMPT_TIME_SHARE = 0.5;
+/** Share of the remaining time after which a silent attempt calls for another one beside it. */
+const SILENCE_TIME_SHARE = 0.5;
 
-/** How long an attempt may wait for a response on a connection that may be half-open. */
-const IDLE_CONNECTION_ATTEMPT_MILLISECONDS = 2_000;
+/** Silence that calls for another attempt if the connection may be half-open. */
+const IDLE_CONNECTION_SILENCE_MILLISECONDS = 2_000;
 
 const RETRY_AFTER_MILLISECONDS = 1_000;
 
+/** Ends of attempts after which the request goes on: with the others that run, else with a retry. */
+const FAILURES: ReadonlySet<exchanges.AttemptEnd> = new Set([
+  "not_run_signal",
+  "server_error",
+  "malformed",
+  "connect_failed",
+  "reset",
+]);
+
 /** Forwards requests to targets. */
 export class Forwarder {
   readonly #pool: targets.TargetPool;
@@ -62,7 +76,7 @@
           ? run.finish(refusal)
           : finishUnanswered(run, refusal);
       }
-      const result = await this.#attempt(run, lease.value);
+      const result = await this.#race(run, lease.value);
       const next = this.#handleResult(run, result);
       if (next !== "retry") {
         return next;
@@ -73,54 +87,92 @@
   #enterQueue(
     run: runs.RequestRun,
   ): Promise<neverthrow.Result<targets.TargetLease, limits.QueueRefusal>> {
-    const targetRequest: targets.TargetRequest = {
-      service: run.ready.accepted.service.id,
-      route: run.ready.accepted.route.id,
-      idempotent: run.ready.accepted.idempotent,
-      exclude: run.triedTargets,
-    };
+    const targetRequest = run.createTargetRequest();
     return this.#queue.enter(new runs.QueueEntry(run, () => this.#pool.tryAcquire(targetRequest)));
   }
 
+  /** Makes an attempt, and others beside it while it is silent. */
+  async #race(
+    run: runs.RequestRun,
+    lease: targets.TargetLease,
+  ): Promise<exchanges.AttemptResult | undefined> {
+    const { running: runningRequest } = run.ready;
+    if (runningRequest.endReason !== undefined) {
+      lease.release(run.createOutcome("cancelled", 0));
+      return undefined;
+    }
+    const race = new races.AttemptRace<targets.TargetLease, exchanges.AttemptResult>({
+      runAttempt: (placed, attempt) => this.#attempt(run, placed, attempt),
+      isFailure: ({ end }) => FAILURES.has(end),
+      tryPlace: () => this.#tryPlaceBeside(run),
+    });
+    runningRequest.onEnd(() => race.cancel());
+    try {
+      return await race.run(lease);
+    } finally {
+      runningRequest.onEnd(undefined);
+    }
+  }
+
+  /** Takes a retry and a slot for an attempt beside a silent one, if both are there at once. */
+  #tryPlaceBeside(run: runs.RequestRun): targets.TargetLease | undefined {
+    const conditions = run.createRetryConditions(false);
+    const mayRetry = retries.findNoRetryReasonWithBudget(conditions, run.budget) === undefined;
+    // An attempt that is not needed for certain does not go ahead of requests without any.
+    if (!mayRetry || this.#queue.hasWaiting(run.ready.accepted.service.id)) {
+      return undefined;
+    }
+    const lease = this.#pool.tryAcquire(run.createTargetRequest());
+    if (lease !== undefined) {
+      run.budget.tryTakeRetry();
+      this.#meters.retries.inc({ reason: "attempt_timeout" });
+    }
+    return lease;
+  }
+
   async #attempt(
     run: runs.RequestRun,
     lease: targets.TargetLease,
+    attempt: races.RacingAttempt,
   ): Promise<exchanges.AttemptResult | undefined> {
-    const { accepted, running: runningRequest } = run.ready;
+    // Counted before the wait for a connection, during which no other attempt may take its place.
+    run.attempts++;
+    run.triedTargets.add(lease.target.id);
+    const { accepted } = run.ready;
     const targetConnections = this.#connections.get(lease.target);
-    const acquired = targetConnections.acquire(accepted.idempotent, runningRequest);
+    const acquired = targetConnections.acquire(accepted.idempotent, attempt);
     const connection = acquired instanceof Promise ? await acquired : acquired;
-    // During the wait, the request may have been ended or its deadline may have passed.
+    // During the wait, the attempt may have been cancelled or the deadline may have passed.
     const isLate = accepted.deadlineMilliseconds <= kernel.getMonotonicMilliseconds();
-    if (connection === undefined || runningRequest.endReason !== undefined || isLate) {
+    if (connection === undefined || attempt.isCancelled || isLate) {
       if (connection !== undefined) {
         targetConnections.releaseUnused(connection);
       }
       lease.release(run.createOutcome("cancelled", 0));
       return undefined;
     }
-    run.attempts++;
-    run.triedTargets.add(lease.target.id);
+    const mayBeHalfOpen = connection.reused &&
+      !connection.isRecentlyActive(kernel.getMonotonicMilliseconds());
+    attempt.begin(() => getSilenceLimit(run, mayBeHalfOpen));
     const result = await exchanges.runAttempt(
       connection.client,
-      this.#createAttemptRequest(run, lease.target, connection),
+      this.#createAttemptRequest(run, lease.target, attempt),
     );
-    const callResult = callResults.getCallResult(run.ready, result, connection.reused);
+    run.recordResult(result);
+    const callResult = callResults.getCallResult(run.ready, result, attempt, connection.reused);
     lease.release(run.createOutcome(callResult, result.headMilliseconds));
     // The target may repeat its refusal where the response to the next request is due.
     const isUsable = result.connectionUsable && result.end !== "not_run_signal";
     targetConnections.release(connection, isUsable);
-    run.targetMilliseconds += result.targetMilliseconds;
-    run.withheld = result.withheld ?? run.withheld;
     return result;
   }
 
   #createAttemptRequest(
     run: runs.RequestRun,
     target: model.Target,
-    connection: connections.TargetConnection,
+    attempt: races.RacingAttempt,
   ): exchanges.AttemptRequest {
-    const { accepted, body, answer, running: runningRequest } = run.ready;
+    const { accepted, body, answer } = run.ready;
     const left = accepted.deadlineMilliseconds - kernel.getMonotonicMilliseconds();
     const options: undici.Dispatcher.DispatchOptions = {
       origin: `http://${target.address}`,
@@ -133,14 +185,20 @@
     return {
       options,
       answer,
-      running: runningRequest,
-      decideOnHead: (status, rawHeaders) => this.#decideOnHead(run, status, rawHeaders),
-      headTimeoutMilliseconds: getHeadTimeout(run, connection, left),
+      attempt,
+      decideOnHead: (status, rawHeaders) => {
+        const decision = this.#decideOnHead(run, attempt, status, rawHeaders);
+        if (decision === "pass") {
+          attempt.win();
+        }
+        return decision;
+      },
     };
   }
 
   #decideOnHead(
     run: runs.RequestRun,
+    attempt: races.RacingAttempt,
     status: number,
     rawHeaders: readonly Buffer[],
   ): exchanges.HeadDecision {
@@ -162,10 +220,9 @@
       return "pass";
     }
     // Where no other response can come, this one is passed on without delay.
-    const noRetryReason = retries.findNoRetryReasonWithBudget(
-      run.createRetryConditions(false),
-      run.budget,
-    );
+    const noRetryReason = attempt.isAlone
+      ? retries.findNoRetryReasonWithBudget(run.createRetryConditions(false), run.budget)
+      : undefined;
     if (noRetryReason !== undefined) {
       this.#meters.notRetried.inc({ reason: noRetryReason });
       return "pass";
@@ -180,8 +237,6 @@
     if (result === undefined) {
       return run.finish(callResults.createEndRefusal(run));
     }
-    const provablyNotRun = !result.sent || result.end === "not_run_signal";
-    run.mayHaveRun ||= !provablyNotRun;
     switch (result.end) {
       case "answered":
         return run.finishAnswered();
@@ -206,8 +261,6 @@
         return this.#retryOrFinish(run, result.end, true, refusals.Refusals.connectFailed);
       case "reset":
         return this.#retryOrFinish(run, result.end, false, refusals.Refusals.targetReset);
-      case "attempt_timeout":
-        return this.#retryOrFinish(run, result.end, false, refusals.Refusals.deadlineExceeded);
       default:
         return kernel.assertNever(result.end);
     }
@@ -254,18 +307,14 @@
   return run.finishAnswered();
 }
 
-function getHeadTimeout(
-  run: runs.RequestRun,
-  connection: connections.TargetConnection,
-  leftMilliseconds: number,
-): number | undefined {
+/** Silence in milliseconds that calls for another attempt; undefined if none is possible. */
+function getSilenceLimit(run: runs.RequestRun, mayBeHalfOpen: boolean): number | undefined {
   const conditions = run.createRetryConditions(false);
-  // Both the current attempt and its target already count as used.
+  // All running attempts and their targets already count as used.
   if (!conditions.idempotent || retries.findNoRetryReason(conditions) !== undefined) {
     return undefined;
   }
-  const share = leftMilliseconds * ATTEMPT_TIME_SHARE;
-  const mayBeHalfOpen = connection.reused &&
-    !connection.isRecentlyActive(kernel.getMonotonicMilliseconds());
-  return mayBeHalfOpen ? Math.min(share, IDLE_CONNECTION_ATTEMPT_MILLISECONDS) : share;
+  const left = conditions.deadlineMilliseconds - kernel.getMonotonicMilliseconds();
+  const share = left * SILENCE_TIME_SHARE;
+  return mayBeHalfOpen ? Math.min(share, IDLE_CONNECTION_SILENCE_MILLISECONDS) : share;
 }
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -29,7 +29,7 @@
     );
     this.retries = metrics.createCounter(
       "hemlockwalk_retries_total",
-      "Retries of requests, by the end of the previous attempt.",
+      "Retries of requests, by the end or the silence of the previous attempt.",
       ["reason"],
     );
     this.notRetried = metrics.createCounter(
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -9,6 +9,7 @@
 import type * as targets from "@hemlockwalk/targets";
 import type * as answers from "./answers.ts";
 import type * as bodies from "./bodies.ts";
+import type * as exchanges from "./exchange.ts";
 import * as headers from "./headers.ts";
 import type * as refusals from "./refusals.ts";
 import type * as retries from "./retries.ts";
@@ -34,7 +35,7 @@
   readonly refusal: refusals.Refusal | undefined;
   /** Whether the complete response of the target went to the caller. */
   readonly answered: boolean;
-  /** Time spent on targets, summed over all attempts. */
+  /** Time during which at least one attempt ran on a target. */
   readonly targetMilliseconds: number;
 }
 
@@ -46,15 +47,23 @@
   attempts = 0;
   /** Whether an ended attempt may have run on its target. */
   mayHaveRun = false;
-  targetMilliseconds = 0;
   /** The latest complete error response, passed on if nothing better comes. */
   withheld: answers.WithheldAnswer | undefined;
+  readonly #targetTime = new UnionDuration();
 
   constructor(ready: ReadyRequest, budget: retries.RetryBudget) {
     this.ready = ready;
     this.budget = budget;
   }
 
+  /** Records how an attempt ended, which it has just done. */
+  recordResult(result: exchanges.AttemptResult): void {
+    const provablyNotRun = !result.sent || result.end === "not_run_signal";
+    this.mayHaveRun ||= !provablyNotRun;
+    this.withheld = result.withheld ?? this.withheld;
+    this.#targetTime.add(result.targetMilliseconds);
+  }
+
   createHeaders(leftMilliseconds: number): string[] {
     const { accepted, request, body, trustForwardedHeaders } = this.ready;
     // Requests rarely need a second attempt, so the list is not cached.
@@ -78,6 +87,11 @@
     };
   }
 
+  createTargetRequest(): targets.TargetRequest {
+    const { service, route, idempotent } = this.ready.accepted;
+    return { service: service.id, route: route.id, idempotent, exclude: this.triedTargets };
+  }
+
   createOutcome(result: targets.CallResult, latencyMilliseconds: number): targets.CallOutcome {
     return { result, latencyMilliseconds, route: this.ready.accepted.route.id };
   }
@@ -87,11 +101,15 @@
   }
 
   finish(refusal: refusals.Refusal | undefined): ForwardResult {
-    return { refusal, answered: false, targetMilliseconds: this.targetMilliseconds };
+    return { refusal, answered: false, targetMilliseconds: this.#targetTime.milliseconds };
   }
 
   finishAnswered(): ForwardResult {
-    return { refusal: undefined, answered: true, targetMilliseconds: this.targetMilliseconds };
+    return {
+      refusal: undefined,
+      answered: true,
+      targetMilliseconds: this.#targetTime.milliseconds,
+    };
   }
 
   #hasOtherTarget(): boolean {
@@ -102,6 +120,31 @@
   }
 }
 
+/** The time covered by intervals that may overlap. */
+class UnionDuration {
+  /** Disjoint intervals in order. */
+  readonly #intervals: { readonly start: number; readonly end: number }[] = [];
+
+  /** Adds an interval of the given length that ends now. */
+  add(milliseconds: number): void {
+    const end = kernel.getMonotonicMilliseconds();
+    let start = end - milliseconds;
+    for (;;) {
+      const last = this.#intervals.at(-1);
+      if (last === undefined || last.end < start) {
+        break;
+      }
+      start = Math.min(start, last.start);
+      this.#intervals.pop();
+    }
+    this.#intervals.push({ start, end });
+  }
+
+  get milliseconds(): number {
+    return this.#intervals.reduce((sum, { start, end }) => sum + end - start, 0);
+  }
+}
+
 /** A request in the queue of its service. */
 export class QueueEntry implements limits.QueueRequest<targets.TargetLease> {
   readonly service: model.ServiceId;
--- a/packages/gateway/src/retries.ts
+++ b/packages/gateway/src/retries.ts
@@ -1,5 +1,5 @@
 /**
- * Decides whether a failed attempt is retried.
+ * Decides whether a failed attempt is retried, and whether another one may run beside a silent one.
  *
  * A request is retried only if it is idempotent or provably did not run, if no part of a response
  * has reached the caller, and if the deadline and a retry budget allow it. The budget keeps the
@@ -27,7 +27,7 @@
 /** Statuses that report a transient error. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
 
-/** Why a request is retried. */
+/** Why a request is retried. For `attempt_timeout`, the silent attempt goes on beside the retry. */
 export const RETRY_REASONS = [
   "connect_failed",
   "not_run_signal",
