--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -5,11 +5,14 @@
 import * as kernel from "@hemlockwalk/kernel";
 import type * as undici from "undici";
 import * as bodies from "./bodies.ts";
-import type * as answers from "./answers.ts";
-import type * as running from "./running_requests.ts";
+import * as answers from "./answers.ts";
+import type * as races from "./attempt_race.ts";
 
-/** A discarded response is read up to this size, so that the connection can be reused. */
-const MAXIMUM_DISCARDED_BYTES = 64 * 1_024;
+/**
+ * A response that does not go to the caller at once is read up to this size, so that the connection
+ * can be reused and an error response can be passed on later.
+ */
+const MAXIMUM_WITHHELD_BYTES = 64 * 1_024;
 
 /** Error codes with which the HTTP client rejects a request before sending it. */
 const INVALID_REQUEST_CODES: ReadonlySet<string> = new Set([
@@ -24,7 +27,7 @@
   | "answered"
   /** The target sent its service's signal for requests that it did not run. */
   | "not_run_signal"
-  /** The target sent an error response that was discarded because the request is retried. */
+  /** The target sent an error response that was withheld because another attempt may succeed. */
   | "server_error"
   /** The response has a status that no final response has. */
   | "malformed"
@@ -36,9 +39,10 @@
   | "reset"
   /** The connection ended after a response began. */
   | "truncated"
-  /** No response began within the attempt's timeout. */
-  | "attempt_timeout"
-  /** The request was ended by a disconnect, a withdrawn key or its deadline; see its end reason. */
+  /**
+   * The attempt was cancelled: another one won, or the request was ended by a disconnect, a
+   * withdrawn key or its deadline (see its end reason).
+   */
   | "ended"
   /** The HTTP client rejected the request before it sent anything. */
   | "invalid"
@@ -63,6 +67,8 @@
   readonly headMilliseconds: number;
   /** Time from the first byte sent to the last byte received. */
   readonly targetMilliseconds: number;
+  /** The response of a `server_error`; undefined if it is incomplete or too long to be kept. */
+  readonly withheld: answers.WithheldAnswer | undefined;
   /** The cause of a failure; decides the refusal for `body_failed`. */
   readonly error: Error | undefined;
 }
@@ -71,11 +77,10 @@
 export interface AttemptRequest {
   readonly options: undici.Dispatcher.DispatchOptions;
   readonly answer: answers.CallerAnswer;
-  readonly running: running.RunningRequest;
+  /** Its cancellation ends the exchange. */
+  readonly attempt: races.RacingAttempt;
   /** Decides by status and headers whether the response goes to the caller. */
   readonly decideOnHead: (status: number, rawHeaders: readonly Buffer[]) => HeadDecision;
-  /** Limit for the wait for a response; undefined if only the request's deadline applies. */
-  readonly headTimeoutMilliseconds: number | undefined;
 }
 
 /** Runs one attempt and resolves when it has ended. */
@@ -94,26 +99,19 @@
   readonly #request: AttemptRequest;
   readonly #resolve: (result: AttemptResult) => void;
   readonly #startedMilliseconds = kernel.getMonotonicMilliseconds();
-  readonly #headTimer: NodeJS.Timeout | undefined;
   #abort: ((error?: Error) => void) | undefined;
   #sentMilliseconds: number | undefined;
   #headMilliseconds: number | undefined;
   #status: number | undefined;
   #decision: HeadDecision = "pass";
-  #discardedBytes = 0;
-  #timedOut = false;
+  #withheldBytes = 0;
+  #withheld: answers.WithheldAnswer | undefined;
   #settled = false;
 
   constructor(request: AttemptRequest, resolve: (result: AttemptResult) => void) {
     this.#request = request;
     this.#resolve = resolve;
-    request.running.onEnd(() => this.#cancel());
-    if (request.headTimeoutMilliseconds !== undefined) {
-      this.#headTimer = setTimeout(() => {
-        this.#timedOut = true;
-        this.#cancel();
-      }, request.headTimeoutMilliseconds);
-    }
+    request.attempt.onCancel(() => this.#cancel());
   }
 
   onConnect(abort: (error?: Error) => void): void {
@@ -136,12 +134,13 @@
     if (status >= 100 && status < 200) {
       return true;
     }
-    clearTimeout(this.#headTimer);
     this.#headMilliseconds = kernel.getMonotonicMilliseconds();
     this.#status = status;
     this.#decision = this.#request.decideOnHead(status, rawHeaders);
     if (this.#decision === "pass") {
       this.#request.answer.begin(status, statusText, rawHeaders, resume);
+    } else if (this.#decision === "server_error") {
+      this.#withheld = new answers.WithheldAnswer(status, statusText, rawHeaders);
     } else if (this.#decision === "malformed" || this.#decision === "unframed") {
       this.#abort?.();
     }
@@ -157,9 +156,11 @@
       }
       return takesMore ?? true;
     }
-    this.#discardedBytes += chunk.length;
-    if (this.#discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+    this.#withheldBytes += chunk.length;
+    if (this.#withheldBytes > MAXIMUM_WITHHELD_BYTES) {
       this.#abort?.();
+    } else {
+      this.#withheld?.write(chunk);
     }
     return true;
   }
@@ -170,6 +171,7 @@
       this.#settle("answered", true);
       return;
     }
+    this.#withheld?.finish(rawTrailers ?? []);
     this.#settle(this.#decision, true);
   }
 
@@ -183,11 +185,11 @@
       return;
     }
     // There is no connection yet. `onConnect` aborts the request once there is one.
-    this.#settle(this.#timedOut ? "connect_failed" : "ended", false);
+    this.#settle("ended", false);
   }
 
   #classify(error: Error): AttemptEnd {
-    if (this.#request.running.endReason !== undefined) {
+    if (this.#request.attempt.isCancelled) {
       return "ended";
     }
     if (error instanceof bodies.BodyError) {
@@ -196,9 +198,6 @@
     if (this.#decision !== "pass") {
       return this.#decision;
     }
-    if (this.#timedOut) {
-      return this.#sentMilliseconds === undefined ? "connect_failed" : "attempt_timeout";
-    }
     if (this.#sentMilliseconds === undefined) {
       const { code } = error as NodeJS.ErrnoException;
       return INVALID_REQUEST_CODES.has(code ?? "") ? "invalid" : "connect_failed";
@@ -211,8 +210,7 @@
       return;
     }
     this.#settled = true;
-    clearTimeout(this.#headTimer);
-    this.#request.running.onEnd(undefined);
+    this.#request.attempt.onCancel(undefined);
     const now = kernel.getMonotonicMilliseconds();
     this.#resolve({
       end,
@@ -222,6 +220,7 @@
       connectionUsable,
       headMilliseconds: (this.#headMilliseconds ?? now) - this.#startedMilliseconds,
       targetMilliseconds: now - (this.#sentMilliseconds ?? now),
+      withheld: this.#withheld?.isComplete === true ? this.#withheld : undefined,
       error,
     });
   }
--- a/packages/gateway/src/retries.ts
+++ b/packages/gateway/src/retries.ts
@@ -1,5 +1,5 @@
 /**
- * Decides whether a failed attempt is retried.
+ * Decides whether a failed attempt is retried, and whether another one may run beside a silent one.
  *
  * A request is retried only if it is idempotent or provably did not run, if no part of a response
  * has reached the caller, and if the deadline and a retry budget allow it. The budget keeps the
@@ -27,7 +27,7 @@
 /** Statuses that report a transient error. */
 const RETRIED_STATUSES: ReadonlySet<number> = new Set([502, 503, 504]);
 
-/** Why a request is retried. */
+/** Why a request is retried. For `attempt_timeout`, the silent attempt goes on beside the retry. */
 export const RETRY_REASONS = [
   "connect_failed",
   "not_run_signal",
@@ -78,8 +78,13 @@
     this.#level = Math.min(BUDGET_CAPACITY, this.#level + BUDGET_PER_REQUEST);
   }
 
+  /** Whether a retry can be taken. */
+  get hasRetry(): boolean {
+    return this.#level >= 1;
+  }
+
   tryTakeRetry(): boolean {
-    if (this.#level < 1) {
+    if (!this.hasRetry) {
       return false;
     }
     this.#level--;
@@ -119,6 +124,14 @@
   return leftMilliseconds < SHORTEST_ATTEMPT_MILLISECONDS ? "deadline_near" : undefined;
 }
 
+/** Why the request can't be retried; undefined if it can. Takes nothing from the budget. */
+export function findNoRetryReasonWithBudget(
+  conditions: RetryConditions,
+  budget: RetryBudget,
+): NoRetryReason | undefined {
+  return findNoRetryReason(conditions) ?? (budget.hasRetry ? undefined : "budget_spent");
+}
+
 /** Takes a retry from the budget if one is allowed; otherwise returns the reason against it. */
 export function takeRetry(
   conditions: RetryConditions,
