Slow requests leave retries to requests whose attempts have failed

Callers whose request a target had refused as not run got 503 in place of a second target, while many slow requests ran: each of these asks for a retry again at least once a second, and took whatever requests had earned.

Now the first ask may take any token, as before the further attempts; a request that found none takes one later only while more than a fifth of the budget is left.

--- a/packages/proxy/src/further_attempt.ts
+++ b/packages/proxy/src/further_attempt.ts
@@ -16,6 +16,12 @@
 const MIN_REPEAT_MILLISECONDS = 100;
 const MAX_REPEAT_MILLISECONDS = 1_000;
 
+/**
+ * A request that found no token before takes one only if more than this share of the service's retry
+ * budget is left, since requests whose attempts have failed end without one.
+ */
+const RESERVED_RETRY_SHARE = 0.2;
+
 /** Why no further attempt is started at present. The names appear in traces. */
 export const FURTHER_OBSTACLES = [
   /** The body is not kept, so it cannot be sent again. */
@@ -61,6 +67,16 @@
     : undefined;
 }
 
+/**
+ * Whether a token of the retry budget may be taken for a request that others still run.
+ *
+ * @param hasLackedRetry Whether the request has found no token before.
+ * @param retryLevel Share of the service's retry budget that is left, from 0 to 1.
+ */
+export function mayTakeRetry(hasLackedRetry: boolean, retryLevel: number): boolean {
+  return !hasLackedRetry || retryLevel > RESERVED_RETRY_SHARE;
+}
+
 /** Time after which a target without a response counts as silent, in milliseconds. */
 export function getSilenceDelay(meanProcessingMilliseconds: number): number {
   return meanProcessingMilliseconds * SILENT_AFTER_MEAN_TIMES;
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -59,6 +59,8 @@
   #sendHeld: () => boolean = () => false;
   /** Why no further attempt was started last; each reason in turn is traced once. */
   #obstacle: further.FurtherObstacle | undefined;
+  /** Whether there was no token of the retry budget for a further attempt. */
+  #hasLackedRetry = false;
   #hasAttempted = false;
   #mayHaveRun = false;
   /** Whether the time for the response has run out. */
@@ -392,7 +394,7 @@
     const start = obstacle === undefined ? this.#chooseFurther(accepted, body) : undefined;
     if (start === undefined) {
       obstacle ??= "no_target";
-    } else if (!this.#count.takeUnspent() && !budgets.takeRetry(service)) {
+    } else if (!this.#count.takeUnspent() && !this.#takeFurtherRetry(service)) {
       obstacle = "no_retry_left";
     }
     if (start === undefined || obstacle !== undefined) {
@@ -408,6 +410,15 @@
     return start();
   }
 
+  /** Takes a token of the retry budget for an attempt beside others. */
+  #takeFurtherRetry(service: model.ServiceId): boolean {
+    const { budgets } = this.#context;
+    const isTaken = further.mayTakeRetry(this.#hasLackedRetry, budgets.getRetryLevel(service)) &&
+      budgets.takeRetry(service);
+    this.#hasLackedRetry ||= !isTaken;
+    return isTaken;
+  }
+
   /** Chooses where a further attempt goes, and returns what starts it; takes nothing for it. */
   #chooseFurther(
     accepted: types.AcceptedRequest,
--- a/packages/proxy/test/attempt_race_test.ts
+++ b/packages/proxy/test/attempt_race_test.ts
@@ -295,3 +295,9 @@
     assert.equal(proxy.findFurtherObstacle({ ...allowed, ...change }), obstacle);
   }
 });
+
+test.test("a slow request takes the last retries again and again", () => {
+  assert.equal(proxy.mayTakeRetry(false, 0.01), true);
+  assert.equal(proxy.mayTakeRetry(true, 0.2), false);
+  assert.equal(proxy.mayTakeRetry(true, 0.5), true);
+});
