--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -733,7 +733,8 @@
   ): kernel.StoppableTimer {
     const { route } = accepted;
     const delay = further.getSilenceDelay(this.#getMean(accepted));
-    const isLast = !route.isIdempotent || this.#count.used >= route.attempts;
+    const isLast = !route.isIdempotent || !body.isBuffered ||
+      this.#count.used >= route.attempts;
     if (isLast || startedAt + delay >= accepted.endsAt) {
       return { stop: () => undefined };
     }
@@ -842,7 +843,7 @@
     if (result.kind === "refused_by_peer") {
       return (route.isIdempotent || !this.#mayHaveRun) &&
         forwarding.mayServeElsewhere(result.refusal) && this.#peers.mayTryAnother &&
-        this.#count.takeUnspent();
+        (this.#count.takeUnspent() || await budgets.takeRetryOrWait(service));
     }
     const isSafeToRetry = route.isIdempotent || (result.kind === "not_run" && !this.#mayHaveRun);
     if (!isSafeToRetry || this.#count.used >= route.attempts) {
