A SIGTERM during the start is carried out after it, with the drain

What callers saw: a SIGTERM that came while a VM started ended the process at once. Requests that the caller listener had accepted by then, and connections that waited for it, were cut off.

Cause: `Kernel.stop` did nothing unless the state was `running`, and the program then ended the process. A process that loads its program handles a signal at the next turn of the event loop, which is often one in which the services start already.

`Kernel.stop` now waits for the end of a start and drains then; further calls return the same promise, and a start that fails ends with code 1 as before.

--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -25,6 +25,10 @@
   readonly #services = new Map<string, types.Service>();
   readonly #started: types.Service[] = [];
   #state: KernelState = "created";
+  /** Settles when the start has ended. */
+  #starting: Promise<void> | undefined;
+  /** Settles when the stop has ended; undefined if none was requested. */
+  #stopping: Promise<void> | undefined;
 
   /** Current phase of the kernel's life cycle. */
   get state(): KernelState {
@@ -69,6 +73,11 @@
   async start(): Promise<void> {
     assertions.assert(this.#state === "created", "The kernel can be started only once.");
     this.#state = "starting";
+    this.#starting = this.#startAll();
+    await this.#starting;
+  }
+
+  async #startAll(): Promise<void> {
     try {
       for (const service of this.#services.values()) {
         await service.start?.();
@@ -81,11 +90,30 @@
     this.#state = "running";
   }
 
-  /** Drains all services, then stops them, both in the reverse order of registration. */
-  async stop(): Promise<void> {
-    if (this.#state !== "running") {
-      return;
+  /**
+   * Drains all services, then stops them, both in the reverse order of registration.
+   *
+   * While the services start, some may have accepted work already, so that a stop is carried out
+   * once all have started. A start that fails stops them itself. Further calls return the same
+   * promise; without a start, nothing is done.
+   */
+  stop(): Promise<void> {
+    if (this.#state === "running") {
+      this.#stopping ??= this.#drainAndStop();
+    } else if (this.#state === "starting") {
+      this.#stopping ??= this.#stopAfterStart();
+    }
+    return this.#stopping ?? Promise.resolve();
+  }
+
+  async #stopAfterStart(): Promise<void> {
+    const hasStarted = await this.#starting?.then(() => true, () => false);
+    if (hasStarted === true) {
+      await this.#drainAndStop();
     }
+  }
+
+  async #drainAndStop(): Promise<void> {
     this.#state = "draining";
     for (const service of [...this.#started].reverse()) {
       await service.drain?.();
