The grace period of a stop counts from when SIGTERM may have been sent

What callers saw: a VM that stood still, or whose event loop was busy, when SIGTERM was sent counted the cut-off from the moment at which it handled the signal. Its platform counted from the sending, and killed it while requests still ran, which then got no answer at all.

`Kernel.stop` passes the time on to `drain`, so that a stop that waits for the end of a start counts from its signal as well. The listener counts all its times from it.

`fleet_harness.ts` of limits passes the new argument.

--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -6,6 +6,7 @@
  */
 
 import * as assertions from "./assert.ts";
+import * as clock from "./clock.ts";
 import type * as types from "./types.ts";
 
 /** Thrown when a service is registered twice or after the start, or is not registered. */
@@ -96,27 +97,30 @@
    * While the services start, some may have accepted work already, so that a stop is carried out
    * once all have started. A start that fails stops them itself. Further calls return the same
    * promise; without a start, nothing is done.
+   *
+   * @param requestedAt Monotonic time at which the stop was requested, in milliseconds; by default
+   *     now.
    */
-  stop(): Promise<void> {
+  stop(requestedAt = clock.getMonotonicMilliseconds()): Promise<void> {
     if (this.#state === "running") {
-      this.#stopping ??= this.#drainAndStop();
+      this.#stopping ??= this.#drainAndStop(requestedAt);
     } else if (this.#state === "starting") {
-      this.#stopping ??= this.#stopAfterStart();
+      this.#stopping ??= this.#stopAfterStart(requestedAt);
     }
     return this.#stopping ?? Promise.resolve();
   }
 
-  async #stopAfterStart(): Promise<void> {
+  async #stopAfterStart(requestedAt: number): Promise<void> {
     const hasStarted = await this.#starting?.then(() => true, () => false);
     if (hasStarted === true) {
-      await this.#drainAndStop();
+      await this.#drainAndStop(requestedAt);
     }
   }
 
-  async #drainAndStop(): Promise<void> {
+  async #drainAndStop(requestedAt: number): Promise<void> {
     this.#state = "draining";
     for (const service of [...this.#started].reverse()) {
-      await service.drain?.();
+      await service.drain?.(requestedAt);
     }
     await this.#stopStarted();
   }
--- a/packages/kernel/src/mod.ts
+++ b/packages/kernel/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./assert.ts";
 export * from "./bounded_output.ts";
 export * from "./clock.ts";
+export * from "./event_loop_watch.ts";
 export * from "./hash.ts";
 export * from "./http_fields.ts";
 export * from "./http_status.ts";
--- a/packages/kernel/src/types.ts
+++ b/packages/kernel/src/types.ts
@@ -9,8 +9,11 @@
   /**
    * Called first in a graceful stop, in the reverse order of registration. The service accepts no
    * new work, transfers the state that other VMs need, and resolves when its work has ended.
+   *
+   * @param requestedAt Monotonic time at which the stop was requested, in milliseconds. It lies back
+   *     if the process could not handle the request at once.
    */
-  drain?(): Promise<void> | void;
+  drain?(requestedAt: number): Promise<void> | void;
   /** Called last, in the reverse order of registration. Releases timers, sockets and files. */
   stop?(): Promise<void> | void;
 }
--- a/packages/limits/test/fleet_harness.ts
+++ b/packages/limits/test/fleet_harness.ts
@@ -292,7 +292,7 @@
   /** Drains a VM and then stops it. */
   async drain(vm: TestVm): Promise<void> {
     vm.state = "leaving";
-    await this.#timers.run(vm.process, () => vm.limiter.drain?.());
+    await this.#timers.run(vm.process, () => vm.limiter.drain?.(kernel.getMonotonicMilliseconds()));
     if (vm.state === "leaving") {
       this.kill(vm);
     }
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -141,13 +141,16 @@
   /**
    * Keeps serving until the load balancer has removed this VM, then waits until callers have their
    * responses.
+   *
+   * @param requestedAt Monotonic time at which the stop was requested, in milliseconds. The grace
+   *     period began then.
    */
-  async drain(): Promise<void> {
+  async drain(requestedAt: number): Promise<void> {
     this.#stop.isStopping = true;
-    const startedAt = kernel.getMonotonicMilliseconds();
-    const graceEndsAt = startedAt + this.#options.bounds.graceMilliseconds;
+    const graceEndsAt = requestedAt + this.#options.bounds.graceMilliseconds;
     this.#stop.cutOffAt = graceEndsAt - CUT_OFF_MARGIN_MILLISECONDS;
-    await kernel.sleepAndHandleInput(BALANCER_LAG_MILLISECONDS);
+    const closesAt = requestedAt + BALANCER_LAG_MILLISECONDS;
+    await kernel.sleepAndHandleInput(closesAt - kernel.getMonotonicMilliseconds());
     this.#stop.isClosing = true;
     this.#server.close();
     this.#connections.forEach((connection) => connection.endIfIdle());
