The close and the cut-off of a stop fit into a short grace period

What callers saw: with a grace period shorter than the 2.8 s of the load balancer's lag, the process is killed before it closes or cuts off anything, so running requests get no answer.

Cause: `drain` slept for the whole lag before it looked at the cut-off, and the margins were fixed.

Evidence: on a request of 2 s in a VM stopped with a grace of 1.2 s got its answer after the period; on this commit it got a whole 504 within it, and the stop ended within it (one run each). That test isn't part of the commit: after its cut-off the test's process doesn't end, as `reachability.ts` and `path_monitor.ts` schedule tests of the target after the stop, which doesn't matter to a program that exits. `stop_retry_test.ts` and `lost_requests_test.ts` passed once.

--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -13,6 +13,7 @@
 import * as bindings from "./http_connection.ts";
 import type * as contexts from "./request_context.ts";
 import * as handlers from "./request_handler.ts";
+import * as stopTimes from "./stop_times.ts";
 import type * as types from "./types.ts";
 
 /** Largest request head that is read at all; the declared limit is checked afterwards. */
@@ -22,19 +23,6 @@
 const DEFAULT_IDLE_MILLISECONDS = 15_000;
 const DEFAULT_HEADER_MILLISECONDS = 5_000;
 
-/**
- * Time until the load balancer has stopped sending requests: it removes a VM after two failed
- * readiness checks, a second apart.
- */
-const BALANCER_LAG_MILLISECONDS = 2_800;
-
-/**
- * Part of the grace period that remains when the last requests are cut off. Their callers get what
- * is left to send on their connections until the process begins to end.
- */
-const CUT_OFF_MARGIN_MILLISECONDS = 400;
-const EXIT_MARGIN_MILLISECONDS = 200;
-
 const DRAIN_POLL_MILLISECONDS = 50;
 
 /** Settings of the listener. */
@@ -147,19 +135,18 @@
    */
   async drain(requestedAt: number): Promise<void> {
     this.#stop.isStopping = true;
-    const graceEndsAt = requestedAt + this.#options.bounds.graceMilliseconds;
-    this.#stop.cutOffAt = graceEndsAt - CUT_OFF_MARGIN_MILLISECONDS;
-    const closesAt = requestedAt + BALANCER_LAG_MILLISECONDS;
-    await kernel.sleepAndHandleInput(closesAt - kernel.getMonotonicMilliseconds());
+    const times = stopTimes.getStopTimes(requestedAt, this.#options.bounds.graceMilliseconds);
+    this.#stop.cutOffAt = times.cutOffAt;
+    await kernel.sleepAndHandleInput(times.closesAt - kernel.getMonotonicMilliseconds());
     this.#stop.isClosing = true;
     this.#server.close();
     this.#connections.forEach((connection) => connection.endIfIdle());
-    await this.#waitForConnections(this.#stop.cutOffAt);
+    await this.#waitForConnections(times.cutOffAt);
     const open = [...this.#connections.values()];
     const running = open.filter(({ isBusy }) => isBusy).length;
     this.#options.logger.write(kernel.LogMessages.drained, { running });
     open.forEach((connection) => connection.cutOff());
-    await this.#waitForConnections(graceEndsAt - EXIT_MARGIN_MILLISECONDS);
+    await this.#waitForConnections(times.endsAt);
   }
 
   /** Waits until all connections have closed, but no longer than until a monotonic time. */
--- a/packages/proxy/test/harness.ts
+++ b/packages/proxy/test/harness.ts
@@ -301,6 +301,8 @@
   /** Loopback address from which it connects; 127.0.0.1 if undefined. */
   readonly host?: string;
   readonly regions?: placement.Regions;
+  /** `BOUNDS` if undefined. */
+  readonly bounds?: proxy.ProxyBounds;
 }
 
 /** One VM in front of some targets. */
@@ -366,7 +368,7 @@
       callerAddress: `${this.host}:${this.port}`,
       listSeeds: () => this.#options.seeds,
       profile: PROFILE,
-      bounds: BOUNDS,
+      bounds: this.#options.bounds ?? BOUNDS,
       regions: this.#options.regions,
       isFirstStart: true,
       getHedging: () => this.#hedging,
