Requests that are read 3 s after SIGTERM are late although the VM has not closed

What callers saw: if the process was busy when its listener should have closed, a request that was sent later than 3 s after SIGTERM began, and was cut off with 504 at the end of the grace period.

Cause: a request is late once the listener has closed, which a timer does 2.8 s after SIGTERM. The timer fires late, and waits for 100 ms more for input after a standstill.

A VM now counts as closing from 0.2 s after the time at which it should close, whether the timer has fired or not. Requests that arrived before and are read after it are refused as not run.

`stop_times_test.ts` and `stop_retry_test.ts` passed.

--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -38,6 +38,20 @@
   readonly metrics: kernel.Metrics;
 }
 
+/** The stop of a VM, as its listener carries it out. */
+class ListenerStop implements types.StopState {
+  isStopping = false;
+  cutOffAt = Number.POSITIVE_INFINITY;
+  /** Whether the listener accepts no further connections. */
+  isClosed = false;
+  lateAt = Number.POSITIVE_INFINITY;
+
+  /** The listener closes late if the process was busy or stood still. */
+  get isClosing(): boolean {
+    return this.isClosed || kernel.getMonotonicMilliseconds() >= this.lateAt;
+  }
+}
+
 /** Leaves it to the connections themselves when they end. */
 class CallerServer extends http.Server {
   override closeIdleConnections(): void {
@@ -55,11 +69,7 @@
   readonly #context: contexts.RequestContext;
   /** Open connections of callers, and those of other VMs that have passed requests on. */
   readonly #connections = new Map<net.Socket, connections.CallerConnection>();
-  readonly #stop = {
-    isStopping: false,
-    isClosing: false,
-    cutOffAt: Number.POSITIVE_INFINITY,
-  };
+  readonly #stop = new ListenerStop();
 
   constructor(options: ListenerOptions) {
     this.#options = options;
@@ -137,8 +147,9 @@
     this.#stop.isStopping = true;
     const times = stopTimes.getStopTimes(requestedAt, this.#options.bounds.graceMilliseconds);
     this.#stop.cutOffAt = times.cutOffAt;
+    this.#stop.lateAt = times.lateAt;
     await kernel.sleepAndHandleInput(times.closesAt - kernel.getMonotonicMilliseconds());
-    this.#stop.isClosing = true;
+    this.#stop.isClosed = true;
     this.#server.close();
     this.#connections.forEach((connection) => connection.endIfIdle());
     await this.#waitForConnections(times.cutOffAt);
--- a/packages/proxy/src/stop_times.ts
+++ b/packages/proxy/src/stop_times.ts
@@ -19,6 +19,12 @@
  */
 const MAX_ACCEPTING_SHARE = 2 / 3;
 
+/**
+ * Time after the close from which a request may have been sent so late that its caller does not
+ * expect it to be cut off; at most half of the part below.
+ */
+const LATE_AFTER_CLOSE_MILLISECONDS = 200;
+
 /**
  * Part of the grace period that remains when the last requests are cut off, but at most the share
  * below. Their callers get what is left to send on their connections until the process begins to
@@ -31,6 +37,8 @@
 export interface StopTimes {
   /** When no further connections are accepted. */
   readonly closesAt: number;
+  /** From when requests that are read are late, even if the VM has not closed as it should have. */
+  readonly lateAt: number;
   /** When running requests are cut off. */
   readonly cutOffAt: number;
   /** When the process begins to end, whatever is open. */
@@ -41,8 +49,11 @@
 export function getStopTimes(requestedAt: number, graceMilliseconds: number): StopTimes {
   const margin = Math.min(CUT_OFF_MARGIN_MILLISECONDS, graceMilliseconds * MAX_MARGIN_SHARE);
   const cutOffAfter = graceMilliseconds - margin;
+  const closesAt = requestedAt +
+    Math.min(BALANCER_LAG_MILLISECONDS, cutOffAfter * MAX_ACCEPTING_SHARE);
   return {
-    closesAt: requestedAt + Math.min(BALANCER_LAG_MILLISECONDS, cutOffAfter * MAX_ACCEPTING_SHARE),
+    closesAt,
+    lateAt: closesAt + Math.min(LATE_AFTER_CLOSE_MILLISECONDS, margin / 2),
     cutOffAt: requestedAt + cutOffAfter,
     endsAt: requestedAt + graceMilliseconds - margin / 2,
   };
--- a/packages/proxy/test/stop_times_test.ts
+++ b/packages/proxy/test/stop_times_test.ts
@@ -15,6 +15,7 @@
   test.test("the usual grace period is not used up", () => {
     assert.deepEqual(stopTimes.getStopTimes(1_000, 6_000), {
       closesAt: 3_800,
+      lateAt: 4_000,
       cutOffAt: 6_600,
       endsAt: 6_800,
     });
@@ -22,8 +23,8 @@
 
   test.test("the cut-off of a short grace period comes after its end or before the close", () => {
     for (const grace of [1, 100, 1_000, 2_000, 2_800, 3_000, 4_000, 6_000, 60_000]) {
-      const { closesAt, cutOffAt, endsAt } = stopTimes.getStopTimes(500, grace);
-      const inOrder = [500, closesAt, cutOffAt, endsAt, 500 + grace];
+      const { closesAt, lateAt, cutOffAt, endsAt } = stopTimes.getStopTimes(500, grace);
+      const inOrder = [500, closesAt, lateAt, cutOffAt, endsAt, 500 + grace];
       assert.deepEqual([...inOrder].sort((left, right) => left - right), inOrder);
       assert.equal(new Set(inOrder).size, inOrder.length, inOrder.join(" "));
     }
