--- a/packages/kernel/src/kernel.ts
+++ b/packages/kernel/src/kernel.ts
@@ -6,6 +6,7 @@
  */
 
 import * as assertions from "./assert.ts";
+import * as clock from "./clock.ts";
 import type * as types from "./types.ts";
 
 /** Thrown when a service is registered twice or after the start, or is not registered. */
@@ -25,6 +26,10 @@
   readonly #services = new Map<string, types.Service>();
   readonly #started: types.Service[] = [];
   #state: KernelState = "created";
+  /** Settles when the start has ended. */
+  #starting: Promise<void> | undefined;
+  /** Settles when the stop has ended; undefined if none was requested. */
+  #stopping: Promise<void> | undefined;
 
   /** Current phase of the kernel's life cycle. */
   get state(): KernelState {
@@ -69,6 +74,11 @@
   async start(): Promise<void> {
     assertions.assert(this.#state === "created", "The kernel can be started only once.");
     this.#state = "starting";
+    this.#starting = this.#startAll();
+    await this.#starting;
+  }
+
+  async #startAll(): Promise<void> {
     try {
       for (const service of this.#services.values()) {
         await service.start?.();
@@ -81,14 +91,36 @@
     this.#state = "running";
   }
 
-  /** Drains all services, then stops them, both in the reverse order of registration. */
-  async stop(): Promise<void> {
-    if (this.#state !== "running") {
-      return;
+  /**
+   * Drains all services, then stops them, both in the reverse order of registration.
+   *
+   * While the services start, some may have accepted work already, so that a stop is carried out
+   * once all have started. A start that fails stops them itself. Further calls return the same
+   * promise; without a start, nothing is done.
+   *
+   * @param requestedAt Monotonic time at which the stop was requested, in milliseconds; by default
+   *     now.
+   */
+  stop(requestedAt = clock.getMonotonicMilliseconds()): Promise<void> {
+    if (this.#state === "running") {
+      this.#stopping ??= this.#drainAndStop(requestedAt);
+    } else if (this.#state === "starting") {
+      this.#stopping ??= this.#stopAfterStart(requestedAt);
     }
+    return this.#stopping ?? Promise.resolve();
+  }
+
+  async #stopAfterStart(requestedAt: number): Promise<void> {
+    const hasStarted = await this.#starting?.then(() => true, () => false);
+    if (hasStarted === true) {
+      await this.#drainAndStop(requestedAt);
+    }
+  }
+
+  async #drainAndStop(requestedAt: number): Promise<void> {
     this.#state = "draining";
     for (const service of [...this.#started].reverse()) {
-      await service.drain?.();
+      await service.drain?.(requestedAt);
     }
     await this.#stopStarted();
   }
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -13,6 +13,7 @@
 import * as bindings from "./http_connection.ts";
 import type * as contexts from "./request_context.ts";
 import * as handlers from "./request_handler.ts";
+import * as stopTimes from "./stop_times.ts";
 import type * as types from "./types.ts";
 
 /** Largest request head that is read at all; the declared limit is checked afterwards. */
@@ -22,19 +23,6 @@
 const DEFAULT_IDLE_MILLISECONDS = 15_000;
 const DEFAULT_HEADER_MILLISECONDS = 5_000;
 
-/**
- * Time until the load balancer has stopped sending requests: it removes a VM after two failed
- * readiness checks, a second apart.
- */
-const BALANCER_LAG_MILLISECONDS = 2_800;
-
-/**
- * Part of the grace period that remains when the last requests are cut off. Their callers get what
- * is left to send on their connections until the process begins to end.
- */
-const CUT_OFF_MARGIN_MILLISECONDS = 400;
-const EXIT_MARGIN_MILLISECONDS = 200;
-
 const DRAIN_POLL_MILLISECONDS = 50;
 
 /** Settings of the listener. */
@@ -50,6 +38,20 @@
   readonly metrics: kernel.Metrics;
 }
 
+/** The stop of a VM, as its listener carries it out. */
+class ListenerStop implements types.StopState {
+  isStopping = false;
+  cutOffAt = Number.POSITIVE_INFINITY;
+  /** Whether the listener accepts no further connections. */
+  isClosed = false;
+  lateAt = Number.POSITIVE_INFINITY;
+
+  /** The listener closes late if the process was busy or stood still. */
+  get isClosing(): boolean {
+    return this.isClosed || kernel.getMonotonicMilliseconds() >= this.lateAt;
+  }
+}
+
 /** Leaves it to the connections themselves when they end. */
 class CallerServer extends http.Server {
   override closeIdleConnections(): void {
@@ -67,11 +69,7 @@
   readonly #context: contexts.RequestContext;
   /** Open connections of callers, and those of other VMs that have passed requests on. */
   readonly #connections = new Map<net.Socket, connections.CallerConnection>();
-  readonly #stop = {
-    isStopping: false,
-    isClosing: false,
-    cutOffAt: Number.POSITIVE_INFINITY,
-  };
+  readonly #stop = new ListenerStop();
 
   constructor(options: ListenerOptions) {
     this.#options = options;
@@ -141,22 +139,25 @@
   /**
    * Keeps serving until the load balancer has removed this VM, then waits until callers have their
    * responses.
+   *
+   * @param requestedAt Monotonic time at which the stop was requested, in milliseconds. The grace
+   *     period began then.
    */
-  async drain(): Promise<void> {
+  async drain(requestedAt: number): Promise<void> {
     this.#stop.isStopping = true;
-    const startedAt = kernel.getMonotonicMilliseconds();
-    const graceEndsAt = startedAt + this.#options.bounds.graceMilliseconds;
-    this.#stop.cutOffAt = graceEndsAt - CUT_OFF_MARGIN_MILLISECONDS;
-    await kernel.sleepAndHandleInput(BALANCER_LAG_MILLISECONDS);
-    this.#stop.isClosing = true;
+    const times = stopTimes.getStopTimes(requestedAt, this.#options.bounds.graceMilliseconds);
+    this.#stop.cutOffAt = times.cutOffAt;
+    this.#stop.lateAt = times.lateAt;
+    await kernel.sleepAndHandleInput(times.closesAt - kernel.getMonotonicMilliseconds());
+    this.#stop.isClosed = true;
     this.#server.close();
     this.#connections.forEach((connection) => connection.endIfIdle());
-    await this.#waitForConnections(this.#stop.cutOffAt);
+    await this.#waitForConnections(times.cutOffAt);
     const open = [...this.#connections.values()];
     const running = open.filter(({ isBusy }) => isBusy).length;
     this.#options.logger.write(kernel.LogMessages.drained, { running });
     open.forEach((connection) => connection.cutOff());
-    await this.#waitForConnections(graceEndsAt - EXIT_MARGIN_MILLISECONDS);
+    await this.#waitForConnections(times.endsAt);
   }
 
   /** Waits until all connections have closed, but no longer than until a monotonic time. */
