A request with a deadline or timeout beyond 24.8 days is not given up at once

Callers saw: 504 after a millisecond, though their target was at work, for a request whose deadline, or whose route's timeout, was longer than 2,147,483,647 ms; and a gap in a response that is streamed. A header states up to 999,999,999,999 ms.

Cause: a timer of Node.js with a longer delay expires after 1 ms. The timers of the deadline, of the silence of an attempt and of the rest of a long response were all started with the whole time left.

The time until the final response is now bounded where it is computed, by 1 ms less than the longest delay, so that rounding makes no timer's delay longer. The target is told that time, too.

--- a/packages/proxy/src/admission.ts
+++ b/packages/proxy/src/admission.ts
@@ -8,6 +8,7 @@
 import type * as model from "@hemlockwalk/model";
 import * as placement from "@hemlockwalk/placement";
 import type * as budgetTypes from "./budgets.ts";
+import * as forwarding from "./forwarding.ts";
 import * as headers from "./headers.ts";
 import * as refusals from "./refusals.ts";
 import type * as contexts from "./request_context.ts";
@@ -23,6 +24,12 @@
  */
 const ANSWER_MARGIN_MILLISECONDS = 5;
 
+/**
+ * Longest time until the final response, in milliseconds. The request's timers would expire at once
+ * with a longer delay, and the same with one that rounding makes longer.
+ */
+const MAX_ANSWER_MILLISECONDS = forwarding.MAX_LEFT_MILLISECONDS - 1;
+
 /**
  * After this time without a response from the store to any VM, something unknown to this VM may be
  * known to others.
@@ -184,6 +191,7 @@
     callerDeadline === undefined ? Infinity : callerDeadline - ANSWER_MARGIN_MILLISECONDS,
     route.timeoutMilliseconds ?? Infinity,
     getTimeLeft(request, route, profile),
+    MAX_ANSWER_MILLISECONDS,
   );
 }
 
