A long error that breaks off while a retry waits is answered

Callers saw: no response at all, neither at the request's deadline nor later, until they closed their connection, for an idempotent request whose target had responded with an error longer than what is buffered and had then broken it off, while the request waited for a slot of another target.

Cause: the rest of such an error is left unread meanwhile. If no other target takes the request, it is forwarded, but a stream that was destroyed before tells neither its end nor its close to those that listen then; and the timer at the deadline only destroys it once more.

Nothing of the response was sent, so the caller now gets 502, as it does where the response waits for its turn on its connection.

The others held before: a retry that gets a slot is not lost with the error, and a whole error that takes the place of a retry has no gap.

--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -128,7 +128,10 @@
     mayBuffer: (bytes: number) => boolean,
   ): void {
     this.#isDecided = true;
-    if (this.#hasTurn) {
+    if (answer.rest?.destroyed === true) {
+      // It broke off while another attempt was looked for, and would end neither now nor later.
+      this.#refuseUnsent(endsAt);
+    } else if (this.#hasTurn) {
       this.#send(answer, endsAt);
     } else if (answer.rest === undefined) {
       this.#reservation?.shrinkTo(answer.chunks.reduce((sum, chunk) => sum + chunk.length, 0));
