A VM takes as long to read a request that another one passes on as its caller may send it

Callers would see: a request with a long upload, passed on to another VM, broken off 300 s after its beginning, whatever its deadline. The listener for callers bounds no request's time; the one for other VMs had the runtime's default, 300 s.

Evidence: the test of the listener's bound failed on (300000 in place of 0) and passes. No upload of 300 s was run.

--- a/packages/mesh/src/mesh.ts
+++ b/packages/mesh/src/mesh.ts
@@ -379,7 +379,8 @@
   }
 
   async start(): Promise<void> {
-    this.#server = http.createServer((request, response) => {
+    // A request that another VM passes on may take as long as its caller waits.
+    this.#server = http.createServer({ requestTimeout: 0 }, (request, response) => {
       if (this.#requestListener === undefined) {
         response.writeHead(404).end();
       } else {
