Test: statuses 000, 042 and 099 are refused at every place that gets responses of targets

Asked again: does a caller get a response with a status that no response has? No place that passes one on was found; the code is unchanged. The former tests held it for a plain response of a target and of another VM, for the gateway and for health checks.

Tested besides, for each of the three statuses: six ways to delimit the response, read byte by byte by its caller; HEAD; an error of the first target before a retry; either one of two attempts at once; one among requests that run ahead on a connection; uploads of 8 MB with a length and in chunks, and short ones, whose target responds before it reads them; a target of a VM that serves for another; and the same uploads and retries at the gateway. 042 is added where only 000 and 099 were tried.

--- a/packages/gateway/test/malformed_heads_test.ts
+++ b/packages/gateway/test/malformed_heads_test.ts
@@ -7,7 +7,7 @@
 import * as harness from "./harness.ts";
 
 /** Statuses that are informational or that no class of answers has. */
-const STATUSES = ["000", "001", "099", "199", "600", "999"];
+const STATUSES = ["000", "001", "042", "099", "199", "600", "999"];
 
 const NAMES = ["X Part", "Content Length", "", "X-\0", "X-\x01", "X-\t", "X-\x7f", "X "];
 
--- a/packages/proxy/test/final_statuses_test.ts
+++ b/packages/proxy/test/final_statuses_test.ts
@@ -10,7 +10,7 @@
 
 const { PROFILE } = harness;
 
-const STATUSES = ["000", "001", "099", "100", "101", "102", "199", "600", "999"];
+const STATUSES = ["000", "001", "042", "099", "100", "101", "102", "199", "600", "999"];
 
 function respondWith(request: http.IncomingMessage, status: string): void {
   const id = String(request.headers[PROFILE.requestId]);
@@ -36,7 +36,7 @@
     }
   }
 
-  for (const status of [0, 99, 600, 999]) {
+  for (const status of [0, 42, 99, 600, 999]) {
     test.test(`a call to another VM accepts ${status}`, async () => {
       await benches.withBench(async (bench) => {
         const { address } = bench.target;
--- a/packages/targets/test/http_probe_test.ts
+++ b/packages/targets/test/http_probe_test.ts
@@ -25,7 +25,7 @@
 }
 
 test.describe("the health check over HTTP", () => {
-  for (const status of ["000", "001", "099", "199", "500", "503", "600", "999"]) {
+  for (const status of ["000", "001", "042", "099", "199", "500", "503", "600", "999"]) {
     test.test(`a target that responds with ${status} counts as healthy`, async () => {
       assert.equal(await check(status), false);
     });
