--- a/packages/proxy/test/placement_explanation_test.ts
+++ b/packages/proxy/test/placement_explanation_test.ts
@@ -245,6 +245,7 @@
         served: { inc: () => {} },
         targetRefusals: { inc: () => {} },
         foreignResponses: { inc: () => {} },
+        attemptsGivenUp: { inc: () => {} },
       },
       latency: { record: () => {} },
       recordLeaving: () => {},
@@ -756,6 +757,7 @@
           headers: [],
         },
         tried: new Set([outcome.target]),
+        signal: new AbortController().signal,
         getSituation: () => ({
           isPassedOn: false,
           isBuffered: true,
