--- a/packages/proxy/src/target_connections.ts
+++ b/packages/proxy/src/target_connections.ts
@@ -100,7 +100,8 @@
       // Bytes that arrived on an idle connection do not belong to any request.
       // A connection that its target has ended stays among the free ones until it is closed.
       const isUsable = idle !== undefined && now - idle.idleSince <= limit &&
-        socket.writable && !socket.readableEnded && socket.readableLength === 0 && this.#requests.get(socket)?.has(key) !== true;
+        socket.writable && !socket.readableEnded && socket.readableLength === 0 &&
+        this.#requests.get(socket)?.has(key) !== true;
       if (!isUsable) {
         socket.destroy();
         freeSockets[name] = freeSockets[name]?.filter((other) => other !== socket);
