Input that has arrived is handled before a close, a cut-off or a deadline

Callers saw: a request on a kept connection, or the first one of a new connection, got no answer when the listener of a stopping VM closed; connections that the system had opened were reset; a target's response that had arrived was replaced by the VM's own 504 at the cut-off and at the route's timeout.

Cause: Node.js runs expired timers before it reads what arrived while the event loop was busy. `sleepAndHandleInput` waits for input only after 250 ms of standstill, and the timers of the close, the first request, the idle timeout, the cut-off and the deadline did not wait at all. The runtime accepts one connection each time that it looks for input, and those that wait at the close are reset. Since a VM that stood still closes as soon as it runs again, so all that had connected meanwhile waited.

--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -64,6 +64,15 @@
   }
 }
 
+/**
+ * Lets pending input be handled. Expired timers run before input that has arrived while the event
+ * loop was busy.
+ */
+export async function handleInput(): Promise<void> {
+  await new Promise<void>((resolve) => setImmediate(resolve));
+  await new Promise<void>((resolve) => setImmediate(resolve));
+}
+
 export interface StoppableTimer {
   stop(): void;
 }
--- a/packages/proxy/src/caller_connection.ts
+++ b/packages/proxy/src/caller_connection.ts
@@ -154,7 +154,7 @@
   /** Bytes that had been received when the connection became idle. */
   #bytesWhenIdle = 0;
   #check: NodeJS.Timeout | undefined;
-  #firstRequestTimer: NodeJS.Timeout | undefined;
+  #firstRequestTimer: kernel.StoppableTimer | undefined;
 
   constructor(
     transport: ConnectionTransport,
@@ -335,7 +335,7 @@
       this.#linger();
       return;
     }
-    this.#firstRequestTimer = setTimeout(() => {
+    this.#firstRequestTimer = kernel.startInputTimer(() => {
       if (this.#state === "idle" && this.#transport.bytesRead === 0) {
         this.#linger();
       }
@@ -362,7 +362,7 @@
     const ending = this.#getEnding();
     this.#state = "closed";
     clearTimeout(this.#check);
-    clearTimeout(this.#firstRequestTimer);
+    this.#firstRequestTimer?.stop();
     this.#longReservation.release();
     this.#cancelAhead();
     const unanswered = this.#queue.splice(0);
--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -25,6 +25,9 @@
 
 const DRAIN_POLL_MILLISECONDS = 50;
 
+/** Longest time for which connections are accepted that wait for it at the close. */
+const MAX_ACCEPTING_MILLISECONDS = 100;
+
 /** Settings of the listener. */
 export interface ListenerOptions {
   /** IP number and port for callers. */
@@ -70,6 +73,8 @@
   /** Open connections of callers, and those of other VMs that have passed requests on. */
   readonly #connections = new Map<net.Socket, connections.CallerConnection>();
   readonly #stop = new ListenerStop();
+  /** Connections accepted so far. */
+  #accepted = 0;
 
   constructor(options: ListenerOptions) {
     this.#options = options;
@@ -93,15 +98,13 @@
       requireHostHeader: false,
     });
     this.#server.on("connection", (socket) => {
+      this.#accepted++;
       // The server itself bounds only the time between requests.
       socket.setTimeout(this.#server.keepAliveTimeout);
       this.#track(socket);
     });
     this.#server.on("request", (request, response) => this.#handle(request, response, false));
-    this.#server.on(
-      "timeout",
-      (socket: net.Socket) => this.#connections.get(socket)?.onIdleTimeout(),
-    );
+    this.#server.on("timeout", (socket: net.Socket) => void this.#handleTimeout(socket));
     this.#server.on(
       "checkExpectation",
       (request, response) => this.#handle(request, response, false),
@@ -149,10 +152,13 @@
     this.#stop.cutOffAt = times.cutOffAt;
     this.#stop.lateAt = times.lateAt;
     await kernel.sleepAndHandleInput(times.closesAt - kernel.getMonotonicMilliseconds());
+    await this.#acceptWaiting();
     this.#stop.isClosed = true;
     this.#server.close();
     this.#connections.forEach((connection) => connection.endIfIdle());
     await this.#waitForConnections(times.cutOffAt);
+    // Responses may have arrived that a busy VM has not read yet.
+    await kernel.handleInput();
     const open = [...this.#connections.values()];
     const running = open.filter(({ isBusy }) => isBusy).length;
     this.#options.logger.write(kernel.LogMessages.drained, { running });
@@ -160,6 +166,29 @@
     await this.#waitForConnections(times.endsAt);
   }
 
+  /**
+   * Accepts the connections that the system has opened, and reads what has arrived on open ones: it
+   * would get no answer after the close. The runtime accepts one connection each time that it looks
+   * for input.
+   */
+  async #acceptWaiting(): Promise<void> {
+    const endsAt = kernel.getMonotonicMilliseconds() + MAX_ACCEPTING_MILLISECONDS;
+    let before: number;
+    do {
+      before = this.#accepted;
+      await kernel.handleInput();
+    } while (this.#accepted > before && kernel.getMonotonicMilliseconds() < endsAt);
+  }
+
+  /** Ends a connection that is idle, unless the VM was busy and has not read what was sent on it. */
+  async #handleTimeout(socket: net.Socket): Promise<void> {
+    const { bytesRead } = socket;
+    await kernel.handleInput();
+    if (socket.bytesRead === bytesRead) {
+      this.#connections.get(socket)?.onIdleTimeout();
+    }
+  }
+
   /** Waits until all connections have closed, but no longer than until a monotonic time. */
   async #waitForConnections(endsAt: number): Promise<void> {
     while (this.#connections.size > 0 && kernel.getMonotonicMilliseconds() < endsAt) {
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -285,11 +285,11 @@
   }
 
   async #serve(accepted: types.AcceptedRequest, body: bodies.RequestBody): Promise<void> {
-    const timer = setTimeout(
+    const timer = kernel.startInputTimer(
       () => this.#expire(),
       Math.max(0, accepted.endsAt - kernel.getMonotonicMilliseconds()),
     );
-    this.#caller.signal.addEventListener("abort", () => clearTimeout(timer), { once: true });
+    this.#caller.signal.addEventListener("abort", () => timer.stop(), { once: true });
     try {
       let result: calls.CallResult | undefined;
       do {
@@ -338,7 +338,7 @@
         this.#finalAnswer.finish("caller_left", 0);
       }
     } finally {
-      clearTimeout(timer);
+      timer.stop();
     }
   }
 
