A response that arrived during a standstill is read before the cut-off of a stop

What callers saw: a VM that stops and is busy, or stands still, when its cut-off comes answered 504 (`stopping`) to requests whose targets had answered meanwhile.

Cause: expired timers run before input. The wait for the cut-off ended, and all requests were cut off, before the responses that had arrived were read.

After a poll that came at least 50 ms late, the VM reads on for up to 50 ms, which end with the time that callers have for their responses. Without a delay nothing changes. Requests that get no response in that time are cut off as before.

A standstill of more than half of the grace period that began before SIGTERM still leaves requests that get no answer in it without any, as the age of the signal is not known.

--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -28,6 +28,15 @@
 /** Longest time for which connections are accepted that wait for it at the close. */
 const MAX_ACCEPTING_MILLISECONDS = 100;
 
+/** Interval between two polls from which the process was busy or stood still. */
+const DELAYED_POLL_MILLISECONDS = 2 * DRAIN_POLL_MILLISECONDS;
+
+/**
+ * Time to read the responses that targets have sent meanwhile. One turn of the event loop reads no
+ * more of each than the system buffers for a connection that is not read.
+ */
+const READ_RESPONSES_MILLISECONDS = 50;
+
 /** Settings of the listener. */
 export interface ListenerOptions {
   /** IP number and port for callers. */
@@ -156,9 +165,12 @@
     this.#stop.isClosed = true;
     this.#server.close();
     this.#connections.forEach((connection) => connection.endIfIdle());
-    await this.#waitForConnections(times.cutOffAt);
-    // Responses may have arrived that a busy VM has not read yet.
+    const wasDelayed = await this.#waitForConnections(times.cutOffAt);
     await kernel.handleInput();
+    if (wasDelayed) {
+      const left = times.endsAt - kernel.getMonotonicMilliseconds();
+      await kernel.sleep(Math.min(READ_RESPONSES_MILLISECONDS, Math.max(0, left)));
+    }
     const open = [...this.#connections.values()];
     const running = open.filter(({ isBusy }) => isBusy).length;
     this.#options.logger.write(kernel.LogMessages.drained, { running });
@@ -189,11 +201,18 @@
     }
   }
 
-  /** Waits until all connections have closed, but no longer than until a monotonic time. */
-  async #waitForConnections(endsAt: number): Promise<void> {
+  /**
+   * Waits until all connections have closed, but no longer than until a monotonic time. Returns
+   * whether the process was busy or stood still at the end.
+   */
+  async #waitForConnections(endsAt: number): Promise<boolean> {
+    let wasDelayed = false;
     while (this.#connections.size > 0 && kernel.getMonotonicMilliseconds() < endsAt) {
+      const polledAt = kernel.getMonotonicMilliseconds();
       await kernel.sleep(DRAIN_POLL_MILLISECONDS);
+      wasDelayed = kernel.getMonotonicMilliseconds() - polledAt >= DELAYED_POLL_MILLISECONDS;
     }
+    return wasDelayed;
   }
 
   async stop(): Promise<void> {
