A stop waits for requests that run although their callers have left

What callers saw: a request that must not run twice, whose caller has left and may ask for the outcome later, was broken off by a stop as soon as no connection of a caller was open, long before its time and the end of the grace period.

Cause: the drain waited for callers' connections alone. An attempt of such a request goes on when its caller's connection has closed, and the process ended under it.

Now the drain waits until the cut-off for requests that run as well. After the cut-off it waits for connections only, as before.

--- a/packages/proxy/src/listener.ts
+++ b/packages/proxy/src/listener.ts
@@ -84,6 +84,8 @@
   readonly #stop = new ListenerStop();
   /** Connections accepted so far. */
   #accepted = 0;
+  /** Requests that run, also those whose callers have left. */
+  #running = 0;
 
   constructor(options: ListenerOptions) {
     this.#options = options;
@@ -165,7 +167,10 @@
     this.#stop.isClosed = true;
     this.#server.close();
     this.#connections.forEach((connection) => connection.endIfIdle());
-    const wasDelayed = await this.#waitForConnections(times.cutOffAt);
+    const wasDelayed = await this.#waitWhile(
+      () => this.#connections.size > 0 || this.#running > 0,
+      times.cutOffAt,
+    );
     await kernel.handleInput();
     if (wasDelayed) {
       const left = times.endsAt - kernel.getMonotonicMilliseconds();
@@ -175,7 +180,7 @@
     const running = open.filter(({ isBusy }) => isBusy).length;
     this.#options.logger.write(kernel.LogMessages.drained, { running });
     open.forEach((connection) => connection.cutOff());
-    await this.#waitForConnections(times.endsAt);
+    await this.#waitWhile(() => this.#connections.size > 0, times.endsAt);
   }
 
   /**
@@ -202,12 +207,12 @@
   }
 
   /**
-   * Waits until all connections have closed, but no longer than until a monotonic time. Returns
-   * whether the process was busy or stood still at the end.
+   * Waits while something goes on, but no longer than until a monotonic time. Returns whether the
+   * process was busy or stood still at the end.
    */
-  async #waitForConnections(endsAt: number): Promise<boolean> {
+  async #waitWhile(goesOn: () => boolean, endsAt: number): Promise<boolean> {
     let wasDelayed = false;
-    while (this.#connections.size > 0 && kernel.getMonotonicMilliseconds() < endsAt) {
+    while (goesOn() && kernel.getMonotonicMilliseconds() < endsAt) {
       const polledAt = kernel.getMonotonicMilliseconds();
       await kernel.sleep(DRAIN_POLL_MILLISECONDS);
       wasDelayed = kernel.getMonotonicMilliseconds() - polledAt >= DELAYED_POLL_MILLISECONDS;
@@ -261,6 +266,7 @@
   }
 
   async #guard(handler: handlers.RequestHandler, run: () => Promise<void>): Promise<void> {
+    this.#running++;
     try {
       await run();
     } catch (error) {
@@ -268,6 +274,8 @@
         error: error instanceof Error ? error.stack : String(error),
       });
       handler.fail();
+    } finally {
+      this.#running--;
     }
   }
 
