Test: a restored store does not end a running attempt

Holds existing behaviour: a store of a new era that lacks the target, or has it at another address, draining or in another service, binds later requests only; the request that runs gets its answer, with and without a stop.

The other events of the file were not run again.

--- a/packages/proxy/test/running_attempts_test.ts
+++ b/packages/proxy/test/running_attempts_test.ts
@@ -23,6 +23,9 @@
 /** Shorter than the requests of the tests take. */
 const LOWERED_TIMEOUT_MILLISECONDS = 300;
 
+/** Longer than withdrawals are held back after a restore of the store. */
+const HELD_MILLISECONDS = 2_500;
+
 const [NORTH, SOUTH] = ["north", "south"].map((name) => model.createDataCentreId(name));
 const [EU, US] = ["eu", "us"].map((name) => model.createRegionId(name));
 assert.ok(NORTH !== undefined && SOUTH !== undefined && EU !== undefined && US !== undefined);
@@ -61,6 +64,8 @@
   readonly statuses: readonly number[];
   /** What the further requests differ in from the one that runs. */
   readonly further?: harness.CallerRequest;
+  /** Time after which it is in force; shorter than `WORK_MILLISECONDS` if undefined. */
+  readonly delayMilliseconds?: number;
 }
 
 function putDeclared(
@@ -96,6 +101,32 @@
     },
     statuses: [503],
   },
+  "the store is restored without its target": {
+    happen: ({ vm }) => vm.store.restore(new Map(), 1),
+    statuses: [503],
+    delayMilliseconds: HELD_MILLISECONDS,
+  },
+  "the store is restored to when its target had another address": {
+    happen: ({ vm, target }) => {
+      const change = target.createChange(1, { address: "127.0.0.1:1", startedAt: 1 });
+      vm.store.restore(new Map([[target.id, change]]), 1);
+    },
+    statuses: [503],
+  },
+  "the store is restored to when its target drained": {
+    happen: ({ vm, target }) => {
+      const change = target.createChange(1, { isDraining: true });
+      vm.store.restore(new Map([[target.id, change]]), 1);
+    },
+    statuses: [503],
+  },
+  "the store is restored to when its target belonged to another service": {
+    happen: ({ vm, target }) => {
+      const change = target.createChange(1, { service: model.createServiceId("other") });
+      vm.store.restore(new Map([[target.id, change]]), 1);
+    },
+    statuses: [503],
+  },
   "its target has another address": {
     happen: ({ vm, target }) =>
       vm.store.put(target.createChange(10, { address: "127.0.0.1:1", startedAt: 2 })),
@@ -217,7 +248,7 @@
       return event.statuses.includes(status);
     },
     "the event is in force",
-    WORK_MILLISECONDS,
+    WORK_MILLISECONDS + (event.delayMilliseconds ?? 0),
   );
 }
 
@@ -241,10 +272,16 @@
       headers: { [PROFILE.requestId]: "running", [PROFILE.deadline]: "10000" },
     }).finally(() => hasAnswer = true);
     await harness.waitFor(() => target.requests.length === 1, "the request is passed on");
-    if (stops) {
+    const { delayMilliseconds } = event;
+    if (stops && delayMilliseconds === undefined) {
       stopped = vm.stop();
     }
     const end = event.happen({ vm, target, isIdempotent });
+    if (stops && delayMilliseconds !== undefined) {
+      // The VM accepts further requests for 2.8 s only, in which the event has to come into force.
+      await kernel.sleep(delayMilliseconds / 2);
+      stopped = vm.stop();
+    }
     await waitForEvent(vm, event);
     await kernel.sleep(LOWERED_TIMEOUT_MILLISECONDS);
     assert.equal(hasAnswer, false, "the event ends the attempt");
