Gateway: an answer without a length ended the attempts beside it

What callers saw: the VM's own 502 `answer_unframed` although another target was at work on the request and would have answered in time. It takes an idempotent request whose first target is silent for half of its time and a second one that responds without a length, or in a coding other than chunked. Where an error response of a target was withheld and its retry was answered in this way, the caller got the 502 in place of that response, too.

Cause: such an attempt was not among the failures after which a race goes on. Its result decided the race, and the others were cancelled.

Now it is a failure like a malformed head: it ends only itself. After all attempts have failed, a withheld response goes to the caller, else the former refusal. It is not retried, as before, since the framing is most likely that of all targets of the service. `CallerAnswer.pass` drops what was collected for a caller of HTTP/1.0 of a response that was too long.

Two new tests hold what was so before: the refusal after all answers lacked a length, in both orders.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -185,6 +185,8 @@
 
   /** Sends a response of a target that was withheld. */
   pass(withheld: WithheldAnswer): void {
+    // Nothing was sent of a later response that was too long for a caller of HTTP/1.0.
+    this.#unsent = undefined;
     this.begin(withheld.status, withheld.statusText, withheld.rawHeaders, () => {});
     for (const chunk of withheld.chunks) {
       this.write(chunk);
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -35,6 +35,7 @@
   "not_run_signal",
   "server_error",
   "malformed",
+  "unframed",
   "connect_failed",
   "reset",
 ]);
@@ -252,7 +253,8 @@
       case "malformed":
         return this.#retryOrFinish(run, "reset", false, refusals.Refusals.answerMalformed);
       case "unframed":
-        return run.finish(run.createRefusal(refusals.Refusals.answerUnframed));
+        // Not retried: other targets of the service most likely have the same framing.
+        return finishUnanswered(run, run.createRefusal(refusals.Refusals.answerUnframed));
       case "not_run_signal":
         return this.#retryOrFinish(run, result.end, true, refusals.Refusals.targetShed);
       case "invalid":
--- a/packages/gateway/test/attempts_at_work_test.ts
+++ b/packages/gateway/test/attempts_at_work_test.ts
@@ -171,6 +171,15 @@
     "sends a status that no response has": (response) => {
       response.socket?.write("HTTP/1.1 999 Status\r\ncontent-length: 0\r\n\r\n");
     },
+    "sends an answer without a length": (response) => {
+      response.socket?.write("HTTP/1.1 200 OK\r\n\r\nperhaps half");
+    },
+    "ends an answer without a length": (response) => {
+      response.socket?.end("HTTP/1.1 200 OK\r\n\r\nperhaps half");
+    },
+    "sends an answer in a coding other than chunked": (response) => {
+      response.socket?.write("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nperhaps half");
+    },
   };
   for (const [name, action] of Object.entries(failures)) {
     test.it(`is given up because the second target ${name}`, async (context) => {
@@ -213,6 +222,29 @@
     );
   });
 
+  const lastOnes: Readonly<Record<string, readonly [number, number]>> = {
+    "the first": [1, 0],
+    "the second": [0, 1],
+  };
+  for (const [name, order] of Object.entries(lastOnes)) {
+    test.it(`waits for its deadline after all answers lacked a length, ${name} at last`, async (context) => {
+      const fixture = await startFixture(context, [undefined, undefined, undefined]);
+      const answer = harness.call(fixture.vm.port);
+      await waitForAttempts(fixture, 2);
+      for (const index of order) {
+        fixture.arrivals[index]?.socket.write("HTTP/1.1 200 OK\r\n\r\nperhaps half");
+        await kernelTesting.waitFor(
+          () => fixture.arrivals[index]?.socket.destroyed === true,
+          "the end of the attempt",
+        );
+      }
+      const refused = await answer;
+      assert.deepEqual([refused.status, harness.getReason(refused)], [502, "answer_unframed"]);
+      assert.equal(refused.headers["hemlockwalk-run"], "unknown");
+      assert.deepEqual(getTargets(fixture), [0, 1]);
+    });
+  }
+
   test.it("is given up because the VM stops", async (context) => {
     const fixture = await startFixture(context, [undefined, undefined]);
     const answer = harness.call(fixture.vm.port);
--- a/packages/gateway/test/withheld_answers_test.ts
+++ b/packages/gateway/test/withheld_answers_test.ts
@@ -60,6 +60,26 @@
     );
   });
 
+  test.it("is replaced by a refusal if the response to the retry has no length", async (context) => {
+    const vm = await startVm(context, [busy, (request) => {
+      request.socket.end("HTTP/1.1 200 OK\r\n\r\nperhaps half");
+    }]);
+    checkBusy(await harness.call(vm.port));
+    assert.equal(await vm.getCount("hemlockwalk_retries_total", { reason: "server_error" }), 1);
+  });
+
+  test.it("is replaced by a refusal if the retry's chunks are too many for HTTP/1.0", async (context) => {
+    const vm = await startVm(context, [busy, (_request, response) => {
+      response.write("x".repeat(200_000));
+      response.end("x".repeat(200_000));
+    }]);
+    const { text } = await harness.sendRaw(vm.port, [
+      `GET /fines HTTP/1.0\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`,
+    ]);
+    assert.match(text, /^HTTP\/1\.1 503 /);
+    assert.ok(text.endsWith("\r\n\r\nbusy"), text);
+  });
+
   test.it("is passed on although the retry is answered", async (context) => {
     const vm = await startVm(context, [busy, (_request, response) => response.end("done")]);
     const { status, body } = await harness.call(vm.port);
