Gateway: a long error response was lost if its retry failed

What callers saw: the VM's own refusal (502 `target_reset`, 503 `queue_timeout` and others) in place of their target's 502, 503 or 504, for an idempotent request whose error response was longer than 64 KiB and whose retry got no slot, was not allowed or failed.

Cause: such a response was broken off at 64 KiB, before it was known whether anything better would come. The shorter ones had been mended in by keeping them.

Now its attempt ends for the race at that point, and the rest stays unread on its connection, by back-pressure. The target keeps its slot and connection until the rest is passed on, breaks off, or is dropped: as soon as another response goes to the caller, or the request ends. If nothing better comes, the caller gets the part in memory and then the rest as it is read; its caller's leave, the deadline and a withdrawn key end that as they end any response. A request holds one such rest at most, and drops it for an error response that is whole, so memory stays bounded by 64 KiB and one chunk. Attempts and the retry budget are counted as before. What was held still counts as `server_error` of its target.

Ruled out: keeping longer responses in memory (any limit leaves longer ones), passing them on from 64 KiB (they would not be retried any more), and freeing the slot while the rest is unread (the target would get more than its slots).

A new case of attempts_at_work_test.ts holds that a long error does not end the attempt beside it.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -17,7 +17,7 @@
 /** Largest response of unknown length that a caller of HTTP/1.0 can get. */
 const MAXIMUM_UNSENT_BYTES = 256 * 1_024;
 
-/** A copy of a target's response that has not gone to the caller. */
+/** A copy of a target's response, or of its beginning, that has not gone to the caller. */
 export class WithheldAnswer {
   readonly status: number;
   readonly statusText: string;
@@ -183,15 +183,25 @@
     this.#response.end();
   }
 
-  /** Sends a response of a target that was withheld. */
+  /** Sends a response of a target that was withheld as a whole. */
   pass(withheld: WithheldAnswer): void {
+    this.beginWithheld(withheld, () => {});
+    this.finish(withheld.rawTrailers);
+  }
+
+  /**
+   * Sends the part of a withheld response that is in memory.
+   *
+   * @param resume Called when the caller's connection can accept more data after the result false.
+   * @returns Whether the rest can follow at once.
+   */
+  beginWithheld(withheld: WithheldAnswer, resume: () => void): boolean {
     // Nothing was sent of a later response that was too long for a caller of HTTP/1.0.
     this.#unsent = undefined;
-    this.begin(withheld.status, withheld.statusText, withheld.rawHeaders, () => {});
-    for (const chunk of withheld.chunks) {
-      this.write(chunk);
-    }
-    this.finish(withheld.rawTrailers);
+    this.begin(withheld.status, withheld.statusText, withheld.rawHeaders, resume);
+    const body = Buffer.concat(withheld.chunks);
+    // What is withheld is shorter than the limit of an unsent response, so it is never refused.
+    return body.length === 0 || this.write(body) !== false;
   }
 
   /** Sends a stored response. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -10,7 +10,8 @@
 
 /**
  * A response that does not go to the caller at once is read up to this size, so that the connection
- * can be reused and an error response can be passed on later.
+ * can be reused and an error response can be passed on later. The rest of a longer error response
+ * stays unread on its connection until it is known whether it is passed on.
  */
 const MAXIMUM_WITHHELD_BYTES = 64 * 1_024;
 
@@ -67,12 +68,29 @@
   readonly headMilliseconds: number;
   /** Time from the first byte sent to the last byte received. */
   readonly targetMilliseconds: number;
-  /** The response of a `server_error`; undefined if it is incomplete or too long to be kept. */
-  readonly withheld: answers.WithheldAnswer | undefined;
+  /** The response of a `server_error`; undefined if it broke off. */
+  readonly held: HeldAnswer | undefined;
   /** The cause of a failure; decides the refusal for `body_failed`. */
   readonly error: Error | undefined;
 }
 
+/** An error response that has not gone to the caller. */
+export interface HeldAnswer {
+  readonly answer: answers.WithheldAnswer;
+  /** Undefined if the whole response is in memory. */
+  readonly rest: UnreadRest | undefined;
+}
+
+/** The unread rest of a response. The target keeps its slot and connection until it has ended. */
+export interface UnreadRest {
+  /** Resolves once the rest has been read, has broken off or was dropped. */
+  readonly ended: Promise<AttemptResult>;
+  /** Sends the response to the caller, from its head. */
+  pass(): void;
+  /** Ends the response, also while it is being passed on. */
+  drop(): void;
+}
+
 /** The input of one attempt. */
 export interface AttemptRequest {
   readonly options: undici.Dispatcher.DispatchOptions;
@@ -83,7 +101,10 @@
   readonly decideOnHead: (status: number, rawHeaders: readonly Buffer[]) => HeadDecision;
 }
 
-/** Runs one attempt and resolves when it has ended. */
+/**
+ * Runs one attempt and resolves when it has ended, or when the response that it holds is too long to
+ * be kept.
+ */
 export function runAttempt(
   client: undici.Dispatcher,
   request: AttemptRequest,
@@ -97,7 +118,7 @@
 /** Receives the HTTP client's events for one attempt. */
 class Exchange implements undici.Dispatcher.DispatchHandler {
   readonly #request: AttemptRequest;
-  readonly #resolve: (result: AttemptResult) => void;
+  #resolve: (result: AttemptResult) => void;
   readonly #startedMilliseconds = kernel.getMonotonicMilliseconds();
   #abort: ((error?: Error) => void) | undefined;
   #sentMilliseconds: number | undefined;
@@ -106,6 +127,8 @@
   #decision: HeadDecision = "pass";
   #withheldBytes = 0;
   #withheld: answers.WithheldAnswer | undefined;
+  #resume: () => void = () => {};
+  #isCancelled = false;
   #settled = false;
 
   constructor(request: AttemptRequest, resolve: (result: AttemptResult) => void) {
@@ -141,6 +164,7 @@
       this.#request.answer.begin(status, statusText, rawHeaders, resume);
     } else if (this.#decision === "server_error") {
       this.#withheld = new answers.WithheldAnswer(status, statusText, rawHeaders);
+      this.#resume = resume;
     } else if (this.#decision === "malformed" || this.#decision === "unframed") {
       this.#abort?.();
     }
@@ -157,10 +181,15 @@
       return takesMore ?? true;
     }
     this.#withheldBytes += chunk.length;
-    if (this.#withheldBytes > MAXIMUM_WITHHELD_BYTES) {
+    const isTooLong = this.#withheldBytes > MAXIMUM_WITHHELD_BYTES;
+    if (this.#withheld !== undefined) {
+      this.#withheld.write(chunk);
+      if (isTooLong) {
+        this.#holdRest(this.#withheld);
+        return false;
+      }
+    } else if (isTooLong) {
       this.#abort?.();
-    } else {
-      this.#withheld?.write(chunk);
     }
     return true;
   }
@@ -179,7 +208,43 @@
     this.#settle(this.#classify(error), false, error);
   }
 
+  /** Ends the attempt for the race, while the rest of the response stays unread. */
+  #holdRest(withheld: answers.WithheldAnswer): void {
+    const resolve = this.#resolve;
+    const ended = new Promise<AttemptResult>((resolveRest) => {
+      this.#resolve = resolveRest;
+    });
+    const rest: UnreadRest = {
+      ended,
+      pass: () => this.#passHeld(withheld),
+      drop: () => this.#dropHeld(),
+    };
+    // The attempt may not be cancelled any more: its response has come.
+    this.#request.attempt.onCancel(undefined);
+    resolve({ ...this.#createResult("server_error", false), held: { answer: withheld, rest } });
+  }
+
+  #passHeld(withheld: answers.WithheldAnswer): void {
+    if (this.#settled) {
+      return;
+    }
+    this.#decision = "pass";
+    if (this.#request.answer.beginWithheld(withheld, this.#resume)) {
+      this.#resume();
+    }
+  }
+
+  #dropHeld(): void {
+    if (this.#settled) {
+      return;
+    }
+    // What was held remains evidence about the target, unless it is cut while it is passed on.
+    this.#isCancelled = this.#decision === "pass";
+    this.#abort?.();
+  }
+
   #cancel(): void {
+    this.#isCancelled = true;
     if (this.#abort !== undefined) {
       this.#abort();
       return;
@@ -189,7 +254,7 @@
   }
 
   #classify(error: Error): AttemptEnd {
-    if (this.#request.attempt.isCancelled) {
+    if (this.#isCancelled) {
       return "ended";
     }
     if (error instanceof bodies.BodyError) {
@@ -211,8 +276,13 @@
     }
     this.#settled = true;
     this.#request.attempt.onCancel(undefined);
+    this.#resolve(this.#createResult(end, connectionUsable, error));
+  }
+
+  #createResult(end: AttemptEnd, connectionUsable: boolean, error?: Error): AttemptResult {
     const now = kernel.getMonotonicMilliseconds();
-    this.#resolve({
+    const answer = this.#withheld;
+    return {
       end,
       sent: this.#sentMilliseconds !== undefined,
       answerBegan: this.#request.answer.hasBegun,
@@ -220,8 +290,8 @@
       connectionUsable,
       headMilliseconds: (this.#headMilliseconds ?? now) - this.#startedMilliseconds,
       targetMilliseconds: now - (this.#sentMilliseconds ?? now),
-      withheld: this.#withheld?.isComplete === true ? this.#withheld : undefined,
+      held: answer?.isComplete === true ? { answer, rest: undefined } : undefined,
       error,
-    });
+    };
   }
 }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -62,10 +62,18 @@
 
   /** Runs a request until it is answered or refused. Never rejects. */
   async forward(ready: runs.ReadyRequest): Promise<runs.ForwardResult> {
-    const { accepted } = ready;
-    const budget = this.#budgets.get(accepted.service.id);
+    const budget = this.#budgets.get(ready.accepted.service.id);
     budget.addRequest();
     const run = new runs.RequestRun(ready, budget);
+    try {
+      return await this.#run(run);
+    } finally {
+      run.dropRest();
+    }
+  }
+
+  async #run(run: runs.RequestRun): Promise<runs.ForwardResult> {
+    const { ready } = run;
     for (;;) {
       if (ready.running.endReason !== undefined) {
         return run.finish(callResults.createEndRefusal(run));
@@ -75,10 +83,10 @@
         const refusal = callResults.createQueueRefusal(lease.error, run);
         return lease.error.kind === "cancelled"
           ? run.finish(refusal)
-          : finishUnanswered(run, refusal);
+          : this.#finishUnanswered(run, refusal);
       }
       const result = await this.#race(run, lease.value);
-      const next = this.#handleResult(run, result);
+      const next = await this.#handleResult(run, result);
       if (next !== "retry") {
         return next;
       }
@@ -160,11 +168,18 @@
       this.#createAttemptRequest(run, lease.target, attempt),
     );
     run.recordResult(result);
-    const callResult = callResults.getCallResult(run.ready, result, attempt, connection.reused);
-    lease.release(run.createOutcome(callResult, result.headMilliseconds));
-    // The target may repeat its refusal where the response to the next request is due.
-    const isUsable = result.connectionUsable && result.end !== "not_run_signal";
-    targetConnections.release(connection, isUsable);
+    const release = (last: exchanges.AttemptResult) => {
+      const callResult = callResults.getCallResult(run.ready, last, attempt, connection.reused);
+      lease.release(run.createOutcome(callResult, last.headMilliseconds));
+      // The target may repeat its refusal where the response to the next request is due.
+      const isUsable = last.connectionUsable && last.end !== "not_run_signal";
+      targetConnections.release(connection, isUsable);
+    };
+    if (result.held?.rest === undefined) {
+      release(result);
+    } else {
+      void result.held.rest.ended.then(release);
+    }
     return result;
   }
 
@@ -191,6 +206,7 @@
         const decision = this.#decideOnHead(run, attempt, status, rawHeaders);
         if (decision === "pass") {
           attempt.win();
+          run.dropRest();
         }
         return decision;
       },
@@ -234,7 +250,7 @@
   #handleResult(
     run: runs.RequestRun,
     result: exchanges.AttemptResult | undefined,
-  ): runs.ForwardResult | "retry" {
+  ): runs.ForwardResult | "retry" | Promise<runs.ForwardResult> {
     if (result === undefined) {
       return run.finish(callResults.createEndRefusal(run));
     }
@@ -242,7 +258,7 @@
       case "answered":
         return run.finishAnswered();
       case "server_error":
-        // The refusal is sent only if the response was not kept, being too long or incomplete.
+        // The refusal is sent only if the response broke off.
         return this.#retryOrFinish(run, result.end, false, refusals.Refusals.targetReset);
       case "ended":
         return this.#finishFailed(run, result, callResults.createEndRefusal(run));
@@ -254,7 +270,7 @@
         return this.#retryOrFinish(run, "reset", false, refusals.Refusals.answerMalformed);
       case "unframed":
         // Not retried: other targets of the service most likely have the same framing.
-        return finishUnanswered(run, run.createRefusal(refusals.Refusals.answerUnframed));
+        return this.#finishUnanswered(run, run.createRefusal(refusals.Refusals.answerUnframed));
       case "not_run_signal":
         return this.#retryOrFinish(run, result.end, true, refusals.Refusals.targetShed);
       case "invalid":
@@ -273,14 +289,47 @@
     reason: retries.RetryReason,
     provablyNotRun: boolean,
     row: refusals.RefusalRow,
-  ): runs.ForwardResult | "retry" {
+  ): runs.ForwardResult | "retry" | Promise<runs.ForwardResult> {
     const noRetryReason = retries.takeRetry(run.createRetryConditions(provablyNotRun), run.budget);
     if (noRetryReason === undefined) {
       this.#meters.retries.inc({ reason });
       return "retry";
     }
     this.#meters.notRetried.inc({ reason: noRetryReason });
-    return finishUnanswered(run, run.createRefusal(row, RETRY_AFTER_MILLISECONDS));
+    return this.#finishUnanswered(run, run.createRefusal(row, RETRY_AFTER_MILLISECONDS));
+  }
+
+  /** Passes on a response that is held; without one, the request is refused. */
+  async #finishUnanswered(
+    run: runs.RequestRun,
+    refusal: refusals.Refusal,
+  ): Promise<runs.ForwardResult> {
+    const { held, ready } = run;
+    if (held === undefined) {
+      return run.finish(refusal);
+    }
+    if (held.rest === undefined) {
+      ready.answer.pass(held.answer);
+      return run.finishAnswered();
+    }
+    if (ready.running.endReason !== undefined) {
+      return run.finish(callResults.createEndRefusal(run));
+    }
+    const { rest } = held;
+    const started = kernel.getMonotonicMilliseconds();
+    ready.running.onEnd(() => rest.drop());
+    rest.pass();
+    const result = await rest.ended;
+    ready.running.onEnd(undefined);
+    run.recordRest(kernel.getMonotonicMilliseconds() - started);
+    if (result.end === "answered") {
+      return run.finishAnswered();
+    }
+    return this.#finishFailed(
+      run,
+      result,
+      result.end === "ended" ? callResults.createEndRefusal(run) : refusal,
+    );
   }
 
   #finishFailed(
@@ -297,18 +346,6 @@
   }
 }
 
-/** Passes on a response that was withheld; without one, the request is refused. */
-function finishUnanswered(
-  run: runs.RequestRun,
-  refusal: refusals.Refusal,
-): runs.ForwardResult {
-  if (run.withheld === undefined) {
-    return run.finish(refusal);
-  }
-  run.ready.answer.pass(run.withheld);
-  return run.finishAnswered();
-}
-
 /** Silence in milliseconds that calls for another attempt; undefined if none is possible. */
 function getSilenceLimit(run: runs.RequestRun, mayBeHalfOpen: boolean): number | undefined {
   const conditions = run.createRetryConditions(false);
--- a/packages/gateway/src/request_run.ts
+++ b/packages/gateway/src/request_run.ts
@@ -47,8 +47,7 @@
   attempts = 0;
   /** Whether an ended attempt may have run on its target. */
   mayHaveRun = false;
-  /** The latest complete error response, passed on if nothing better comes. */
-  withheld: answers.WithheldAnswer | undefined;
+  #held: exchanges.HeldAnswer | undefined;
   readonly #targetTime = new UnionDuration();
 
   constructor(ready: ReadyRequest, budget: retries.RetryBudget) {
@@ -60,8 +59,51 @@
   recordResult(result: exchanges.AttemptResult): void {
     const provablyNotRun = !result.sent || result.end === "not_run_signal";
     this.mayHaveRun ||= !provablyNotRun;
-    this.withheld = result.withheld ?? this.withheld;
     this.#targetTime.add(result.targetMilliseconds);
+    if (result.held !== undefined) {
+      this.#hold(result.held);
+    }
+  }
+
+  /** Records the time for which the rest of a response was passed on, until now. */
+  recordRest(milliseconds: number): void {
+    this.#targetTime.add(milliseconds);
+  }
+
+  /** The error response that is passed on if nothing better comes. */
+  get held(): exchanges.HeldAnswer | undefined {
+    return this.#held;
+  }
+
+  /** Drops a response with an unread rest, whose target's slot is then free. */
+  dropRest(): void {
+    const { rest } = this.#held ?? {};
+    if (rest !== undefined) {
+      this.#held = undefined;
+      rest.drop();
+    }
+  }
+
+  /** Keeps the latest response, but none with an unread rest in place of a whole one. */
+  #hold(held: exchanges.HeldAnswer): void {
+    const { rest } = held;
+    if (rest === undefined) {
+      this.dropRest();
+      this.#held = held;
+      return;
+    }
+    if (this.ready.answer.hasBegun || (this.#held !== undefined && this.#held.rest === undefined)) {
+      rest.drop();
+      return;
+    }
+    this.dropRest();
+    this.#held = held;
+    void rest.ended.then(() => {
+      // It may have broken off before it was needed.
+      if (this.#held === held) {
+        this.#held = undefined;
+      }
+    });
   }
 
   createHeaders(leftMilliseconds: number): string[] {
--- a/packages/gateway/test/attempts_at_work_test.ts
+++ b/packages/gateway/test/attempts_at_work_test.ts
@@ -168,6 +168,9 @@
     "responds with a transient error": (response) => {
       response.writeHead(503).end("busy");
     },
+    "responds with a transient error that is too long to be kept": (response) => {
+      response.writeHead(503).end("x".repeat(300_000));
+    },
     "sends a status that no response has": (response) => {
       response.socket?.write("HTTP/1.1 999 Status\r\ncontent-length: 0\r\n\r\n");
     },
