Gateway: at the deadline the VM's 504 replaced an error that was held

What callers saw: 504 `deadline_exceeded` although a target had answered with 502, 503 or 504 and that response was in memory, if the deadline came while its retry ran or waited for a slot.

Cause: the end of a request did not look at what was withheld.

Now a whole response that is held goes to the caller at the deadline, as in the VMs of the users' platform. Of a long one only the beginning is in memory and no time is left for the rest, so its caller gets the 504. A withdrawn key is refused as before, which a new test holds.

--- a/packages/gateway/src/call_results.ts
+++ b/packages/gateway/src/call_results.ts
@@ -53,14 +53,11 @@
     result.targetMilliseconds >= MINIMUM_TARGET_TIMEOUT_MILLISECONDS;
 }
 
-/** The refusal of a request that got no slot. */
+/** The refusal of a request that got no slot, although it was not ended. */
 export function createQueueRefusal(
   refusal: limits.QueueRefusal,
   run: runs.RequestRun,
 ): refusals.Refusal {
-  if (refusal.kind === "cancelled") {
-    return createEndRefusal(run);
-  }
   const row = refusal.kind === "queue_full"
     ? refusals.Refusals.queueFull
     : refusals.Refusals.queueTimeout;
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -76,14 +76,13 @@
     const { ready } = run;
     for (;;) {
       if (ready.running.endReason !== undefined) {
-        return run.finish(callResults.createEndRefusal(run));
+        return this.#finishEnded(run);
       }
       const lease = await this.#enterQueue(run);
       if (lease.isErr()) {
-        const refusal = callResults.createQueueRefusal(lease.error, run);
         return lease.error.kind === "cancelled"
-          ? run.finish(refusal)
-          : this.#finishUnanswered(run, refusal);
+          ? this.#finishEnded(run)
+          : this.#finishUnanswered(run, callResults.createQueueRefusal(lease.error, run));
       }
       const result = await this.#race(run, lease.value);
       const next = await this.#handleResult(run, result);
@@ -252,7 +251,7 @@
     result: exchanges.AttemptResult | undefined,
   ): runs.ForwardResult | "retry" | Promise<runs.ForwardResult> {
     if (result === undefined) {
-      return run.finish(callResults.createEndRefusal(run));
+      return this.#finishEnded(run);
     }
     switch (result.end) {
       case "answered":
@@ -261,7 +260,9 @@
         // The refusal is sent only if the response broke off.
         return this.#retryOrFinish(run, result.end, false, refusals.Refusals.targetReset);
       case "ended":
-        return this.#finishFailed(run, result, callResults.createEndRefusal(run));
+        return result.answerBegan
+          ? this.#finishFailed(run, result, callResults.createEndRefusal(run))
+          : this.#finishEnded(run);
       case "body_failed":
         return this.#finishFailed(run, result, callResults.createBodyRefusal(run, result.error));
       case "truncated":
@@ -308,14 +309,14 @@
     if (held === undefined) {
       return run.finish(refusal);
     }
-    if (held.rest === undefined) {
-      ready.answer.pass(held.answer);
-      return run.finishAnswered();
-    }
     if (ready.running.endReason !== undefined) {
-      return run.finish(callResults.createEndRefusal(run));
+      return this.#finishEnded(run);
     }
     const { rest } = held;
+    if (rest === undefined) {
+      ready.answer.pass(held.answer);
+      return run.finishAnswered();
+    }
     const started = kernel.getMonotonicMilliseconds();
     ready.running.onEnd(() => rest.drop());
     rest.pass();
@@ -332,6 +333,20 @@
     );
   }
 
+  /**
+   * Finishes a request that was ended before a response went to the caller. At the deadline, a whole
+   * response that is held takes the place of the refusal; for the rest of another, no time is left.
+   */
+  #finishEnded(run: runs.RequestRun): runs.ForwardResult {
+    const { held, ready } = run;
+    const isAtDeadline = (ready.running.endReason ?? "deadline") === "deadline";
+    if (!isAtDeadline || held === undefined || held.rest !== undefined) {
+      return run.finish(callResults.createEndRefusal(run));
+    }
+    ready.answer.pass(held.answer);
+    return run.finishAnswered();
+  }
+
   #finishFailed(
     run: runs.RequestRun,
     result: exchanges.AttemptResult,
--- a/packages/gateway/test/withheld_answers_test.ts
+++ b/packages/gateway/test/withheld_answers_test.ts
@@ -80,6 +80,41 @@
     assert.ok(text.endsWith("\r\n\r\nbusy"), text);
   });
 
+  test.it("is replaced by a refusal if the deadline comes while the retry runs", async (context) => {
+    const open: http.IncomingMessage[] = [];
+    const vm = await startVm(context, [busy, (request) => open.push(request)]);
+    checkBusy(
+      await harness.call(vm.port, { headers: { "hemlockwalk-timeout-milliseconds": "600" } }),
+    );
+    await harness.waitFor(() => open[0]?.socket.destroyed === true);
+  });
+
+  test.it("is replaced by a refusal if the deadline comes while the retry waits", async (context) => {
+    const open: http.ServerResponse[] = [];
+    const vm = await startVm(
+      context,
+      [(_request, response) => open.push(response), busy],
+      { slots: 1 },
+    );
+    const write = harness.call(vm.port, { method: "POST" });
+    await harness.waitFor(() => open.length === 1);
+    // Shorter than a retry waits for a slot.
+    checkBusy(
+      await harness.call(vm.port, { headers: { "hemlockwalk-timeout-milliseconds": "300" } }),
+    );
+    open[0]?.end("write");
+    assert.equal((await write).body, "write");
+  });
+
+  test.it("reaches a caller whose key was withdrawn while the retry runs", async (context) => {
+    let retries = 0;
+    const vm = await startVm(context, [busy, () => retries++]);
+    const answer = harness.call(vm.port);
+    await harness.waitFor(() => retries === 1);
+    vm.configuration.publish({ targets: [], keys: {} });
+    assert.equal(harness.getReason(await answer), "key_withdrawn");
+  });
+
   test.it("is passed on although the retry is answered", async (context) => {
     const vm = await startVm(context, [busy, (_request, response) => response.end("done")]);
     const { status, body } = await harness.call(vm.port);
