Gateway: a stop cut responses that their caller had not read yet

What callers saw: their connection closed without the responses to requests that targets had completed, once the VM closed its listener.

Cause: `close` and `closeIdleConnections` of Node.js take a connection for idle when its last response has been ended, though not sent.

Now the servers close no connection by themselves. The listener closes idle ones only while no response is outstanding, which counts until its last byte has been given to the system. Until then, idle connections stay open; what arrives on them is served and closes them, as in the lag of the load balancer.

--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -33,12 +33,43 @@
   wantsContinue: boolean,
 ) => void;
 
+/** The part that the servers for HTTP and HTTPS share. */
+interface CallerServer extends http.Server {
+  /** Closes the connections on which no request is being received. No response may be unsent. */
+  closeUnusedConnections(): void;
+}
+
+/**
+ * `close` and `closeIdleConnections` of Node.js take connections for idle whose response has ended
+ * but has not been sent, and would cut it. So the listener decides when idle connections are closed.
+ */
+class PlainServer extends http.Server implements CallerServer {
+  override closeIdleConnections(): void {
+    // See `closeUnusedConnections`.
+  }
+
+  closeUnusedConnections(): void {
+    super.closeIdleConnections();
+  }
+}
+
+/** See `PlainServer`. */
+class TlsServer extends https.Server implements CallerServer {
+  override closeIdleConnections(): void {
+    // See `closeUnusedConnections`.
+  }
+
+  closeUnusedConnections(): void {
+    super.closeIdleConnections();
+  }
+}
+
 /** Accepts callers' connections and refuses input that is not a valid HTTP request. */
 export class Listener {
   readonly #settings: model.ListenerSettings;
   readonly #running: running.RunningRequests;
   readonly #meters: meters.GatewayMeters;
-  readonly #server: http.Server;
+  readonly #server: CallerServer;
   readonly #tlsWatcher: tlsFiles.TlsFileWatcher | undefined;
 
   /** @throws {tlsFiles.TlsStartError} When the TLS files cannot be used. */
@@ -63,7 +94,7 @@
       requireHostHeader: false,
     };
     if (settings.tls === undefined) {
-      this.#server = http.createServer(options);
+      this.#server = new PlainServer(options);
     } else {
       const server = createTlsServer(options, settings.tls);
       this.#server = server;
@@ -106,14 +137,15 @@
   /** Accepts no new connections and resolves once the requests on open ones have been served. */
   async close(): Promise<void> {
     this.#server.close();
-    this.#server.closeIdleConnections();
     await this.#running.waitUntilIdle();
     // A request may still be in transit on a connection that was accepted just before the close.
     const until = kernel.getMonotonicMilliseconds() + CLOSE_GRACE_MILLISECONDS;
     while (
       await this.#countConnections() > 0 && kernel.getMonotonicMilliseconds() < until
     ) {
-      this.#server.closeIdleConnections();
+      if (this.#running.count === 0) {
+        this.#server.closeUnusedConnections();
+      }
       await kernel.sleep(CLOSE_POLL_INTERVAL_MILLISECONDS);
     }
     await this.#running.waitUntilIdle();
@@ -157,14 +189,14 @@
 function createTlsServer(
   options: http.ServerOptions,
   paths: tlsFiles.TlsFilePaths,
-): https.Server {
+): TlsServer {
   const material = tlsFiles.readTlsFiles(paths);
   if (material.isErr()) {
     throw new tlsFiles.TlsStartError(
       `The TLS files cannot be used: ${material.error.detail}`,
     );
   }
-  return https.createServer({ ...options, ...material.value, minVersion: "TLSv1.2" });
+  return new TlsServer({ ...options, ...material.value, minVersion: "TLSv1.2" });
 }
 
 /** The refusal for an error code of the HTTP parser; undefined for connection errors. */
--- a/packages/gateway/test/drain_test.ts
+++ b/packages/gateway/test/drain_test.ts
@@ -48,6 +48,37 @@
     await stop;
   });
 
+  test.it("sends the responses that have ended to a caller that has not read them", async (context) => {
+    // More than the buffers of a connection on loopback hold while its reader does not read.
+    const requests = 500;
+    const body = "x".repeat(16_000);
+    const target = await harness.startTarget((_request, response) => {
+      response.writeHead(200, { "content-length": body.length }).end(body);
+    });
+    const vm = await harness.startVm({ targets: [target.address] });
+    context.after(() => target.stop());
+    const caller = net.connect(vm.port, "127.0.0.1");
+    context.after(() => caller.destroy());
+    const request =
+      `GET /fines HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`;
+    caller.write(request.repeat(requests));
+    await harness.waitFor(async () =>
+      await vm.getCount("hemlockwalk_target_calls_total", { result: "success" }) === requests
+    );
+    assert.ok(await vm.getCount("hemlockwalk_running_requests") > 0);
+    const stop = vm.services.stop();
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    const chunks: Buffer[] = [];
+    let closed = false;
+    caller.on("data", (chunk) => chunks.push(chunk));
+    caller.on("error", () => {});
+    caller.on("close", () => closed = true);
+    await harness.waitFor(() => closed);
+    const text = Buffer.concat(chunks).toString("latin1");
+    assert.equal(text.split(`\r\n\r\n${body}`).length - 1, requests);
+    await stop;
+  });
+
   test.it("does not wait for queued responses on a closed connection", async (context) => {
     let begun = 0;
     let cancelled = 0;
