Gateway: an answer that HTTP/1.0 could not get ended the other attempts

What callers saw: the VM's own 502 (`target_reset`, `answer_unframed`) although another target was at work on the request. It takes a caller of HTTP/1.0 and a second attempt whose response has no length, which such a caller only gets as a whole: when it broke off, or was longer than 256 KiB, the first attempt had been cancelled at its head.

Cause: the race was won at the head of a response, although no byte of this one went to the caller before its end.

Now each exchange reads such a response by itself, and wins with its last byte. Before that it is a failed attempt like one that was reset: the others go on, and an idempotent request may be retried, as nothing of a response has reached its caller. The bound of 256 KiB holds for each of at most three attempts. While it is read, a further attempt may be placed beside it as beside a silent one, within the attempts and the budget.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -14,9 +14,6 @@
 /** A body up to this size that arrives in one chunk is written together with the headers. */
 const MAXIMUM_SINGLE_WRITE_BYTES = 16 * 1_024;
 
-/** Largest response of unknown length that a caller of HTTP/1.0 can get. */
-const MAXIMUM_UNSENT_BYTES = 256 * 1_024;
-
 /** A copy of a target's response, or of its beginning, that has not gone to the caller. */
 export class WithheldAnswer {
   readonly status: number;
@@ -24,6 +21,7 @@
   readonly rawHeaders: readonly Buffer[];
   readonly chunks: Buffer[] = [];
   rawTrailers: readonly string[] = [];
+  #bytes = 0;
   /** Whether the response has ended. */
   isComplete = false;
 
@@ -34,8 +32,14 @@
     this.rawHeaders = rawHeaders.map((part) => Buffer.from(part));
   }
 
+  /** Size of the part of the body that is in memory. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
   write(chunk: Buffer): void {
     this.chunks.push(Buffer.from(chunk));
+    this.#bytes += chunk.length;
   }
 
   finish(rawTrailers: readonly string[]): void {
@@ -44,15 +48,6 @@
   }
 }
 
-/** A response that is sent as a whole, once its length is known. */
-interface UnsentAnswer {
-  readonly status: number;
-  readonly statusText: string;
-  readonly headers: readonly string[];
-  readonly chunks: Buffer[];
-  bytes: number;
-}
-
 /** Streams one response to the caller and can record a copy. */
 export class CallerAnswer {
   readonly #response: http.ServerResponse;
@@ -63,8 +58,6 @@
   #wroteBody = false;
   /** The response's content length; undefined for a chunked body. */
   #contentLength: number | undefined;
-  /** A response of unknown length to a caller of HTTP/1.0, who does not know chunks. */
-  #unsent: UnsentAnswer | undefined;
   #hasBegun = false;
 
   /**
@@ -92,8 +85,19 @@
   }
 
   /**
-   * Sends status and headers. Those of a response of unknown length to a caller of HTTP/1.0 wait for
-   * its end: the close of the connection would delimit it, and also comes where the response is cut.
+   * Whether the response may only be sent as a whole, by `pass`. Callers of HTTP/1.0 do not know
+   * chunks: the close of the connection would delimit a response of unknown length, and also comes
+   * where the response is cut.
+   */
+  mustBeWhole(status: number, rawHeaders: readonly Buffer[]): boolean {
+    const { method, httpVersion } = this.#response.req;
+    const hasBody = method !== "HEAD" && status !== 204 && status !== 304;
+    return httpVersion === "1.0" && hasBody &&
+      headers.findAnswerHeader(rawHeaders, "content-length") === undefined;
+  }
+
+  /**
+   * Sends status and headers.
    *
    * @param resume Called when the caller's connection can accept more data after `write` was false.
    */
@@ -104,9 +108,28 @@
     resume: () => void,
   ): void {
     // Several attempts may run, and only the one that has won may respond.
-    kernel.assert(!this.#hasBegun && this.#unsent === undefined, "A response begins once.");
+    kernel.assert(!this.#hasBegun, "A response begins once.");
+    this.#writeHead(status, statusText, rawHeaders);
+    this.#resume = resume;
+    // Waits one tick so that a short body goes out in the same write as the headers.
+    process.nextTick(() => {
+      if (!this.#wroteBody) {
+        this.#response.flushHeaders();
+      }
+    });
+  }
+
+  #writeHead(
+    status: number,
+    statusText: string,
+    rawHeaders: readonly Buffer[],
+    length?: number,
+  ): void {
     const kept = headers.createAnswerHeaders(rawHeaders);
     this.#recorder?.begin(status, kept);
+    if (length !== undefined) {
+      kept.push("content-length", String(length));
+    }
     this.#hasTrailers = kept.includes("trailer");
     const lengthIndex = kept.indexOf("content-length");
     this.#contentLength = lengthIndex === -1 ? undefined : Number(kept[lengthIndex + 1]);
@@ -114,37 +137,16 @@
     if (this.#isClosing() || !response.shouldKeepAlive) {
       kept.push("connection", "close");
     }
-    const { method, httpVersion } = response.req;
-    const hasBody = method !== "HEAD" && status !== 204 && status !== 304;
-    if (httpVersion === "1.0" && hasBody && this.#contentLength === undefined) {
-      this.#unsent = { status, statusText, headers: kept, chunks: [], bytes: 0 };
-      return;
-    }
     this.#hasBegun = true;
     response.writeHead(status, statusText, kept);
-    this.#resume = resume;
-    // Waits one tick so that a short body goes out in the same write as the headers.
-    process.nextTick(() => {
-      if (!this.#wroteBody) {
-        response.flushHeaders();
-      }
-    });
   }
 
   /**
    * Sends a chunk of the body.
    *
-   * @returns False if the caller must drain its connection before the next one; undefined if the
-   *   response cannot be sent, since its length is unknown and it is too long to be buffered.
+   * @returns False if the caller must drain its connection before the next one.
    */
-  write(chunk: Buffer): boolean | undefined {
-    if (this.#unsent !== undefined) {
-      // The HTTP client owns the buffer and may reuse it.
-      this.#unsent.chunks.push(Buffer.from(chunk));
-      this.#unsent.bytes += chunk.length;
-      this.#recorder?.write(chunk);
-      return this.#unsent.bytes <= MAXIMUM_UNSENT_BYTES ? true : undefined;
-    }
+  write(chunk: Buffer): boolean {
     const isFirst = !this.#wroteBody;
     this.#wroteBody = true;
     this.#recorder?.write(chunk);
@@ -166,13 +168,6 @@
   finish(rawTrailers: readonly (string | Buffer)[]): void {
     this.#wroteBody = true;
     this.#recorder?.finish();
-    if (this.#unsent !== undefined) {
-      const { status, statusText, headers: kept, chunks, bytes } = this.#unsent;
-      this.#hasBegun = true;
-      this.#response.writeHead(status, statusText, [...kept, "content-length", String(bytes)]);
-      this.#response.end(Buffer.concat(chunks));
-      return;
-    }
     if (this.#response.writableEnded) {
       return;
     }
@@ -183,25 +178,29 @@
     this.#response.end();
   }
 
-  /** Sends a response of a target that was withheld as a whole. */
+  /** Sends a whole response that was withheld. */
   pass(withheld: WithheldAnswer): void {
-    this.beginWithheld(withheld, () => {});
+    kernel.assert(!this.#hasBegun, "A response begins once.");
+    const { status, statusText, rawHeaders } = withheld;
+    const length = this.mustBeWhole(status, rawHeaders) ? withheld.bytes : undefined;
+    this.#writeHead(status, statusText, rawHeaders, length);
+    this.#writeWithheld(withheld);
     this.finish(withheld.rawTrailers);
   }
 
   /**
-   * Sends the part of a withheld response that is in memory.
+   * Sends the beginning of a response that was withheld.
    *
    * @param resume Called when the caller's connection can accept more data after the result false.
    * @returns Whether the rest can follow at once.
    */
   beginWithheld(withheld: WithheldAnswer, resume: () => void): boolean {
-    // Nothing was sent of a later response that was too long for a caller of HTTP/1.0.
-    this.#unsent = undefined;
     this.begin(withheld.status, withheld.statusText, withheld.rawHeaders, resume);
-    const body = Buffer.concat(withheld.chunks);
-    // What is withheld is shorter than the limit of an unsent response, so it is never refused.
-    return body.length === 0 || this.write(body) !== false;
+    return this.#writeWithheld(withheld);
+  }
+
+  #writeWithheld({ chunks, bytes }: WithheldAnswer): boolean {
+    return bytes === 0 || this.write(Buffer.concat(chunks));
   }
 
   /** Sends a stored response. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -15,6 +15,9 @@
  */
 const MAXIMUM_WITHHELD_BYTES = 64 * 1_024;
 
+/** Largest response that is read as a whole before it goes to the caller. */
+const MAXIMUM_WHOLE_BYTES = 256 * 1_024;
+
 /** Error codes with which the HTTP client rejects a request before sending it. */
 const INVALID_REQUEST_CODES: ReadonlySet<string> = new Set([
   "UND_ERR_INVALID_ARG",
@@ -38,7 +41,7 @@
   | "connect_failed"
   /** The connection ended before a response began. */
   | "reset"
-  /** The connection ended after a response began. */
+  /** The connection ended after a response began, of which a part may have gone to the caller. */
   | "truncated"
   /**
    * The attempt was cancelled: another one won, or the request was ended by a disconnect, a
@@ -51,7 +54,14 @@
   | "body_failed";
 
 /** How a response is handled, decided by its status and headers. */
-export type HeadDecision = "pass" | "not_run_signal" | "server_error" | "malformed" | "unframed";
+export type HeadDecision =
+  | "pass"
+  /** It goes to the caller once it has been read as a whole. */
+  | "pass_whole"
+  | "not_run_signal"
+  | "server_error"
+  | "malformed"
+  | "unframed";
 
 /** The result of one attempt. */
 export interface AttemptResult {
@@ -99,6 +109,8 @@
   readonly attempt: races.RacingAttempt;
   /** Decides by status and headers whether the response goes to the caller. */
   readonly decideOnHead: (status: number, rawHeaders: readonly Buffer[]) => HeadDecision;
+  /** Called before the response goes to the caller. */
+  readonly onAnswer: () => void;
 }
 
 /**
@@ -125,15 +137,17 @@
   #headMilliseconds: number | undefined;
   #status: number | undefined;
   #decision: HeadDecision = "pass";
-  #withheldBytes = 0;
+  #unsentBytes = 0;
   #withheld: answers.WithheldAnswer | undefined;
   #resume: () => void = () => {};
+  #onAnswer: () => void;
   #isCancelled = false;
   #settled = false;
 
   constructor(request: AttemptRequest, resolve: (result: AttemptResult) => void) {
     this.#request = request;
     this.#resolve = resolve;
+    this.#onAnswer = request.onAnswer;
     request.attempt.onCancel(() => this.#cancel());
   }
 
@@ -161,8 +175,9 @@
     this.#status = status;
     this.#decision = this.#request.decideOnHead(status, rawHeaders);
     if (this.#decision === "pass") {
+      this.#onAnswer();
       this.#request.answer.begin(status, statusText, rawHeaders, resume);
-    } else if (this.#decision === "server_error") {
+    } else if (this.#decision === "server_error" || this.#decision === "pass_whole") {
       this.#withheld = new answers.WithheldAnswer(status, statusText, rawHeaders);
       this.#resume = resume;
     } else if (this.#decision === "malformed" || this.#decision === "unframed") {
@@ -173,25 +188,26 @@
 
   onData(chunk: Buffer): boolean {
     if (this.#decision === "pass") {
-      const takesMore = this.#request.answer.write(chunk);
-      if (takesMore === undefined) {
+      return this.#request.answer.write(chunk);
+    }
+    this.#unsentBytes += chunk.length;
+    this.#withheld?.write(chunk);
+    if (this.#decision === "pass_whole") {
+      if (this.#unsentBytes > MAXIMUM_WHOLE_BYTES) {
         this.#decision = "unframed";
         this.#abort?.();
       }
-      return takesMore ?? true;
+      return true;
     }
-    this.#withheldBytes += chunk.length;
-    const isTooLong = this.#withheldBytes > MAXIMUM_WITHHELD_BYTES;
-    if (this.#withheld !== undefined) {
-      this.#withheld.write(chunk);
-      if (isTooLong) {
-        this.#holdRest(this.#withheld);
-        return false;
-      }
-    } else if (isTooLong) {
+    if (this.#unsentBytes <= MAXIMUM_WITHHELD_BYTES) {
+      return true;
+    }
+    if (this.#withheld === undefined) {
       this.#abort?.();
+      return true;
     }
-    return true;
+    this.#holdRest(this.#withheld);
+    return false;
   }
 
   onComplete(rawTrailers: string[] | null): void {
@@ -201,6 +217,13 @@
       return;
     }
     this.#withheld?.finish(rawTrailers ?? []);
+    if (this.#decision === "pass_whole") {
+      const whole = kernel.getDefined(this.#withheld, "A response is kept until it is whole.");
+      this.#onAnswer();
+      this.#request.answer.pass(whole);
+      this.#settle("answered", true);
+      return;
+    }
     this.#settle(this.#decision, true);
   }
 
@@ -219,8 +242,9 @@
       pass: () => this.#passHeld(withheld),
       drop: () => this.#dropHeld(),
     };
-    // The attempt may not be cancelled any more: its response has come.
+    // The response has come, and it is passed on only after the other attempts have ended.
     this.#request.attempt.onCancel(undefined);
+    this.#onAnswer = () => {};
     resolve({ ...this.#createResult("server_error", false), held: { answer: withheld, rest } });
   }
 
@@ -228,8 +252,14 @@
     if (this.#settled) {
       return;
     }
+    const { answer } = this.#request;
+    if (answer.mustBeWhole(withheld.status, withheld.rawHeaders)) {
+      this.#decision = "pass_whole";
+      this.#resume();
+      return;
+    }
     this.#decision = "pass";
-    if (this.#request.answer.beginWithheld(withheld, this.#resume)) {
+    if (answer.beginWithheld(withheld, this.#resume)) {
       this.#resume();
     }
   }
@@ -239,7 +269,7 @@
       return;
     }
     // What was held remains evidence about the target, unless it is cut while it is passed on.
-    this.#isCancelled = this.#decision === "pass";
+    this.#isCancelled = this.#decision !== "server_error";
     this.#abort?.();
   }
 
@@ -260,7 +290,7 @@
     if (error instanceof bodies.BodyError) {
       return "body_failed";
     }
-    if (this.#decision !== "pass") {
+    if (this.#decision !== "pass" && this.#decision !== "pass_whole") {
       return this.#decision;
     }
     if (this.#sentMilliseconds === undefined) {
@@ -290,7 +320,9 @@
       connectionUsable,
       headMilliseconds: (this.#headMilliseconds ?? now) - this.#startedMilliseconds,
       targetMilliseconds: now - (this.#sentMilliseconds ?? now),
-      held: answer?.isComplete === true ? { answer, rest: undefined } : undefined,
+      held: end === "server_error" && answer?.isComplete === true
+        ? { answer, rest: undefined }
+        : undefined,
       error,
     };
   }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -111,7 +111,7 @@
     }
     const race = new races.AttemptRace<targets.TargetLease, exchanges.AttemptResult>({
       runAttempt: (placed, attempt) => this.#attempt(run, placed, attempt),
-      isFailure: ({ end }) => FAILURES.has(end),
+      isFailure,
       tryPlace: () => this.#tryPlaceBeside(run),
     });
     runningRequest.onEnd(() => race.cancel());
@@ -203,11 +203,13 @@
       attempt,
       decideOnHead: (status, rawHeaders) => {
         const decision = this.#decideOnHead(run, attempt, status, rawHeaders);
-        if (decision === "pass") {
-          attempt.win();
-          run.dropRest();
-        }
-        return decision;
+        return decision === "pass" && answer.mustBeWhole(status, rawHeaders)
+          ? "pass_whole"
+          : decision;
+      },
+      onAnswer: () => {
+        attempt.win();
+        run.dropRest();
       },
     };
   }
@@ -266,7 +268,9 @@
       case "body_failed":
         return this.#finishFailed(run, result, callResults.createBodyRefusal(run, result.error));
       case "truncated":
-        return this.#finishFailed(run, result, run.createRefusal(refusals.Refusals.targetReset));
+        return result.answerBegan
+          ? this.#finishFailed(run, result, run.createRefusal(refusals.Refusals.targetReset))
+          : this.#retryOrFinish(run, "reset", false, refusals.Refusals.targetReset);
       case "malformed":
         return this.#retryOrFinish(run, "reset", false, refusals.Refusals.answerMalformed);
       case "unframed":
@@ -361,6 +365,10 @@
   }
 }
 
+function isFailure({ end, answerBegan }: exchanges.AttemptResult): boolean {
+  return FAILURES.has(end) || (end === "truncated" && !answerBegan);
+}
+
 /** Silence in milliseconds that calls for another attempt; undefined if none is possible. */
 function getSilenceLimit(run: runs.RequestRun, mayBeHalfOpen: boolean): number | undefined {
   const conditions = run.createRetryConditions(false);
--- a/packages/gateway/test/attempts_at_work_test.ts
+++ b/packages/gateway/test/attempts_at_work_test.ts
@@ -16,6 +16,9 @@
 /** Attempts are placed after a half and after three quarters of it. */
 const TIMEOUT_MILLISECONDS = 2_000;
 
+const HTTP_1_0_REQUEST =
+  `GET /fines HTTP/1.0\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`;
+
 const SIGNAL = { status: 503, header: "not-run", value: "shed" };
 
 /** An attempt that arrived at a target and has not been answered. */
@@ -197,6 +200,41 @@
     });
   }
 
+  const unsendable: Readonly<Record<string, (response: http.ServerResponse) => void>> = {
+    "breaks off": (response) => response.socket?.destroy(),
+    "is too long": (response) => response.end("x".repeat(300_000)),
+  };
+  for (const [name, end] of Object.entries(unsendable)) {
+    test.it(`is given up for a response that ${name} before HTTP/1.0 gets it`, async (context) => {
+      const fixture = await startFixture(context, [undefined, (response) => {
+        response.write("x".repeat(100));
+      }]);
+      const answer = harness.sendRaw(fixture.vm.port, [HTTP_1_0_REQUEST]);
+      await waitForAttempts(fixture, 2);
+      await kernel.sleep(TIMEOUT_MILLISECONDS * 0.05);
+      assert.equal(fixture.arrivals[0]?.socket.destroyed, false);
+      end(kernel.getDefined(fixture.arrivals[1], "The second attempt has arrived.").response);
+      await kernel.sleep(TIMEOUT_MILLISECONDS * 0.05);
+      respond(fixture, 0, "first");
+      const { text } = await answer;
+      assert.match(text, /^HTTP\/1\.1 200 /);
+      assert.ok(text.endsWith("\r\n\r\nfirst"), text);
+      assert.deepEqual(getTargets(fixture), [0, 1]);
+    });
+  }
+
+  test.it("goes on after HTTP/1.0 has got the whole response of the second target", async (context) => {
+    const fixture = await startFixture(context, [undefined, (response) => {
+      response.write("sec");
+    }]);
+    const answer = harness.sendRaw(fixture.vm.port, [HTTP_1_0_REQUEST]);
+    await waitForAttempts(fixture, 2);
+    respond(fixture, 1, "ond");
+    const { text } = await answer;
+    assert.ok(text.endsWith("\r\n\r\nsecond"), text);
+    await waitForCancellation({ ...fixture, arrivals: fixture.arrivals.slice(0, 1) });
+  });
+
   test.it("is given up because the second target accepts no connection", async (context) => {
     const fixture = await startFixture(context, [undefined, "dead"]);
     const answer = harness.call(fixture.vm.port);
--- a/packages/gateway/test/retries_test.ts
+++ b/packages/gateway/test/retries_test.ts
@@ -85,6 +85,26 @@
     }
   });
 
+  for (const method of ["GET", "POST"]) {
+    test.it(`${method} whose response breaks off before HTTP/1.0 got any of it`, async (context) => {
+      const { vm, runs } = await startFixture(context, (_request, response) => {
+        response.write("half");
+        setTimeout(() => response.socket?.destroy(), 20);
+      });
+      const { text } = await harness.sendRaw(vm.port, [
+        `${method} /fines HTTP/1.0\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`,
+      ]);
+      if (method === "GET") {
+        assert.ok(text.endsWith("\r\n\r\nhealthy "), text);
+        assert.deepEqual(runs, ["failing", "healthy"]);
+      } else {
+        assert.match(text, /^HTTP\/1\.1 502 /);
+        assert.match(text, /\r\nhemlockwalk-run: unknown\r\n/);
+        assert.deepEqual(runs, ["failing"]);
+      }
+    });
+  }
+
   test.it("passes an error response on if no other target is left", async (context) => {
     const target = await harness.startTarget((_request, response) => {
       response.writeHead(503).end("busy");
