Gateway: a response that announced trailers without chunks was lost

What callers saw: a target's response with a `trailer` field did not reach them if it had a length, answered HEAD, had the status 304, went to a caller of HTTP/1.0, or was a stored one that is sent again. Attempts that ran beside it had been cancelled.

Cause: Node.js throws when the head of a response without chunks announces trailers, which ended the exchange after its attempt had won.

Now the field is left out where no trailers can follow.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -90,12 +90,14 @@
    * where the response is cut.
    */
   mustBeWhole(status: number, rawHeaders: readonly Buffer[]): boolean {
-    const { method, httpVersion } = this.#response.req;
-    const hasBody = method !== "HEAD" && status !== 204 && status !== 304;
-    return httpVersion === "1.0" && hasBody &&
+    return this.#response.req.httpVersion === "1.0" && this.#hasBody(status) &&
       headers.findAnswerHeader(rawHeaders, "content-length") === undefined;
   }
 
+  #hasBody(status: number): boolean {
+    return this.#response.req.method !== "HEAD" && status !== 204 && status !== 304;
+  }
+
   /**
    * Sends status and headers.
    *
@@ -130,9 +132,13 @@
     if (length !== undefined) {
       kept.push("content-length", String(length));
     }
-    this.#hasTrailers = kept.includes("trailer");
     const lengthIndex = kept.indexOf("content-length");
     this.#contentLength = lengthIndex === -1 ? undefined : Number(kept[lengthIndex + 1]);
+    if (this.#contentLength === undefined && this.#hasBody(status)) {
+      this.#hasTrailers = kept.includes("trailer");
+    } else {
+      removeTrailerFields(kept);
+    }
     const response = this.#response;
     if (this.#isClosing() || !response.shouldKeepAlive) {
       kept.push("connection", "close");
@@ -206,6 +212,7 @@
   /** Sends a stored response. */
   replay(answer: claims.StoredAnswer): void {
     const kept = [...answer.headers];
+    removeTrailerFields(kept);
     if (!kept.includes("content-length") && answer.status !== 204 && answer.status !== 304) {
       kept.push("content-length", String(answer.body.length));
     }
@@ -231,6 +238,15 @@
   }
 }
 
+/** Only chunks carry trailers. Node.js throws if they are announced in other responses. */
+function removeTrailerFields(kept: string[]): void {
+  for (let index = kept.length - 2; index >= 0; index -= 2) {
+    if (kept[index] === "trailer") {
+      kept.splice(index, 2);
+    }
+  }
+}
+
 /** Records a response up to a size limit. */
 class AnswerRecorder {
   #status = 0;
--- a/packages/gateway/test/answers_test.ts
+++ b/packages/gateway/test/answers_test.ts
@@ -368,6 +368,47 @@
     assert.deepEqual([trailed.body, { ...trailed.trailers }], ["body", { digest: "abc" }]);
   });
 
+  // Node.js throws for a response that announces trailers without having chunks.
+  const trailerless = {
+    "to HEAD": {
+      request: "HEAD /fines HTTP/1.1",
+      answer: "200 OK\r\ntransfer-encoding: chunked\r\n",
+    },
+    "with a length": { request: "GET /fines HTTP/1.1", answer: "200 OK\r\ncontent-length: 4\r\n" },
+    "with 304": { request: "GET /fines HTTP/1.1", answer: "304 Not Modified\r\n" },
+    "to HTTP/1.0": {
+      request: "GET /fines HTTP/1.0",
+      answer: "200 OK\r\ntransfer-encoding: chunked\r\n",
+    },
+  };
+  for (const [what, { request, answer }] of Object.entries(trailerless)) {
+    test.it(`${what} are lost if they announce trailers`, async (context) => {
+      const body = what === "with a length" ? "body" : "4\r\nbody\r\n0\r\nx-sum: 9\r\n\r\n";
+      const hasBody = what === "with a length" || what === "to HTTP/1.0";
+      const target = await harness.startRawTarget((socket) => {
+        socket.on("error", () => {});
+        socket.once("data", () => {
+          socket.write(`HTTP/1.1 ${answer}x-part: seven\r\ntrailer: x-sum\r\n\r\n`);
+          if (hasBody) {
+            socket.write(body);
+          }
+        });
+      });
+      const vm = await harness.startVm({ targets: [target.address] });
+      context.after(async () => {
+        await vm.services.stop();
+        await target.stop();
+      });
+      const { text } = await harness.sendRaw(vm.port, [
+        `${request}\r\nHost: a\r\nConnection: close\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`,
+      ]);
+      assert.ok(text.startsWith(`HTTP/1.1 ${answer.slice(0, 3)} `), text);
+      assert.match(text, /\r\nx-part: seven\r\n/);
+      assert.ok(text.endsWith(hasBody ? "\r\n\r\nbody" : "\r\n\r\n"), text);
+      assert.doesNotMatch(text, /\r\ntrailer:/i);
+    });
+  }
+
   test.it("stream both ways with back-pressure until the caller disconnects", async (context) => {
     let received = 0;
     let cancelled = false;
--- a/packages/gateway/test/idempotency_test.ts
+++ b/packages/gateway/test/idempotency_test.ts
@@ -86,6 +86,12 @@
       case "/fines/wait":
         open.push(response);
         break;
+      case "/fines/trailers":
+        response.writeHead(200, { trailer: "x-sum" });
+        response.write("done");
+        response.addTrailers({ "x-sum": "9" });
+        response.end();
+        break;
       case "/fines/large":
         response.end("x".repeat(70_000));
         break;
@@ -131,6 +137,15 @@
     assert.equal(other.headers["hemlockwalk-run"], "no");
   });
 
+  test.it("return the stored response without the trailers of the first one", async (context) => {
+    const fixture = await startFixture(context);
+    const first = await fixture.send("/fines/trailers");
+    assert.deepEqual([first.body, { ...first.trailers }], ["done", { "x-sum": "9" }]);
+    const second = await fixture.send("/fines/trailers");
+    assert.deepEqual([second.status, second.body], [200, "done"]);
+    assert.equal(fixture.getRuns(), 1);
+  });
+
   test.it("refuse a repeat while the first runs or if its response is unknown", async (context) => {
     const fixture = await startFixture(context);
     const first = fixture.send("/fines/wait");
