Gateway: a response whose reason phrase is not ASCII was lost

What callers saw: no byte of a target's response whose reason phrase has characters beyond ASCII, or control characters; their connection ended. Attempts that ran beside it had been cancelled.

Cause: the HTTP client decodes the phrase as UTF-8, and Node.js throws for one with characters that a head can't have. That ended the exchange after its attempt had won.

Now the bytes of the phrase are passed on as the client decoded them, and control characters become spaces. Latin-1 bytes that are no UTF-8 arrive as the replacement character, since the client has decoded them by then.

--- a/packages/gateway/src/answers.ts
+++ b/packages/gateway/src/answers.ts
@@ -144,7 +144,7 @@
       kept.push("connection", "close");
     }
     this.#hasBegun = true;
-    response.writeHead(status, statusText, kept);
+    response.writeHead(status, createReasonPhrase(statusText), kept);
   }
 
   /**
@@ -238,6 +238,16 @@
   }
 }
 
+/**
+ * The reason phrase as Node.js accepts it; it throws for other characters. The HTTP client decodes
+ * the bytes as UTF-8, and a head is written as Latin-1.
+ */
+function createReasonPhrase(statusText: string): string {
+  return /^[ -~]*$/.test(statusText)
+    ? statusText
+    : Buffer.from(statusText).toString("latin1").replace(/[^\t -~\x80-\xff]/g, " ");
+}
+
 /** Only chunks carry trailers. Node.js throws if they are announced in other responses. */
 function removeTrailerFields(kept: string[]): void {
   for (let index = kept.length - 2; index >= 0; index -= 2) {
--- a/packages/gateway/test/answers_test.ts
+++ b/packages/gateway/test/answers_test.ts
@@ -409,6 +409,37 @@
     });
   }
 
+  // Node.js throws for a reason phrase with characters that a head may not have.
+  const phrases = {
+    "in UTF-8": Buffer.from("Très bien — \u{1f600}"),
+    "in Latin-1": Buffer.from("Très bien", "latin1"),
+    "with control characters": Buffer.from("Fine\x01\x7f"),
+  };
+  for (const [what, phrase] of Object.entries(phrases)) {
+    test.it(`with a reason phrase ${what} are lost`, async (context) => {
+      const target = await harness.startRawTarget((socket) => {
+        socket.on("error", () => {});
+        socket.once("data", () => {
+          const end = Buffer.from("\r\ncontent-length: 4\r\n\r\nbody");
+          socket.write(Buffer.concat([Buffer.from("HTTP/1.1 200 "), phrase, end]));
+        });
+      });
+      const vm = await harness.startVm({ targets: [target.address] });
+      context.after(async () => {
+        await vm.services.stop();
+        await target.stop();
+      });
+      const { text } = await harness.sendRaw(vm.port, [
+        `GET /fines HTTP/1.1\r\nHost: a\r\nConnection: close\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`,
+      ]);
+      assert.match(text, /^HTTP\/1\.1 200 /);
+      assert.ok(text.endsWith("\r\n\r\nbody"), text);
+      if (what === "in UTF-8") {
+        assert.ok(text.includes(phrase.toString("latin1")), text);
+      }
+    });
+  }
+
   test.it("stream both ways with back-pressure until the caller disconnects", async (context) => {
     let received = 0;
     let cancelled = false;
