Gateway: a broken request ended the earlier ones on its connection

What callers saw: their connection closed without the response to a request at which a target was at work, when a later request on the connection had a body that is no valid chunk, or was refused and had more than 10 MB of body. The running attempt was cancelled.

Cause: the connection was destroyed at once in both cases.

Now only the broken request ends. The connection is destroyed once the earlier ones have been answered, and a long body is not read meanwhile.

Two new tests hold that nothing is waited for where only the broken request was sent.

--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -19,7 +19,10 @@
 import * as running from "./running_requests.ts";
 import type * as types from "./types.ts";
 
-/** A caller that sends more of its body than this after the response is disconnected. */
+/**
+ * A caller that sends more of its body than this after the response is disconnected, once the earlier
+ * requests on its connection have been answered.
+ */
 const MAXIMUM_DISCARDED_BODY_BYTES = 10 * 1_024 * 1_024;
 
 /** The unread rest of a body up to this size is discarded, so that the connection can be reused. */
@@ -95,7 +98,7 @@
       refusals.sendRefusal(response, refusal, this.#endsConnection(context, refusal));
     }
     if (!request.complete) {
-      discardBody(request);
+      discardBody(request, () => this.#parts.running.destroyAfterEarlier(response));
     }
     const elapsed = kernel.getMonotonicMilliseconds() - started;
     this.#parts.meters.total.record(elapsed);
@@ -292,15 +295,22 @@
   );
 }
 
-/** Discards the rest of the body, so that the connection can carry the caller's next request. */
-function discardBody(request: http.IncomingMessage): void {
+/**
+ * Discards the rest of the body, so that the connection can carry the caller's next request.
+ *
+ * @param onTooLong Called once if the rest is too long, and is not read any further.
+ */
+function discardBody(request: http.IncomingMessage, onTooLong: () => void): void {
   let dropped = 0;
-  request.on("data", (chunk: Buffer) => {
+  const onData = (chunk: Buffer) => {
     dropped += chunk.length;
     if (dropped > MAXIMUM_DISCARDED_BODY_BYTES) {
-      request.socket.destroy();
+      request.off("data", onData);
+      request.pause();
+      onTooLong();
     }
-  });
+  };
+  request.on("data", onData);
   request.resume();
 }
 
--- a/packages/gateway/src/running_requests.ts
+++ b/packages/gateway/src/running_requests.ts
@@ -73,6 +73,7 @@
   /** Responses that have not ended, with the callbacks for their end. */
   readonly answers = new Map<http.ServerResponse, () => void>();
   #closing = false;
+  #isBroken = false;
   #finalResponse: string | undefined;
 
   constructor(socket: net.Socket) {
@@ -97,10 +98,25 @@
     this.closeIfIdle();
   }
 
+  /** Whether the connection can't carry a further response. */
+  get isBroken(): boolean {
+    return this.#isBroken;
+  }
+
+  /** Destroys the connection once all its responses have ended. */
+  destroyOnceIdle(): void {
+    this.#closing = true;
+    this.#isBroken = true;
+  }
+
   closeIfIdle(): void {
     if (!this.#closing || this.answers.size > 0) {
       return;
     }
+    if (this.#isBroken) {
+      this.socket.destroy();
+      return;
+    }
     if (this.#finalResponse !== undefined && this.socket.writable) {
       this.socket.write(this.#finalResponse);
     }
@@ -140,21 +156,35 @@
   /**
    * Refuses unparsable input and closes its connection. Earlier requests are still answered. If the
    * input belongs to the body of a running request, that request can't complete, so the connection
-   * is destroyed.
+   * is destroyed after the earlier responses.
    *
    * @returns Whether the final response will be sent.
    */
   refuseConnection(socket: net.Socket, finalResponse: string): boolean {
     const connection = this.#getConnection(socket);
-    const isBodyBroken = [...connection.answers.keys()].some((answer) => !answer.req.complete);
-    if (isBodyBroken) {
-      socket.destroy();
+    if (connection.isBroken) {
+      return false;
+    }
+    const broken = [...connection.answers.keys()].find((answer) => !answer.req.complete);
+    if (broken !== undefined) {
+      this.destroyAfterEarlier(broken);
       return false;
     }
     connection.close(finalResponse);
     return true;
   }
 
+  /**
+   * Gives up the latest request of a connection, whose body is not read to its end. The connection
+   * is destroyed once the earlier requests, which may be running at targets, have been answered.
+   */
+  destroyAfterEarlier(answer: http.ServerResponse): void {
+    const connection = this.#getConnection(answer.req.socket);
+    connection.destroyOnceIdle();
+    this.#closeAnswer(connection, answer);
+    connection.closeIfIdle();
+  }
+
   /** Tracks a request with a key until `remove` is called. */
   add(request: RunningRequest, key: model.KeyDigest, socket: net.Socket): void {
     addToSet(this.#requests, key, request);
--- a/packages/gateway/test/attempts_at_work_test.ts
+++ b/packages/gateway/test/attempts_at_work_test.ts
@@ -21,6 +21,8 @@
 
 const SIGNAL = { status: 503, header: "not-run", value: "shed" };
 
+const POST_HEAD = `POST /fines HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n`;
+
 /** An attempt that arrived at a target and has not been answered. */
 interface Arrival {
   readonly target: number;
@@ -286,6 +288,40 @@
     });
   }
 
+  const broken: Readonly<Record<string, readonly (string | Buffer)[]>> = {
+    "has a body that is no chunk": [
+      `${POST_HEAD}Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\nzz\r\n`,
+    ],
+    "is refused and has a long body": [
+      `${POST_HEAD.replace(harness.KEY, "unknown")}Content-Length: 30000000\r\n\r\n`,
+      Buffer.alloc(12_000_000),
+    ],
+  };
+  for (const [name, chunks] of Object.entries(broken)) {
+    test.it(`is given up because a later one on its connection ${name}`, async (context) => {
+      const fixture = await startFixture(context, [undefined]);
+      const answer = harness.sendRaw(fixture.vm.port, [
+        `GET /fines HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`,
+        ...chunks,
+      ]);
+      await waitForAttempts(fixture, 1);
+      await kernel.sleep(TIMEOUT_MILLISECONDS * 0.2);
+      assert.equal(fixture.arrivals[0]?.socket.destroyed, false);
+      respond(fixture, 0, "first");
+      const { text } = await answer;
+      assert.match(text, /^HTTP\/1\.1 200 /);
+      assert.ok(text.includes("\r\n\r\nfirst"), text);
+      assert.equal(await fixture.vm.getCount("hemlockwalk_running_requests"), 0);
+    });
+
+    test.it(`is waited for, but only the broken one was sent: it ${name}`, async (context) => {
+      const fixture = await startFixture(context, [undefined]);
+      await harness.sendRaw(fixture.vm.port, chunks);
+      assert.equal(await fixture.vm.getCount("hemlockwalk_running_requests"), 0);
+      assert.deepEqual(getTargets(fixture), []);
+    });
+  }
+
   test.it("is given up because the VM stops", async (context) => {
     const fixture = await startFixture(context, [undefined, undefined]);
     const answer = harness.call(fixture.vm.port);
