--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -35,6 +35,7 @@
   "not_run_signal",
   "server_error",
   "malformed",
+  "unframed",
   "connect_failed",
   "reset",
 ]);
@@ -61,23 +62,30 @@
 
   /** Runs a request until it is answered or refused. Never rejects. */
   async forward(ready: runs.ReadyRequest): Promise<runs.ForwardResult> {
-    const { accepted } = ready;
-    const budget = this.#budgets.get(accepted.service.id);
+    const budget = this.#budgets.get(ready.accepted.service.id);
     budget.addRequest();
     const run = new runs.RequestRun(ready, budget);
+    try {
+      return await this.#run(run);
+    } finally {
+      run.dropRest();
+    }
+  }
+
+  async #run(run: runs.RequestRun): Promise<runs.ForwardResult> {
+    const { ready } = run;
     for (;;) {
       if (ready.running.endReason !== undefined) {
-        return run.finish(callResults.createEndRefusal(run));
+        return this.#finishEnded(run);
       }
       const lease = await this.#enterQueue(run);
       if (lease.isErr()) {
-        const refusal = callResults.createQueueRefusal(lease.error, run);
         return lease.error.kind === "cancelled"
-          ? run.finish(refusal)
-          : finishUnanswered(run, refusal);
+          ? this.#finishEnded(run)
+          : this.#finishUnanswered(run, callResults.createQueueRefusal(lease.error, run));
       }
       const result = await this.#race(run, lease.value);
-      const next = this.#handleResult(run, result);
+      const next = await this.#handleResult(run, result);
       if (next !== "retry") {
         return next;
       }
@@ -103,7 +111,7 @@
     }
     const race = new races.AttemptRace<targets.TargetLease, exchanges.AttemptResult>({
       runAttempt: (placed, attempt) => this.#attempt(run, placed, attempt),
-      isFailure: ({ end }) => FAILURES.has(end),
+      isFailure,
       tryPlace: () => this.#tryPlaceBeside(run),
     });
     runningRequest.onEnd(() => race.cancel());
@@ -159,11 +167,18 @@
       this.#createAttemptRequest(run, lease.target, attempt),
     );
     run.recordResult(result);
-    const callResult = callResults.getCallResult(run.ready, result, attempt, connection.reused);
-    lease.release(run.createOutcome(callResult, result.headMilliseconds));
-    // The target may repeat its refusal where the response to the next request is due.
-    const isUsable = result.connectionUsable && result.end !== "not_run_signal";
-    targetConnections.release(connection, isUsable);
+    const release = (last: exchanges.AttemptResult) => {
+      const callResult = callResults.getCallResult(run.ready, last, attempt, connection.reused);
+      lease.release(run.createOutcome(callResult, last.headMilliseconds));
+      // The target may repeat its refusal where the response to the next request is due.
+      const isUsable = last.connectionUsable && last.end !== "not_run_signal";
+      targetConnections.release(connection, isUsable);
+    };
+    if (result.held?.rest === undefined) {
+      release(result);
+    } else {
+      void result.held.rest.ended.then(release);
+    }
     return result;
   }
 
@@ -188,10 +203,13 @@
       attempt,
       decideOnHead: (status, rawHeaders) => {
         const decision = this.#decideOnHead(run, attempt, status, rawHeaders);
-        if (decision === "pass") {
-          attempt.win();
-        }
-        return decision;
+        return decision === "pass" && answer.mustBeWhole(status, rawHeaders)
+          ? "pass_whole"
+          : decision;
+      },
+      onAnswer: () => {
+        attempt.win();
+        run.dropRest();
       },
     };
   }
@@ -233,26 +251,31 @@
   #handleResult(
     run: runs.RequestRun,
     result: exchanges.AttemptResult | undefined,
-  ): runs.ForwardResult | "retry" {
+  ): runs.ForwardResult | "retry" | Promise<runs.ForwardResult> {
     if (result === undefined) {
-      return run.finish(callResults.createEndRefusal(run));
+      return this.#finishEnded(run);
     }
     switch (result.end) {
       case "answered":
         return run.finishAnswered();
       case "server_error":
-        // The refusal is sent only if the response was not kept, being too long or incomplete.
+        // The refusal is sent only if the response broke off.
         return this.#retryOrFinish(run, result.end, false, refusals.Refusals.targetReset);
       case "ended":
-        return this.#finishFailed(run, result, callResults.createEndRefusal(run));
+        return result.answerBegan
+          ? this.#finishFailed(run, result, callResults.createEndRefusal(run))
+          : this.#finishEnded(run);
       case "body_failed":
         return this.#finishFailed(run, result, callResults.createBodyRefusal(run, result.error));
       case "truncated":
-        return this.#finishFailed(run, result, run.createRefusal(refusals.Refusals.targetReset));
+        return result.answerBegan
+          ? this.#finishFailed(run, result, run.createRefusal(refusals.Refusals.targetReset))
+          : this.#retryOrFinish(run, "reset", false, refusals.Refusals.targetReset);
       case "malformed":
         return this.#retryOrFinish(run, "reset", false, refusals.Refusals.answerMalformed);
       case "unframed":
-        return run.finish(run.createRefusal(refusals.Refusals.answerUnframed));
+        // Not retried: other targets of the service most likely have the same framing.
+        return this.#finishUnanswered(run, run.createRefusal(refusals.Refusals.answerUnframed));
       case "not_run_signal":
         return this.#retryOrFinish(run, result.end, true, refusals.Refusals.targetShed);
       case "invalid":
@@ -271,14 +294,61 @@
     reason: retries.RetryReason,
     provablyNotRun: boolean,
     row: refusals.RefusalRow,
-  ): runs.ForwardResult | "retry" {
+  ): runs.ForwardResult | "retry" | Promise<runs.ForwardResult> {
     const noRetryReason = retries.takeRetry(run.createRetryConditions(provablyNotRun), run.budget);
     if (noRetryReason === undefined) {
       this.#meters.retries.inc({ reason });
       return "retry";
     }
     this.#meters.notRetried.inc({ reason: noRetryReason });
-    return finishUnanswered(run, run.createRefusal(row, RETRY_AFTER_MILLISECONDS));
+    return this.#finishUnanswered(run, run.createRefusal(row, RETRY_AFTER_MILLISECONDS));
+  }
+
+  /** Passes on a response that is held; without one, the request is refused. */
+  async #finishUnanswered(
+    run: runs.RequestRun,
+    refusal: refusals.Refusal,
+  ): Promise<runs.ForwardResult> {
+    const { held, ready } = run;
+    if (held === undefined) {
+      return run.finish(refusal);
+    }
+    if (ready.running.endReason !== undefined) {
+      return this.#finishEnded(run);
+    }
+    const { rest } = held;
+    if (rest === undefined) {
+      ready.answer.pass(held.answer);
+      return run.finishAnswered();
+    }
+    const started = kernel.getMonotonicMilliseconds();
+    ready.running.onEnd(() => rest.drop());
+    rest.pass();
+    const result = await rest.ended;
+    ready.running.onEnd(undefined);
+    run.recordRest(kernel.getMonotonicMilliseconds() - started);
+    if (result.end === "answered") {
+      return run.finishAnswered();
+    }
+    return this.#finishFailed(
+      run,
+      result,
+      result.end === "ended" ? callResults.createEndRefusal(run) : refusal,
+    );
+  }
+
+  /**
+   * Finishes a request that was ended before a response went to the caller. At the deadline, a whole
+   * response that is held takes the place of the refusal; for the rest of another, no time is left.
+   */
+  #finishEnded(run: runs.RequestRun): runs.ForwardResult {
+    const { held, ready } = run;
+    const isAtDeadline = (ready.running.endReason ?? "deadline") === "deadline";
+    if (!isAtDeadline || held === undefined || held.rest !== undefined) {
+      return run.finish(callResults.createEndRefusal(run));
+    }
+    ready.answer.pass(held.answer);
+    return run.finishAnswered();
   }
 
   #finishFailed(
@@ -295,16 +365,8 @@
   }
 }
 
-/** Passes on a response that was withheld; without one, the request is refused. */
-function finishUnanswered(
-  run: runs.RequestRun,
-  refusal: refusals.Refusal,
-): runs.ForwardResult {
-  if (run.withheld === undefined) {
-    return run.finish(refusal);
-  }
-  run.ready.answer.pass(run.withheld);
-  return run.finishAnswered();
+function isFailure({ end, answerBegan }: exchanges.AttemptResult): boolean {
+  return FAILURES.has(end) || (end === "truncated" && !answerBegan);
 }
 
 /** Silence in milliseconds that calls for another attempt; undefined if none is possible. */
--- a/packages/gateway/test/attempts_at_work_test.ts
+++ b/packages/gateway/test/attempts_at_work_test.ts
@@ -16,8 +16,13 @@
 /** Attempts are placed after a half and after three quarters of it. */
 const TIMEOUT_MILLISECONDS = 2_000;
 
+const HTTP_1_0_REQUEST =
+  `GET /fines HTTP/1.0\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`;
+
 const SIGNAL = { status: 503, header: "not-run", value: "shed" };
 
+const POST_HEAD = `POST /fines HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n`;
+
 /** An attempt that arrived at a target and has not been answered. */
 interface Arrival {
   readonly target: number;
@@ -168,9 +173,21 @@
     "responds with a transient error": (response) => {
       response.writeHead(503).end("busy");
     },
+    "responds with a transient error that is too long to be kept": (response) => {
+      response.writeHead(503).end("x".repeat(300_000));
+    },
     "sends a status that no response has": (response) => {
       response.socket?.write("HTTP/1.1 999 Status\r\ncontent-length: 0\r\n\r\n");
     },
+    "sends an answer without a length": (response) => {
+      response.socket?.write("HTTP/1.1 200 OK\r\n\r\nperhaps half");
+    },
+    "ends an answer without a length": (response) => {
+      response.socket?.end("HTTP/1.1 200 OK\r\n\r\nperhaps half");
+    },
+    "sends an answer in a coding other than chunked": (response) => {
+      response.socket?.write("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nperhaps half");
+    },
   };
   for (const [name, action] of Object.entries(failures)) {
     test.it(`is given up because the second target ${name}`, async (context) => {
@@ -185,6 +202,41 @@
     });
   }
 
+  const unsendable: Readonly<Record<string, (response: http.ServerResponse) => void>> = {
+    "breaks off": (response) => response.socket?.destroy(),
+    "is too long": (response) => response.end("x".repeat(300_000)),
+  };
+  for (const [name, end] of Object.entries(unsendable)) {
+    test.it(`is given up for a response that ${name} before HTTP/1.0 gets it`, async (context) => {
+      const fixture = await startFixture(context, [undefined, (response) => {
+        response.write("x".repeat(100));
+      }]);
+      const answer = harness.sendRaw(fixture.vm.port, [HTTP_1_0_REQUEST]);
+      await waitForAttempts(fixture, 2);
+      await kernel.sleep(TIMEOUT_MILLISECONDS * 0.05);
+      assert.equal(fixture.arrivals[0]?.socket.destroyed, false);
+      end(kernel.getDefined(fixture.arrivals[1], "The second attempt has arrived.").response);
+      await kernel.sleep(TIMEOUT_MILLISECONDS * 0.05);
+      respond(fixture, 0, "first");
+      const { text } = await answer;
+      assert.match(text, /^HTTP\/1\.1 200 /);
+      assert.ok(text.endsWith("\r\n\r\nfirst"), text);
+      assert.deepEqual(getTargets(fixture), [0, 1]);
+    });
+  }
+
+  test.it("goes on after HTTP/1.0 has got the whole response of the second target", async (context) => {
+    const fixture = await startFixture(context, [undefined, (response) => {
+      response.write("sec");
+    }]);
+    const answer = harness.sendRaw(fixture.vm.port, [HTTP_1_0_REQUEST]);
+    await waitForAttempts(fixture, 2);
+    respond(fixture, 1, "ond");
+    const { text } = await answer;
+    assert.ok(text.endsWith("\r\n\r\nsecond"), text);
+    await waitForCancellation({ ...fixture, arrivals: fixture.arrivals.slice(0, 1) });
+  });
+
   test.it("is given up because the second target accepts no connection", async (context) => {
     const fixture = await startFixture(context, [undefined, "dead"]);
     const answer = harness.call(fixture.vm.port);
@@ -213,6 +265,63 @@
     );
   });
 
+  const lastOnes: Readonly<Record<string, readonly [number, number]>> = {
+    "the first": [1, 0],
+    "the second": [0, 1],
+  };
+  for (const [name, order] of Object.entries(lastOnes)) {
+    test.it(`waits for its deadline after all answers lacked a length, ${name} at last`, async (context) => {
+      const fixture = await startFixture(context, [undefined, undefined, undefined]);
+      const answer = harness.call(fixture.vm.port);
+      await waitForAttempts(fixture, 2);
+      for (const index of order) {
+        fixture.arrivals[index]?.socket.write("HTTP/1.1 200 OK\r\n\r\nperhaps half");
+        await kernelTesting.waitFor(
+          () => fixture.arrivals[index]?.socket.destroyed === true,
+          "the end of the attempt",
+        );
+      }
+      const refused = await answer;
+      assert.deepEqual([refused.status, harness.getReason(refused)], [502, "answer_unframed"]);
+      assert.equal(refused.headers["hemlockwalk-run"], "unknown");
+      assert.deepEqual(getTargets(fixture), [0, 1]);
+    });
+  }
+
+  const broken: Readonly<Record<string, readonly (string | Buffer)[]>> = {
+    "has a body that is no chunk": [
+      `${POST_HEAD}Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\nzz\r\n`,
+    ],
+    "is refused and has a long body": [
+      `${POST_HEAD.replace(harness.KEY, "unknown")}Content-Length: 30000000\r\n\r\n`,
+      Buffer.alloc(12_000_000),
+    ],
+  };
+  for (const [name, chunks] of Object.entries(broken)) {
+    test.it(`is given up because a later one on its connection ${name}`, async (context) => {
+      const fixture = await startFixture(context, [undefined]);
+      const answer = harness.sendRaw(fixture.vm.port, [
+        `GET /fines HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${harness.KEY}\r\n\r\n`,
+        ...chunks,
+      ]);
+      await waitForAttempts(fixture, 1);
+      await kernel.sleep(TIMEOUT_MILLISECONDS * 0.2);
+      assert.equal(fixture.arrivals[0]?.socket.destroyed, false);
+      respond(fixture, 0, "first");
+      const { text } = await answer;
+      assert.match(text, /^HTTP\/1\.1 200 /);
+      assert.ok(text.includes("\r\n\r\nfirst"), text);
+      assert.equal(await fixture.vm.getCount("hemlockwalk_running_requests"), 0);
+    });
+
+    test.it(`is waited for, but only the broken one was sent: it ${name}`, async (context) => {
+      const fixture = await startFixture(context, [undefined]);
+      await harness.sendRaw(fixture.vm.port, chunks);
+      assert.equal(await fixture.vm.getCount("hemlockwalk_running_requests"), 0);
+      assert.deepEqual(getTargets(fixture), []);
+    });
+  }
+
   test.it("is given up because the VM stops", async (context) => {
     const fixture = await startFixture(context, [undefined, undefined]);
     const answer = harness.call(fixture.vm.port);
