Test: a caller that ends its side counts as one that has left

A caller that ends its side inside a pipelined request, or behind whole requests, gets no responses, and its idempotent requests are cancelled. That was suspected to be a fault. It holds as designed: the end of the caller's side is all that a close shows until something is sent to it, and targets must not work for more than half a second for a caller that has left.

That they can fail was not shown by a mutant.

--- a/packages/proxy/test/raw_caller.ts
+++ b/packages/proxy/test/raw_caller.ts
@@ -103,6 +103,11 @@
     this.#socket.destroy();
   }
 
+  /** Ends the sending side, and reads on. */
+  endSending(): void {
+    this.#socket.end();
+  }
+
   /** Waits for a number of responses, or for the end of the connection. */
   async readAnswers(count: number): Promise<RawAnswer[]> {
     await harness.waitFor(
--- a/packages/proxy/test/running_attempts_callers_test.ts
+++ b/packages/proxy/test/running_attempts_callers_test.ts
@@ -88,6 +88,16 @@
   }, DECLARED);
 }
 
+/** Time after the end of a caller's connection from which no target works for it any more. */
+const MAX_CANCEL_MILLISECONDS = 500;
+
+/** What a caller has sent behind whole requests when it ends its side. */
+const INCOMPLETE_REQUESTS = {
+  "nothing": "",
+  "a part of a head": "GET /reads/part HTTP/1.1\r\nHost: desk",
+  "a part of a body": `${raw.encodeRequest({ id: "part", headers: ["Content-Length: 9"] })}part`,
+};
+
 function encodeReads(ids: readonly string[]): string {
   return ids.map((id) => raw.encodeRequest({ id, method: "GET", path: `/reads/${id}` })).join("");
 }
@@ -207,3 +217,47 @@
     });
   });
 });
+
+// A connection that a caller has closed shows the same as one of which it has ended its side alone.
+test.describe("a caller ends its side, and", { concurrency: 4 }, () => {
+  for (const [what, incomplete] of Object.entries(INCOMPLETE_REQUESTS)) {
+    for (const closes of [true, false]) {
+      const how = `${what} is sent behind, ${closes ? "closing" : "reading on"}`;
+
+      test.test(`targets work on for it, or get more: ${how}`, async () => {
+        await withCaller(async (_vm, caller, { arrived, finished, cancelled }) => {
+          caller.send(encodeReads(["a", "b", "c"]) + incomplete);
+          await harness.waitFor(() => arrived.length === 3, "all are passed on");
+          if (closes) {
+            caller.close();
+          } else {
+            caller.endSending();
+          }
+          await harness.waitFor(
+            () => cancelled.length === 3,
+            "all are cancelled",
+            MAX_CANCEL_MILLISECONDS,
+          );
+          await kernel.sleep(100);
+          assert.deepEqual(arrived.toSorted(), ["a", "b", "c"]);
+          assert.deepEqual([finished, caller.received], [[], ""]);
+        });
+      });
+
+      test.test(`a request that must not run twice is cancelled: ${how}`, async () => {
+        await withCaller(async (_vm, caller, { arrived, finished, cancelled }) => {
+          caller.send(raw.encodeRequest({ id: "write" }) + encodeReads(["behind"]) + incomplete);
+          await harness.waitFor(() => arrived.length === 1, "the first request is passed on");
+          if (closes) {
+            caller.close();
+          } else {
+            caller.endSending();
+          }
+          await harness.waitFor(() => finished.length + cancelled.length > 0, "it has ended");
+          await kernel.sleep(100);
+          assert.deepEqual([arrived, finished, cancelled], [["write"], ["write"], []]);
+        });
+      });
+    }
+  }
+});
