What a target says of itself counts although its attempt is cancelled meanwhile

A VM that cancelled an attempt closed its connection at once.

The VM now ends its side of the connection, which a target sees as it sees a close, and reads for up to 0.2 s what the target has sent before. The response is dropped; only what it says of the target is recorded, with the checks that hold for any response. The result of the attempt, its slot and its counts are as before, and the connection is not used again. Attempts at other VMs, and those whose request is not written whole, are closed at once as before.

The other 4 hold existing behaviour: targets hear of the end, connections close, a response to another request is not believed.

--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -22,6 +22,12 @@
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARD_MILLISECONDS = 500;
 
+/**
+ * Longest time for which a response is read whose attempt was cancelled. Several times the round trip
+ * to a target, also over a link that loses packets.
+ */
+const MAX_LATE_RESPONSE_MILLISECONDS = 200;
+
 /** A target's response: buffered completely, or its beginning and the stream of the rest. */
 export interface TargetAnswer {
   readonly status: number;
@@ -234,9 +240,29 @@
   }
 
   readonly #onAbort = (): void => {
-    this.#fail(this.#options.signal.reason === "silent" ? "silent" : "cancelled");
+    const mayRespond = this.#options.destination.kind === "target" && this.#isConnected &&
+      this.#incoming === undefined && this.#isSent();
+    this.#settleFailed(this.#options.signal.reason === "silent" ? "silent" : "cancelled");
+    if (mayRespond) {
+      this.#readLateResponse();
+    } else {
+      this.#outgoing.destroy();
+    }
   };
 
+  /**
+   * Ends the own side of the connection, by which the target sees that the request is cancelled, as it
+   * would by a close, and reads for a moment what it has sent before. Its response may state a pause,
+   * a rate or that it leaves, which binds this VM although nobody waits for the response.
+   */
+  #readLateResponse(): void {
+    const socket = kernel.getDefined(this.#socket, "A request is sent on a connection.");
+    this.#options.connections.excludeFromReuse(socket);
+    socket.end();
+    const timer = setTimeout(() => this.#outgoing.destroy(), MAX_LATE_RESPONSE_MILLISECONDS);
+    this.#outgoing.once("close", () => clearTimeout(timer));
+  }
+
   #handleResponse(incoming: http.IncomingMessage): void {
     const { profile, request, destination } = this.#options;
     const status = incoming.statusCode ?? 0;
@@ -296,6 +322,10 @@
       return;
     }
     this.#recordNotice(incoming, status);
+    if (this.#isSettled) {
+      this.#outgoing.destroy();
+      return;
+    }
     this.#readAnswer(incoming, status);
   }
 
@@ -413,9 +443,13 @@
   }
 
   #fail(reason: FailureReason): void {
-    if (this.#isSettled) {
-      return;
+    if (!this.#isSettled) {
+      this.#settleFailed(reason);
+      this.#outgoing.destroy();
     }
+  }
+
+  #settleFailed(reason: FailureReason): void {
     const isConnected = this.#isConnected;
     if (!isConnected && reason !== "cancelled") {
       this.#settle(UNREACHABLE);
@@ -428,7 +462,6 @@
           : {}),
       });
     }
-    this.#outgoing.destroy();
   }
 
   #settle(result: CallResult): void {
