A request that a stopping VM cut off for another one is passed on once more

A VM that reaches no target passes requests on. When the VM that serves one of them ends its grace period, it answers 504 0.4 s before, and the caller got that, although its own VM did not stop and it had time left.

Cause: the first VM could not tell how many targets had the request, so it counted all attempts of the route as used, and took the 504 for the end. The serving VM now states the number in its refusal. A request that may be repeated is passed on to another VM, within the attempts and the time that are left and with a token of the retry budget; one that must not run twice ends with 504 as before. A VM that does not state the number counts as having used all that it was allowed. A VM that has cut a request off is avoided for a second, like one that refuses.

Not changed: an error of a target that the serving VM returns since it may not retry any more.

--- a/packages/proxy/src/final_answer.ts
+++ b/packages/proxy/src/final_answer.ts
@@ -297,6 +297,9 @@
     }
     if (this.#isForwarded) {
       head.push(headers.REFUSAL_HEADER, refusal.reason);
+      if (refusal.received !== undefined) {
+        head.push(headers.RECEIVED_HEADER, String(refusal.received));
+      }
     }
     if (refusal.retryAfterSeconds !== undefined) {
       const seconds = Math.max(0, refusal.retryAfterSeconds - heldMilliseconds / 1_000);
--- a/packages/proxy/src/forwarding.ts
+++ b/packages/proxy/src/forwarding.ts
@@ -84,3 +84,11 @@
 export function mayServeElsewhere(refusal: refusals.Refusal): boolean {
   return refusal.status === 503 && LOCAL_REASONS.has(refusal.reason);
 }
+
+/**
+ * Whether a VM has broken a request off, which may have run, since its own grace period ends. The
+ * time of the request is not over.
+ */
+export function isCutOff(refusal: refusals.Refusal): boolean {
+  return refusal.status === 504 && refusal.reason === "stopping";
+}
--- a/packages/proxy/src/headers.ts
+++ b/packages/proxy/src/headers.ts
@@ -35,6 +35,12 @@
 /** Header with the reason for which the VM that a request was passed on to has refused it. */
 export const REFUSAL_HEADER = "hemlockwalk-refusal";
 
+/**
+ * Header with the number of targets that may have received a request that was passed on, in the
+ * refusal of a VM that stops. Earlier versions of the program do not send it.
+ */
+export const RECEIVED_HEADER = "hemlockwalk-received";
+
 /** What the head of a request consists of. */
 export type RequestHead = Pick<
   http.IncomingMessage,
@@ -63,7 +69,7 @@
 export function createAnswerHeaders(answer: http.IncomingMessage): string[] {
   return filterHeaders(
     answer.rawHeaders,
-    new Set([REFUSAL_HEADER, ...listConnectionHeaders(answer.headers.connection)]),
+    new Set([REFUSAL_HEADER, RECEIVED_HEADER, ...listConnectionHeaders(answer.headers.connection)]),
   );
 }
 
--- a/packages/proxy/src/passing_on.ts
+++ b/packages/proxy/src/passing_on.ts
@@ -131,13 +131,26 @@
   }
 }
 
+/**
+ * How many targets may have received a request that was passed on with this result. A VM that does
+ * not tell may have used all attempts that it was allowed.
+ */
+export function countReceived(result: calls.CallResult, attempts: number): number {
+  if (!mayHaveRun(result)) {
+    return 0;
+  }
+  const stated = result.kind === "refused_by_peer" ? result.refusal.received : undefined;
+  return Math.min(stated ?? attempts, attempts);
+}
+
 /** Whether another VM may well serve the request. */
 function isFaultOfPeer(result: calls.CallResult): boolean {
   switch (result.kind) {
     case "answered":
       return false;
     case "refused_by_peer":
-      return forwarding.mayServeElsewhere(result.refusal);
+      return forwarding.mayServeElsewhere(result.refusal) ||
+        forwarding.isCutOff(result.refusal);
     case "failed":
       return result.reason !== "cancelled";
     case "not_run":
--- a/packages/proxy/src/refusals.ts
+++ b/packages/proxy/src/refusals.ts
@@ -45,6 +45,8 @@
   readonly status: number;
   readonly reason: types.RefusalReason;
   readonly retryAfterSeconds?: number;
+  /** Targets that may have received the request, stated to a VM that has passed it on. */
+  readonly received?: number;
 }
 
 /** The refusal of a request that another VM serves, since this one stops. */
@@ -57,12 +59,15 @@
   status: number,
   reason: string,
   retryAfter: string | undefined,
+  received: string | string[] | undefined,
 ): Refusal {
   const seconds = Number(retryAfter ?? Number.NaN);
+  const isCount = typeof received === "string" && /^\d{1,4}$/.test(received);
   return {
     status,
     reason: types.REFUSAL_REASONS.find((known) => known === reason) ?? "target_failed",
     ...(seconds >= 0 ? { retryAfterSeconds: seconds } : {}),
+    ...(isCount ? { received: Number(received) } : {}),
   };
 }
 
--- a/packages/proxy/src/request_handler.ts
+++ b/packages/proxy/src/request_handler.ts
@@ -166,11 +166,9 @@
       this.#sendHeld();
     }
     this.#finalAnswer.cutOff(
-      this.#hasAttempted ? { status: 504, reason: "stopping" } : {
-        status: 503,
-        reason: "stopping",
-        retryAfterSeconds: refusals.RETRY_AFTER_SECONDS.stopping,
-      },
+      this.#hasAttempted
+        ? { status: 504, reason: "stopping", received: this.#count.used }
+        : refusals.createStopping(),
     );
   }
 
@@ -645,8 +643,7 @@
     if (result.kind !== "not_run") {
       this.#trace.recordArrival();
     }
-    // The other VM may have used all of them.
-    this.#count.end(passingOn.mayHaveRun(result) ? attempts : 0, attempts);
+    this.#count.end(passingOn.countReceived(result, attempts), attempts);
     const isUnspent = result.kind === "refused_by_peer"
       ? forwarding.mayServeElsewhere(result.refusal)
       : result.kind === "not_run" && !result.hasArrived;
@@ -840,7 +837,7 @@
     if (this.#evidence.findRefusal(accepted, body) !== undefined) {
       return false;
     }
-    if (result.kind === "refused_by_peer") {
+    if (result.kind === "refused_by_peer" && !forwarding.isCutOff(result.refusal)) {
       return (route.isIdempotent || !this.#mayHaveRun) &&
         forwarding.mayServeElsewhere(result.refusal) && this.#peers.mayTryAnother &&
         (this.#count.takeUnspent() || await budgets.takeRetryOrWait(service));
@@ -849,6 +846,9 @@
     if (!isSafeToRetry || this.#count.used >= route.attempts) {
       return false;
     }
+    if (result.kind === "refused_by_peer" && !this.#peers.mayTryAnother) {
+      return false;
+    }
     const left = accepted.endsAt - kernel.getMonotonicMilliseconds();
     if (left < this.#getMean(accepted) * further.MIN_TIME_IN_MEAN_TIMES) {
       return false;
--- a/packages/proxy/src/target_call.ts
+++ b/packages/proxy/src/target_call.ts
@@ -299,7 +299,12 @@
       this.#discardBody(incoming);
       this.#settle({
         kind: "refused_by_peer",
-        refusal: refusals.readRefusal(status, refusal, incoming.headers["retry-after"]),
+        refusal: refusals.readRefusal(
+          status,
+          refusal,
+          incoming.headers["retry-after"],
+          incoming.headers[headers.RECEIVED_HEADER],
+        ),
       });
       return;
     }
